--- /dev/null
+++ b/features/steps/error_steps.py
@@ -0,0 +1,115 @@
+"""Steps on bad input."""
+
+import json
+import subprocess
+
+import orjson
+from behave import then, when
+from tools.localcluster import BIN, hash_key
+
+from sapphirerock.process.gateway import BODY_LIMIT_BYTES
+
+BODY = {"model": "quote", "prompt": "p", "max_tokens": 2}
+
+
+def get_problem(content):
+    return orjson.loads(content)["type"].rsplit(":", 1)[-1]
+
+
+@then("these calls are refused")
+def check_refusals(context):
+    for row in context.table:
+        body = row["body"].encode()
+        if body == b"HUGE":
+            body = b"x" * (BODY_LIMIT_BYTES + 1)
+        headers = {}
+        if row["key"] == "unknown":
+            headers["Authorization"] = "Bearer nobody"
+        status, _, content = context.run(
+            context.world.call(row["method"], row["path"], body=body, **headers)
+        )
+        seen = (str(status), get_problem(content))
+        assert seen == (row["status"], row["type"]), (row, seen)
+        assert orjson.loads(content)["outcome"] == "not-run"
+
+
+@then("a key that is used for another body is refused with 422")
+def check_key_reuse(context):
+    call = context.world.call
+    body = orjson.dumps(BODY)
+    path = "/v1/completions"
+    status, _, _ = context.run(call("POST", path, body=body, Idempotency_Key="k"))
+    assert status == 200
+    other = orjson.dumps({**BODY, "prompt": "q"})
+    status, _, content = context.run(
+        call("POST", path, body=other, Idempotency_Key="k")
+    )
+    assert (status, get_problem(content)) == (422, "key-reused")
+
+
+@then("an order key that is used for another call is refused with 422")
+def check_order_key_reuse(context):
+    call = context.world.call
+    path = "/v1/services/stock/orders/fleece"
+    status, headers, _ = context.run(call("POST", path, body=b"1", Idempotency_Key="o"))
+    assert (status, headers["Sapphirerock-Outcome"]) == (201, "ran")
+    status, _, content = context.run(call("POST", path, body=b"2", Idempotency_Key="o"))
+    assert (status, get_problem(content)) == (422, "key-reused")
+
+
+@then("malformed settings are refused with path, field and reason")
+def check_settings_refused(context):
+    cluster = context.world.cluster
+    document = {"kind": "service", "name": "x", "type": "odd", "upstreams": []}
+    status, answer = context.run(cluster.put_settings("team/services/x", document))
+    assert status == 422, answer
+    for part in ("settings/team/services/x", "$.type", "'odd'", "generation"):
+        assert part in answer["detail"], answer
+
+
+@then("settings that are malformed in the platform never take effect")
+def check_settings_ignored(context):
+    world = context.world
+    path = "objects/settings/team/services/quote"
+    url = f"{world.cluster.platform_url}/{path}"
+
+    async def damage():
+        async with world.session.put(url, data=b'{"document": 1}') as answer:
+            assert answer.status == 200
+
+        async def is_refused():
+            status = await world.cluster.read_status("r1")
+            return bool(status["settings_refused"])
+
+        await world.wait_until(is_refused, "the router saw the malformed object")
+        record = await world.make_caller().generate("still served", 5)
+        assert record.is_whole
+
+    context.run(damage())
+
+
+@when("the host settings have {field} set to {value}")
+def write_bad_host_settings(context, field, value):
+    cluster = context.world.cluster
+    cluster.plan_router("r1", "zone-a", "region-a")
+    cluster.platform_url = "http://127.0.0.1:1"
+    path = cluster.write_host_settings("r1")
+    document = json.loads(path.read_text())
+    document[field] = json.loads(value)
+    document["root_operator_sha256"] = hash_key("x")
+    path.write_text(json.dumps(document))
+    context.check = subprocess.run(
+        [BIN / "sapphirerock-router", "--check", path],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    context.value = value
+
+
+@then("the check names {field} and what was expected")
+def check_named(context, field):
+    assert context.check.returncode == 2, context.check
+    assert f"$.{field}" in context.check.stderr
+    assert json.loads(context.value).__repr__() in context.check.stderr
+    assert "expected" in context.check.stderr
--- /dev/null
+++ b/src/sapphirerock/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: to callers, upstreams, peers, the platform."""
--- /dev/null
+++ b/src/sapphirerock/connection/caller.py
@@ -0,0 +1,150 @@
+"""Answers to callers: event streams, whole answers and problem documents."""
+
+import orjson
+from aiohttp import web
+
+HEARTBEAT_S = 1.0
+STREAM_HEADERS = {
+    "Content-Type": "text/event-stream",
+    "Cache-Control": "no-store",
+    "Sapphirerock-Outcome": "ran",
+}
+BEAT = b": beat\n\n"
+
+
+def make_problem_response(problem):
+    """Return a problem document as an HTTP answer."""
+    return web.Response(
+        status=problem.status, body=problem.encode(), headers=problem.make_headers()
+    )
+
+
+def encode_segment(generation, segment):
+    """Return one server-sent event with tokens."""
+    position = generation.make_position(segment.end - 1).encode()
+    data = orjson.dumps(
+        {
+            "generation_id": generation.generation_id,
+            "offset": segment.offset,
+            "tokens": segment.tokens,
+            "text": segment.text,
+        }
+    )
+    return b"id: %b\ndata: %b\n\n" % (position.encode(), data)
+
+
+def encode_done(generation):
+    """Return the last event of a stream."""
+    data = orjson.dumps(
+        {
+            "generation_id": generation.generation_id,
+            "tokens_total": len(generation.tokens),
+            "finish_reason": generation.finish_reason,
+        }
+    )
+    return b"event: done\ndata: %b\n\n" % data
+
+
+def encode_problem(problem):
+    """Return a problem as the last event of a stream that had begun."""
+    return b"event: error\ndata: %b\n\n" % problem.encode()
+
+
+class GenerationReader:
+    """One caller that reads a generation.
+
+    Parameters
+    ----------
+    generation : Generation
+        What is read.
+    offset : int
+        Offset of the first token wanted.
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        Records gaps between events.
+    """
+
+    __slots__ = ("_generation", "_offset", "_clock", "_metrics", "_last_s")
+
+    def __init__(self, generation, offset, clock, metrics):
+        self._generation = generation
+        self._offset = offset
+        self._clock = clock
+        self._metrics = metrics
+        self._last_s = None
+
+    def __enter__(self):
+        self._generation.readers += 1
+        return self
+
+    def __exit__(self, *exception):
+        self._generation.readers -= 1
+        self._generation.last_read_s = self._clock.monotonic()
+
+    async def wait_begin(self):
+        """Wait for the first token or for the end without one."""
+        generation = self._generation
+        while not self._has_more() and not generation.is_over:
+            await generation.wait_change(HEARTBEAT_S)
+
+    def _has_more(self):
+        return self._generation.released > self._offset
+
+    async def read_segments(self):
+        """Yield lists of segments; an empty one after a time without any."""
+        generation = self._generation
+        while True:
+            segments = generation.find_segments(self._offset)
+            if segments:
+                self._offset = segments[-1].end
+                self._observe_gap()
+                yield segments
+            elif generation.problem is not None or generation.is_finished:
+                return
+            elif not await generation.wait_change(HEARTBEAT_S):
+                yield []
+
+    def _observe_gap(self):
+        now_s = self._clock.monotonic()
+        if self._last_s is not None:
+            self._metrics.token_gap.observe(now_s - self._last_s)
+        self._last_s = now_s
+
+
+async def stream_generation(request, generation, reader):
+    """Send a generation as server-sent events until it is over."""
+    response = web.StreamResponse(headers=STREAM_HEADERS)
+    await response.prepare(request)
+    async for segments in reader.read_segments():
+        await response.write(
+            b"".join(encode_segment(generation, item) for item in segments) or BEAT
+        )
+    if generation.problem is not None:
+        await response.write(encode_problem(generation.problem))
+    else:
+        await response.write(encode_done(generation))
+    await response.write_eof()
+    return response
+
+
+async def collect_generation(generation, reader):
+    """Return a generation as one JSON document."""
+    tokens, texts = [], []
+    async for segments in reader.read_segments():
+        for segment in segments:
+            tokens.extend(segment.tokens)
+            texts.append(segment.text)
+    if generation.problem is not None:
+        return make_problem_response(generation.problem)
+    document = {
+        "generation_id": generation.generation_id,
+        "tokens": tokens,
+        "text": "".join(texts),
+        "finish_reason": generation.finish_reason,
+    }
+    return web.Response(
+        body=orjson.dumps(document),
+        content_type="application/json",
+        headers={"Sapphirerock-Outcome": "ran"},
+    )
--- /dev/null
+++ b/src/sapphirerock/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- /dev/null
+++ b/src/sapphirerock/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process: tables, stores, budgets, commands."""
--- /dev/null
+++ b/src/sapphirerock/process/controlcli.py
@@ -0,0 +1,262 @@
+"""Command ``sapphirerockctl``: settings and status for operators."""
+
+import asyncio
+import difflib
+import hashlib
+import secrets
+import sys
+
+import click
+import orjson
+
+from sapphirerock import __version__
+from sapphirerock.process.control import ControlClient
+from sapphirerock.process.settingstree import read_tree, validate_tree
+
+IN_FORCE_BOUND_S = 4.0
+KEY_BYTES = 24
+
+
+@click.group()
+@click.version_option(__version__)
+@click.option(
+    "--router",
+    envvar="SAPPHIREROCK_ROUTER",
+    default="http://127.0.0.1:8101",
+    help="Address of any router.",
+)
+@click.option(
+    "--token", envvar="SAPPHIREROCK_TOKEN", default="", help="The operator's token."
+)
+@click.pass_context
+def main(context, router, token):
+    """Declare settings and see what is in force.
+
+    Example: sapphirerockctl --router http://127.0.0.1:8101 status
+    """
+    context.obj = ControlClient(router, token)
+
+
+def fail(message):
+    """Print an error and end with status 1."""
+    click.echo(message, err=True)
+    sys.exit(1)
+
+
+def require(result):
+    """Return the value of a result, or end with its failure."""
+    if result.is_error():
+        fail(f"{result.error.status}: {result.error.detail}")
+    return result.ok
+
+
+def format_document(document):
+    """Return a document as indented lines."""
+    if document is None:
+        return []
+    options = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
+    return orjson.dumps(document, option=options).decode().splitlines()
+
+
+def load_valid_tree(folder):
+    """Return a tree's files, or end with its faults."""
+    files = read_tree(folder)
+    faults = validate_tree(files)
+    for path, fault in faults:
+        click.echo(f"{path}: {fault}", err=True)
+    if faults:
+        sys.exit(1)
+    return files
+
+
+@main.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+def validate(folder):
+    """Check a tree of settings without asking anybody.
+
+    Example: sapphirerockctl validate examples/telar
+    """
+    files = load_valid_tree(folder)
+    click.echo(f"{len(files)} objects, all good")
+
+
+@main.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.pass_obj
+def diff(client, folder):
+    """Show how a tree differs from what the platform has.
+
+    Example: sapphirerockctl diff examples/telar
+    """
+    files = load_valid_tree(folder)
+
+    async def run():
+        async with client:
+            return [(item, require(await client.get(item.path))) for item in files]
+
+    changed = False
+    for item, remote in asyncio.run(run()):
+        lines = difflib.unified_diff(
+            format_document(remote.document),
+            format_document(item.document),
+            f"{item.path} version {remote.version}",
+            f"{item.path} in the tree",
+            lineterm="",
+        )
+        for line in lines:
+            changed = True
+            click.echo(line)
+    if not changed:
+        click.echo("no difference")
+
+
+@main.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
+@click.pass_obj
+def apply(client, folder, wait):
+    """Bring a tree into force, object by object.
+
+    Example: sapphirerockctl apply --wait examples/telar
+    """
+    files = load_valid_tree(folder)
+
+    async def run():
+        async with client:
+            version = 0
+            for item in files:
+                version = max(version, await apply_file(client, item))
+            if wait and version:
+                missing = require(await client.wait_in_force(version, IN_FORCE_BOUND_S))
+                report_missing(version, missing)
+
+    asyncio.run(run())
+
+
+async def apply_file(client, item):
+    """Write one object if it differs; return its version."""
+    remote = require(await client.get(item.path))
+    if remote.document == item.document:
+        click.echo(f"{item.path}: unchanged, version {remote.version}")
+        return remote.version
+    version = require(await client.put(item.path, item.document, remote.version))
+    click.echo(f"{item.path}: version {version}")
+    return version
+
+
+def report_missing(version, missing):
+    """Print where a version is not in force."""
+    if missing:
+        fail(f"version {version} is not in force at: {', '.join(missing)}")
+    click.echo(f"version {version} is in force on every live host")
+
+
+@main.command()
+@click.argument("path")
+@click.pass_obj
+def get(client, path):
+    """Print one object as the platform has it.
+
+    Example: sapphirerockctl get telar/services/critique
+    """
+
+    async def run():
+        async with client:
+            return require(await client.get(path))
+
+    remote = asyncio.run(run())
+    if not remote.version:
+        fail(f"{path}: there is no such object")
+    click.echo(f"# version {remote.version}, by {remote.operator}", err=True)
+    click.echo("\n".join(format_document(remote.document)))
+
+
+@main.command()
+@click.option("--json", "as_json", is_flag=True, help="Print everything as JSON.")
+@click.pass_obj
+def status(client, as_json):
+    """Show what a router has in force and whom it knows.
+
+    Example: sapphirerockctl status
+    """
+
+    async def run():
+        async with client:
+            return require(await client.read_status())
+
+    found = asyncio.run(run())
+    if as_json:
+        click.echo("\n".join(format_document(found)))
+        return
+    click.echo(
+        f"{found['host']} in {found['availability_zone']}, "
+        f"settings version {found['settings_horizon']}, "
+        f"{len(found['settings'])} objects, {found['generations']} generations"
+    )
+    click.echo(f"peers: {', '.join(found['peers']) or 'none'}")
+    for path, fault in found["settings_refused"].items():
+        click.echo(f"refused: {path}: {fault}")
+    for item in found["upstreams"]:
+        state = "usable" if item["usable"] else "not usable"
+        state = "leaving" if item["leaving"] else state
+        click.echo(
+            f"{item['name']:<24} {state:<10} running {item['running']:>3} "
+            f"queued {item['queued']:>3} of {item['capacity']:>3}"
+        )
+
+
+@main.command()
+@click.argument("model")
+@click.option("--organisation", default="", help="For this organisation.")
+@click.pass_obj
+def explain(client, model, organisation):
+    """Show how requests for a model are routed.
+
+    Example: sapphirerockctl explain pattern-critique
+    """
+
+    async def run():
+        async with client:
+            return require(await client.read_status())
+
+    found = asyncio.run(run())
+    routes = found["routes"].get(model, [])
+    for route in routes:
+        admitted = not route["organisations"] or organisation in route["organisations"]
+        verdict = "taken" if admitted else f"not for {organisation or 'others'}"
+        click.echo(f"{model} -> service {route['service']}: {verdict}")
+        if admitted:
+            for line in describe_targets(found, route["service"]):
+                click.echo(line)
+            return
+    fail(f"{model}: no route")
+
+
+def describe_targets(found, service):
+    """Return a line for each upstream of a service."""
+    names = found["services"].get(service, [])
+    usable = {item["name"]: item["usable"] for item in found["upstreams"]}
+    return [
+        f"  {name}: {'usable' if usable.get(name) else 'not usable'}" for name in names
+    ]
+
+
+@main.command("make-key")
+def make_key():
+    """Make a key and the digest that settings keep of it.
+
+    Example: sapphirerockctl make-key
+    """
+    key = secrets.token_urlsafe(KEY_BYTES)
+    click.echo(f"key    {key}")
+    click.echo(f"sha256 {hashlib.sha256(key.encode()).hexdigest()}")
+
+
+@main.command("hash-key")
+def hash_key():
+    """Read a key from standard input and print its digest.
+
+    Example: echo -n my-key | sapphirerockctl hash-key
+    """
+    key = sys.stdin.readline().strip()
+    click.echo(hashlib.sha256(key.encode()).hexdigest())
--- /dev/null
+++ b/src/sapphirerock/process/gateway.py
@@ -0,0 +1,274 @@
+"""The HTTP face towards callers."""
+
+import uuid
+
+from aiohttp import web
+from expression import Error, Ok
+from opentelemetry.trace import SpanKind
+
+from sapphirerock.connection.caller import (
+    GenerationReader,
+    collect_generation,
+    make_problem_response,
+    stream_generation,
+)
+from sapphirerock.connection.plain import PlainRequest, select_headers
+from sapphirerock.process.generations import AttachRequest
+from sapphirerock.process.tracing import read_context
+from sapphirerock.request.check import CheckCall
+from sapphirerock.request.completion import parse_completion, parse_position
+from sapphirerock.request.order import OrderCall, choose_outcome
+from sapphirerock.request.problem import (
+    KEY_REQUIRED,
+    LEAVING,
+    MALFORMED,
+    NOT_FOUND,
+    RATE_LIMITED,
+    TOO_LARGE,
+    UNAUTHORISED,
+    Problem,
+)
+
+BODY_LIMIT_BYTES = 8 << 20
+KEY_LIMIT_CHARS = 256
+BEARER = "Bearer "
+MAX_TIMEOUT_S = 3600.0
+
+
+class Gateway:
+    """Handlers of callers' requests.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        What lives as long as the process.
+    generations : GenerationTable
+        Generations that this host drives.
+    limits : LimitTable
+        Rates of organisations.
+    """
+
+    __slots__ = ("leaving", "calls", "_runtime", "_generations", "_limits")
+
+    def __init__(self, runtime, generations, limits):
+        self.leaving = False
+        self.calls = 0
+        self._runtime = runtime
+        self._generations = generations
+        self._limits = limits
+
+    def add_routes(self, application):
+        """Add the callers' routes."""
+        application.add_routes(
+            [
+                web.post("/v1/completions", self.handle_completion),
+                web.route("*", "/v1/services/{service}/{path:.*}", self.handle_call),
+            ]
+        )
+
+    async def handle_completion(self, request):
+        """Answer ``POST /v1/completions``."""
+        return await self._handle(request, "completion", self._complete)
+
+    async def handle_call(self, request):
+        """Answer a call of a plain service."""
+        return await self._handle(request, "call", self._call)
+
+    async def _handle(self, request, kind, answer):
+        """Answer within a span, count the answer and turn problems into documents."""
+        self.calls += 1
+        try:
+            with self._runtime.tracer.start_as_current_span(
+                f"caller {kind}",
+                context=read_context(request.headers),
+                kind=SpanKind.SERVER,
+            ):
+                response = await self._answer_or_explain(request, answer)
+            self._runtime.metrics.requests.labels(kind, str(response.status)).inc()
+            return response
+        finally:
+            self.calls -= 1
+
+    async def _answer_or_explain(self, request, answer):
+        if self.leaving:
+            return make_problem_response(Problem(LEAVING, "use another host", 0))
+        snapshot = self._runtime.settings.snapshot
+        organisation = self._authenticate(request, snapshot)
+        if organisation.is_error():
+            return make_problem_response(organisation.error)
+        body = await read_body(request)
+        if body.is_error():
+            return make_problem_response(body.error)
+        return await answer(request, snapshot, organisation.ok, body.ok)
+
+    def _authenticate(self, request, snapshot):
+        """Return the caller's organisation, within its rate.
+
+        Returns
+        -------
+        expression.Result of Organisation or Problem
+        """
+        header = request.headers.get("Authorization", "")
+        organisation = None
+        if header.startswith(BEARER):
+            organisation = snapshot.organisations.find_by_key(header[len(BEARER) :])
+        if organisation is None:
+            return Error(Problem(UNAUTHORISED, "no organisation has this key"))
+        retry_after_s = self._limits.admit(organisation)
+        if retry_after_s is not None:
+            detail = f"{organisation.name} is over its rate"
+            return Error(Problem(RATE_LIMITED, detail, retry_after_s))
+        return Ok(organisation)
+
+    async def _complete(self, request, snapshot, organisation, body):
+        attach = self._parse_attach(request, snapshot, organisation, body)
+        if attach.is_error():
+            return make_problem_response(attach.error)
+        attached = await self._generations.attach(attach.ok)
+        if attached.is_error():
+            return make_problem_response(attached.error)
+        return await self._send_generation(request, attach.ok, attached.ok)
+
+    async def _send_generation(self, request, attach, generation):
+        runtime = self._runtime
+        started_s = runtime.clock.monotonic()
+        start = attach.offset + 1
+        reader = GenerationReader(generation, start, runtime.clock, runtime.metrics)
+        with reader:
+            if not attach.completion.stream:
+                return await collect_generation(generation, reader)
+            await reader.wait_begin()
+            runtime.metrics.first_token.observe(runtime.clock.monotonic() - started_s)
+            if generation.problem is not None and generation.released <= start:
+                return make_problem_response(generation.problem)
+            return await stream_generation(request, generation, reader)
+
+    def _parse_attach(self, request, snapshot, organisation, body):
+        """Return what a caller's completion request asks for.
+
+        Returns
+        -------
+        expression.Result of AttachRequest or Problem
+        """
+        completion = parse_completion(body)
+        if completion.is_error():
+            return completion
+        route = snapshot.find_route(completion.ok.model, organisation.name)
+        if route is None:
+            return Error(Problem(NOT_FOUND, f"no model {completion.ok.model!r}"))
+        service = snapshot.services[route.service]
+        position = None
+        if "Last-Event-ID" in request.headers:
+            parsed = parse_position(request.headers["Last-Event-ID"])
+            if parsed.is_error():
+                return parsed
+            position = parsed.ok
+        timeout = parse_timeout(request, service.start_deadline_s)
+        key = parse_key(request)
+        if timeout.is_error() or key.is_error():
+            return timeout if timeout.is_error() else key
+        return Ok(
+            AttachRequest(
+                organisation,
+                key.ok or uuid.uuid4().hex,
+                completion.ok,
+                position,
+                route,
+                service,
+                self._runtime.clock.monotonic() + timeout.ok,
+            )
+        )
+
+    async def _call(self, request, snapshot, organisation, body):
+        name = request.match_info["service"]
+        service = snapshot.services.get(name)
+        if service is None or service.type != "plain":
+            return make_problem_response(Problem(NOT_FOUND, f"no service {name!r}"))
+        timeout = parse_timeout(request, service.call_timeout_s)
+        key = parse_key(request)
+        if timeout.is_error() or key.is_error():
+            return make_problem_response(
+                timeout.error if timeout.is_error() else key.error
+            )
+        call = PlainRequest(
+            request.method,
+            request.match_info["path"],
+            request.query_string,
+            select_headers(request.headers),
+            body,
+        )
+        deadline_s = self._runtime.clock.monotonic() + timeout.ok
+        if service.is_order(call.path):
+            return await self._order(service, organisation, key.ok, call, deadline_s)
+        answer = await CheckCall(self._runtime, service, call, deadline_s).run()
+        return make_call_response(answer)
+
+    async def _order(self, service, organisation, key, call, deadline_s):
+        if not key:
+            detail = f"{service.name} takes orders only with an Idempotency-Key"
+            return make_problem_response(Problem(KEY_REQUIRED, detail))
+        order = OrderCall(self._runtime, service, organisation, key, call, deadline_s)
+        answer, outcome = await order.run()
+        self._runtime.metrics.orders.labels(outcome).inc()
+        return make_call_response(answer)
+
+
+def make_call_response(answer):
+    """Return a plain answer or a problem as an HTTP answer."""
+    if isinstance(answer, Problem):
+        return make_problem_response(answer)
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        content_type=answer.content_type,
+        headers={"Sapphirerock-Outcome": choose_outcome(answer.status)},
+    )
+
+
+async def read_body(request):
+    """Read a body of bounded size.
+
+    Returns
+    -------
+    expression.Result of bytes or Problem
+    """
+    try:
+        return Ok(await request.read())
+    except web.HTTPRequestEntityTooLarge:
+        detail = f"a body may have {BODY_LIMIT_BYTES} bytes"
+        return Error(Problem(TOO_LARGE, detail))
+
+
+def parse_timeout(request, default_s):
+    """Decode ``Request-Timeout``.
+
+    Returns
+    -------
+    expression.Result of float or Problem
+        Seconds.
+    """
+    text = request.headers.get("Request-Timeout")
+    if text is None:
+        return Ok(default_s)
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds <= MAX_TIMEOUT_S:
+        detail = f"Request-Timeout {text[:40]!r} is no number of seconds up to "
+        return Error(Problem(MALFORMED, f"{detail}{MAX_TIMEOUT_S:.0f}"))
+    return Ok(seconds)
+
+
+def parse_key(request):
+    """Decode ``Idempotency-Key``; empty when there is none.
+
+    Returns
+    -------
+    expression.Result of str or Problem
+    """
+    key = request.headers.get("Idempotency-Key", "")
+    if len(key) > KEY_LIMIT_CHARS:
+        detail = f"an Idempotency-Key may have {KEY_LIMIT_CHARS} characters"
+        return Error(Problem(MALFORMED, detail))
+    return Ok(key)
--- /dev/null
+++ b/src/sapphirerock/process/hostsettings.py
@@ -0,0 +1,184 @@
+"""A host's own settings: one JSON file, checked before anything starts."""
+
+from dataclasses import dataclass
+
+import orjson
+from expression import Error, Ok
+
+from sapphirerock.version.faults import SettingsError, SettingsFault, find_faults
+from sapphirerock.version.schema import DIGEST, NAME, SECONDS, URL
+
+PORT = {"type": "integer", "minimum": 1, "maximum": 65535}
+IP_NUMBER = {"type": "string", "pattern": "^[0-9]{1,3}([.][0-9]{1,3}){3}$"}
+PEER_KEY_MIN_CHARS = 16
+OPTIONAL_FIELDS = ("peer_listen_port", "drain_bound_s", "journal")
+
+PEER_SCHEMA = {
+    "type": "object",
+    "properties": {
+        "host": NAME,
+        "availability_zone": NAME,
+        "region": NAME,
+        "address": IP_NUMBER,
+        "caller_port": PORT,
+        "peer_port": PORT,
+    },
+    "required": [
+        "host",
+        "availability_zone",
+        "region",
+        "address",
+        "caller_port",
+        "peer_port",
+    ],
+    "additionalProperties": False,
+}
+
+HOST_SCHEMA = {
+    "type": "object",
+    "properties": {
+        **PEER_SCHEMA["properties"],
+        "platform_url": URL,
+        "peer_key": {"type": "string", "minLength": PEER_KEY_MIN_CHARS},
+        "root_operator_sha256": DIGEST,
+        "peers": {"type": "array", "items": PEER_SCHEMA},
+        "peer_listen_port": PORT,
+        "drain_bound_s": SECONDS,
+        "journal": {"type": "boolean"},
+        "logs": {
+            "type": "object",
+            "properties": {
+                "style": {"enum": ["text", "json"]},
+                "level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
+            },
+            "additionalProperties": False,
+        },
+        "tracing": {
+            "type": "object",
+            "properties": {
+                "exporter": {"enum": ["none", "console", "file", "otlp"]},
+                "target": {"type": "string"},
+            },
+            "additionalProperties": False,
+        },
+    },
+    "required": [
+        *PEER_SCHEMA["required"],
+        "platform_url",
+        "peer_key",
+        "root_operator_sha256",
+    ],
+    "additionalProperties": False,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class HostAddress:
+    """Where an entry host is and how it is reached."""
+
+    host: str
+    availability_zone: str
+    region: str
+    address: str
+    caller_port: int
+    peer_port: int
+
+
+@dataclass(slots=True, frozen=True)
+class LogSettings:
+    """How a process writes its logs."""
+
+    style: str = "text"
+    level: str = "INFO"
+
+
+@dataclass(slots=True, frozen=True)
+class TracingSettings:
+    """Where a process sends its spans."""
+
+    exporter: str = "none"
+    target: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class HostSettings:
+    """Settings of one process on an entry host.
+
+    Parameters
+    ----------
+    address : HostAddress
+        This host.
+    platform_url : str
+        The platform's object API.
+    peer_key : str
+        Secret that peers share.
+    root_operator_sha256 : str
+        SHA-256 of the token that may write all settings.
+    peers : tuple of HostAddress
+        Hosts to start from when the platform is down.
+    peer_listen_port : int or None
+        Port to listen on for peers, where a forwarder stands before it.
+    drain_bound_s : float
+        Longest wait for streams at a graceful shutdown.
+    journal : bool
+        Whether tokens are written ahead to a journal holder.
+    logs : LogSettings
+        How to log.
+    tracing : TracingSettings
+        Where spans go.
+    """
+
+    address: HostAddress
+    platform_url: str
+    peer_key: str
+    root_operator_sha256: str
+    peers: tuple = ()
+    peer_listen_port: int | None = None
+    drain_bound_s: float = 600.0
+    journal: bool = True
+    logs: LogSettings = LogSettings()
+    tracing: TracingSettings = TracingSettings()
+
+
+def parse_host_settings(content):
+    """Check and decode the content of a settings file.
+
+    Parameters
+    ----------
+    content : bytes
+        JSON.
+
+    Returns
+    -------
+    expression.Result of HostSettings or SettingsError
+    """
+    try:
+        document = orjson.loads(content)
+    except orjson.JSONDecodeError as error:
+        return Error(SettingsError([SettingsFault("$", str(error), "JSON")]))
+    faults = find_faults(HOST_SCHEMA, document)
+    if faults:
+        return Error(SettingsError(faults))
+    return Ok(decode_host_settings(document))
+
+
+def decode_host_settings(document):
+    """Return the settings that a checked document describes."""
+    names = PEER_SCHEMA["required"]
+    optional = {key: document[key] for key in OPTIONAL_FIELDS if key in document}
+    return HostSettings(
+        address=HostAddress(*(document[name] for name in names)),
+        platform_url=document["platform_url"],
+        peer_key=document["peer_key"],
+        root_operator_sha256=document["root_operator_sha256"],
+        peers=tuple(HostAddress(**peer) for peer in document.get("peers", ())),
+        logs=LogSettings(**document.get("logs", {})),
+        tracing=TracingSettings(**document.get("tracing", {})),
+        **optional,
+    )
+
+
+def read_host_settings(path):
+    """Read, check and decode a settings file."""
+    with open(path, "rb") as stream:
+        return parse_host_settings(stream.read())
--- /dev/null
+++ b/src/sapphirerock/process/journal.py
@@ -0,0 +1,214 @@
+"""The journal of a holder: tokens of generations that other hosts drive."""
+
+from array import array
+from dataclasses import dataclass
+
+from sapphirerock.connection.messages import JournalAck, JournalRecordMessage
+
+FINISHED_LIFE_S = 60.0
+IDLE_LIFE_S = 180.0
+TOKEN_TYPE = "I"
+
+
+@dataclass(slots=True)
+class JournalRecord:
+    """What a holder keeps of one generation.
+
+    Parameters
+    ----------
+    history : list of [str, int]
+        Each driver's branch and the offset that it started from.
+    tokens : array of unsigned int
+        All tokens in their order.
+    upstream, incarnation : str
+        The engine that ran it last.
+    finish_reason : str
+        Empty while it goes on.
+    touched_s : float
+        Monotonic time of the last use.
+    """
+
+    organisation: str
+    key: str
+    body_digest: bytes
+    generation_id: str
+    history: list
+    tokens: array
+    upstream: str = ""
+    incarnation: str = ""
+    finish_reason: str = ""
+    touched_s: float = 0.0
+
+    @property
+    def branch(self):
+        """Branch of the driver that may append."""
+        return self.history[-1][0]
+
+    def to_message(self, found):
+        """Return the record as a message to a peer."""
+        return JournalRecordMessage(
+            found,
+            self.generation_id,
+            self.body_digest,
+            [list(item) for item in self.history],
+            self.tokens.tobytes(),
+            self.upstream,
+            self.incarnation,
+            self.finish_reason,
+        )
+
+
+def unpack_tokens(data):
+    """Return tokens from their bytes."""
+    tokens = array(TOKEN_TYPE)
+    tokens.frombytes(data)
+    return tokens
+
+
+def is_resumable(history, branch, offset):
+    """Return whether a caller may go on after an offset seen from a branch.
+
+    Tokens of a branch at and past the offset where its successor started
+    belong to nobody's answer any more.
+
+    Parameters
+    ----------
+    history : list of [str, int]
+        Each driver's branch and the offset that it started from.
+    branch : str
+        The driver whose event the caller saw last.
+    offset : int
+        Offset of the last token that the caller has.
+    """
+    for position, (name, _) in enumerate(history):
+        if name == branch:
+            following = history[position + 1 :]
+            return all(offset < start for _, start in following)
+    return False
+
+
+class JournalStore:
+    """Records that this host holds for others.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_by_key", "_by_id", "_clock")
+
+    def __init__(self, clock):
+        self._by_key = {}
+        self._by_id = {}
+        self._clock = clock
+
+    def __len__(self):
+        return len(self._by_id)
+
+    def find(self, organisation, key):
+        """Return the record of a key, or None."""
+        return self._by_key.get((organisation, key))
+
+    def open(self, request):
+        """Make a record, or hand an existing one to a new driver.
+
+        A record of another body is returned as it stands: the caller used one
+        key for two requests.
+        """
+        record = self._by_key.get((request.organisation, request.key))
+        if record is None:
+            record = JournalRecord(
+                request.organisation,
+                request.key,
+                request.body_digest,
+                request.generation_id,
+                [[request.branch, 0]],
+                array(TOKEN_TYPE),
+            )
+            self.adopt(record)
+            return record.to_message(found=False)
+        if record.body_digest == request.body_digest:
+            self._hand_over(record, request.branch)
+        return record.to_message(found=True)
+
+    def _hand_over(self, record, branch):
+        record.touched_s = self._clock.monotonic()
+        if record.branch != branch and not record.finish_reason:
+            record.history.append([branch, len(record.tokens)])
+
+    def adopt(self, record):
+        """Keep a record, in place of an older one of the same key."""
+        previous = self._by_key.get((record.organisation, record.key))
+        if previous is not None:
+            self._by_id.pop(previous.generation_id, None)
+        record.touched_s = self._clock.monotonic()
+        self._by_key[(record.organisation, record.key)] = record
+        self._by_id[record.generation_id] = record
+
+    def backfill(self, message):
+        """Keep a generation that its driver gives whole."""
+        current = self._by_id.get(message.generation_id)
+        if current is not None and not extends_history(current, message.history):
+            return JournalAck([message.generation_id], [])
+        self.adopt(
+            JournalRecord(
+                message.organisation,
+                message.key,
+                message.body_digest,
+                message.generation_id,
+                [list(item) for item in message.history],
+                unpack_tokens(message.tokens),
+                message.upstream,
+                message.incarnation,
+            )
+        )
+        return JournalAck([], [])
+
+    def append(self, message):
+        """Append tokens of many generations; refuse superseded drivers."""
+        acknowledgement = JournalAck([], [])
+        for entry in message.entries:
+            self._append_entry(entry, acknowledgement)
+        return acknowledgement
+
+    def _append_entry(self, entry, acknowledgement):
+        generation_id, branch, offset, tokens, upstream, incarnation, finish = entry
+        record = self._by_id.get(generation_id)
+        if record is None or offset > len(record.tokens):
+            acknowledgement.unknown.append(generation_id)
+            return
+        if record.branch != branch:
+            acknowledgement.superseded.append(generation_id)
+            return
+        known = len(record.tokens) - offset
+        record.tokens.extend(unpack_tokens(tokens)[known:])
+        record.upstream = upstream
+        record.incarnation = incarnation
+        record.finish_reason = finish
+        record.touched_s = self._clock.monotonic()
+
+    def close(self, message):
+        """Forget generations that nobody will ask for."""
+        for generation_id in message.generation_ids:
+            self._drop(generation_id)
+
+    def prune(self):
+        """Forget what is finished or idle for long."""
+        now_s = self._clock.monotonic()
+        for record in list(self._by_id.values()):
+            life_s = FINISHED_LIFE_S if record.finish_reason else IDLE_LIFE_S
+            if now_s - record.touched_s > life_s:
+                self._drop(record.generation_id)
+
+    def _drop(self, generation_id):
+        record = self._by_id.pop(generation_id, None)
+        if record is not None:
+            self._by_key.pop((record.organisation, record.key), None)
+
+
+def extends_history(record, history):
+    """Return whether a driver's history contains all drivers of a record."""
+    return [list(item) for item in record.history] == [
+        list(item) for item in history[: len(record.history)]
+    ]
--- /dev/null
+++ b/src/sapphirerock/process/peers.py
@@ -0,0 +1,305 @@
+"""Streams to other entry hosts: dialled, accepted, kept alive, bounded."""
+
+import asyncio
+
+from expression import Error, Ok
+from loguru import logger
+from mode import Service
+
+from sapphirerock.connection.errors import PeerUnavailable
+from sapphirerock.connection.messages import Heartbeat, Hello, Refusal
+from sapphirerock.connection.peer import open_peer_stream
+from sapphirerock.process.hostsettings import HostAddress
+from sapphirerock.process.rendezvous import rank_candidates
+
+HEARTBEAT_S = 0.5
+SILENCE_BOUND_S = 2.0
+DIAL_BOUND_S = 0.5
+ZONE_DEGREE = 3
+BRIDGES_PER_ZONE = 2
+IDLE_CLOSE_S = 30.0
+
+
+class PeerTable(Service):
+    """All streams to peers of this process.
+
+    Parameters
+    ----------
+    hosts : HostTable
+        Known hosts.
+    key : str
+        Secret that peers share.
+    incarnation : int
+        Number of this process; higher for a later one on the same host.
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        Where bytes are counted.
+    listen_port : int or None
+        Port to listen on where it is not the one that peers dial.
+    """
+
+    def __init__(
+        self, hosts, key, incarnation, clock, metrics, listen_port=None, **kwargs
+    ):
+        super().__init__(**kwargs)
+        self._listen_port = listen_port
+        self.hosts = hosts
+        self.incarnation = incarnation
+        self.leaving = False
+        self.streams = {}
+        self.read_horizon = lambda: 0
+        self.on_heartbeat = []
+        self.on_connect = []
+        self._key = key.encode()
+        self._clock = clock
+        self._metrics = metrics
+        self._handlers = {Heartbeat: self._take_heartbeat}
+        self._dials = {}
+        self._server = None
+        self._tasks_of_streams = set()
+
+    def register_handler(self, message_type, handler):
+        """Send messages of a type to a function.
+
+        The function takes the stream and the message. What it returns, or what
+        the coroutine that it returns ends with, is the reply.
+        """
+        self._handlers[message_type] = handler
+
+    async def on_start(self):
+        """Accept peers."""
+        own = self.hosts.own
+        self._server = await asyncio.start_server(
+            self._accept, own.address, self._listen_port or own.peer_port
+        )
+
+    async def on_stop(self):
+        """Close every stream."""
+        self._server.close()
+        for stream in list(self.streams.values()):
+            stream.close()
+        for task in list(self._tasks_of_streams):
+            task.cancel()
+
+    def announce_leaving(self):
+        """Tell every peer that this host takes no new work."""
+        self.leaving = True
+        for stream in list(self.streams.values()):
+            self._beat(stream)
+
+    async def reach(self, host):
+        """Return the stream to a host, dialled if there is none.
+
+        Returns
+        -------
+        expression.Result of PeerStream or PeerUnavailable
+        """
+        stream = self.streams.get(host)
+        if stream is not None and stream.is_open:
+            stream.last_used_s = self._clock.monotonic()
+            return Ok(stream)
+        address = self.hosts.find(host)
+        if address is None:
+            return Error(PeerUnavailable(host, "unknown host"))
+        if host not in self._dials:
+            self._dials[host] = asyncio.ensure_future(self._dial(address))
+        return await asyncio.shield(self._dials[host])
+
+    async def ask(self, host, message, timeout_s):
+        """Ask a host, over a stream dialled if need be.
+
+        Returns
+        -------
+        expression.Result of Message or PeerUnavailable
+        """
+        reached = await self.reach(host)
+        if reached.is_error():
+            return reached
+        return await reached.ok.ask(message, timeout_s)
+
+    def send_all(self, message, kind, accepts=None):
+        """Send a message to every peer that passes a test."""
+        for stream in list(self.streams.values()):
+            if accepts is None or accepts(stream):
+                self.count_bytes(stream, kind, stream.send(message))
+
+    def count_bytes(self, stream, kind, size):
+        """Count bytes to a peer by kind and by how far they go."""
+        own = self.hosts.own
+        reach = "region"
+        if stream.hello.region != own.region:
+            reach = "between-regions"
+        elif stream.hello.availability_zone == own.availability_zone:
+            reach = "zone"
+        self._metrics.peer_bytes.labels(kind, reach).inc(size)
+
+    async def _dial(self, address):
+        host = address.host
+        try:
+            async with asyncio.timeout(DIAL_BOUND_S):
+                reader, writer = await asyncio.open_connection(
+                    address.address,
+                    address.peer_port,
+                    local_addr=(self.hosts.own.address, 0),
+                )
+        except (TimeoutError, OSError) as error:
+            self.hosts.mark_dead(host)
+            return Error(PeerUnavailable(host, repr(error)))
+        finally:
+            self._dials.pop(host, None)
+        opened = await self._shake_hands(reader, writer)
+        if opened.is_error():
+            self.hosts.mark_dead(host)
+            return Error(PeerUnavailable(host, opened.error.reason))
+        stream = opened.ok
+        if stream.host != host:
+            stream.close()
+            return Error(PeerUnavailable(host, "another host answers"))
+        stream.on_demand = True
+        self._adopt(stream)
+        return Ok(stream)
+
+    async def _accept(self, reader, writer):
+        opened = await self._shake_hands(reader, writer)
+        if opened.is_error():
+            logger.warning("peer refused: {}", opened.error.reason)
+        else:
+            self._adopt(opened.ok)
+
+    async def _shake_hands(self, reader, writer):
+        own = self.hosts.own
+        hello = Hello(
+            own.host,
+            own.availability_zone,
+            own.region,
+            own.address,
+            own.caller_port,
+            own.peer_port,
+            self.incarnation,
+            b"",
+        )
+        return await open_peer_stream(reader, writer, hello, self._key, self._receive)
+
+    def _adopt(self, stream):
+        hello = stream.hello
+        self.hosts.learn(
+            HostAddress(
+                hello.host,
+                hello.availability_zone,
+                hello.region,
+                hello.address,
+                hello.caller_port,
+                hello.peer_port,
+            )
+        )
+        self.hosts.mark_alive(hello.host)
+        stream.last_heard_s = stream.last_used_s = self._clock.monotonic()
+        # Both ends may dial at once; the stream made last serves for sending,
+        # and the other is read until it goes silent.
+        self.streams[hello.host] = stream
+        task = asyncio.ensure_future(self._serve(stream))
+        self._tasks_of_streams.add(task)
+        task.add_done_callback(self._tasks_of_streams.discard)
+        self._metrics.peer_links.set(len(self.streams))
+        for notify in self.on_connect:
+            notify(stream)
+
+    async def _serve(self, stream):
+        beats = asyncio.ensure_future(self._keep_alive(stream))
+        try:
+            await stream.run(self._clock)
+        finally:
+            beats.cancel()
+            stream.close()
+            if self.streams.get(stream.host) is stream:
+                del self.streams[stream.host]
+                self._metrics.peer_links.set(len(self.streams))
+
+    async def _keep_alive(self, stream):
+        while stream.is_open:
+            self._beat(stream)
+            await self._clock.sleep(HEARTBEAT_S)
+            now_s = self._clock.monotonic()
+            if now_s - stream.last_heard_s > SILENCE_BOUND_S:
+                self.hosts.mark_dead(stream.host)
+                stream.close()
+            if stream.on_demand and now_s - stream.last_used_s > IDLE_CLOSE_S:
+                stream.close()
+
+    def _beat(self, stream):
+        message = Heartbeat(self.leaving, self.read_horizon())
+        size = stream.send(message)
+        self.count_bytes(stream, "heartbeat", size)
+
+    def _take_heartbeat(self, stream, message):
+        if message.leaving:
+            self.hosts.mark_leaving(stream.host)
+        for notify in self.on_heartbeat:
+            notify(stream, message)
+
+    def _receive(self, stream, correlation, message):
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            if correlation:
+                stream.send(Refusal("unknown request"), -correlation)
+            return
+        answer = handler(stream, message)
+        if asyncio.iscoroutine(answer):
+            task = asyncio.ensure_future(
+                self._answer_later(stream, correlation, answer)
+            )
+            self._tasks_of_streams.add(task)
+            task.add_done_callback(self._tasks_of_streams.discard)
+        elif correlation and answer is not None:
+            stream.send(answer, -correlation)
+
+    async def _answer_later(self, stream, correlation, answer):
+        message = await answer
+        if correlation and message is not None:
+            stream.send(message, -correlation)
+
+    @Service.task
+    async def _keep_neighbours(self):
+        while not self.should_stop:
+            for host in self.choose_neighbours():
+                if host not in self.streams:
+                    self.add_future(self.reach(host))
+                else:
+                    self.streams[host].on_demand = False
+            await self._clock.sleep(HEARTBEAT_S)
+
+    def choose_neighbours(self):
+        """Return the hosts that this one keeps streams to.
+
+        A few in its own availability zone; and, where this host is one of the
+        zone's bridges, one in each other zone.
+        """
+        own = self.hosts.own
+        zones = {}
+        for address in self.hosts.list_live():
+            zones.setdefault(address.availability_zone, []).append(address.host)
+        mates = zones.pop(own.availability_zone, [])
+        neighbours = pick_ring_neighbours(mates, own.host)
+        bridges = rank_candidates([*mates, own.host], "bridge")[:BRIDGES_PER_ZONE]
+        if own.host in bridges:
+            position = bridges.index(own.host)
+            for names in zones.values():
+                ranked = rank_candidates(names, "bridge")[:BRIDGES_PER_ZONE]
+                neighbours.append(ranked[position % len(ranked)])
+        return neighbours
+
+
+def pick_ring_neighbours(mates, own):
+    """Return the next hosts on the ring of a zone's names.
+
+    Each host dials the hosts at distances 1, 2, 4 and so on, up to the degree,
+    so that news cross a zone of any size in few steps.
+    """
+    ring = sorted([*mates, own])
+    position = ring.index(own)
+    distances = [1 << step for step in range(ZONE_DEGREE)]
+    if len(ring) > 2 << ZONE_DEGREE:
+        distances[-1] = len(ring) // 2
+    chosen = {ring[(position + step) % len(ring)] for step in distances}
+    return sorted(chosen - {own})
--- /dev/null
+++ b/src/sapphirerock/process/placer.py
@@ -0,0 +1,284 @@
+"""The placer: brings engines to the declared models, under a lease.
+
+The lease is an object in the platform. Its version at the takeover is the
+fencing number of all orders. No wall clock is compared: a candidate takes over
+when it has seen the same version for longer than the lease lasts on its own
+monotonic clock.
+"""
+
+import random
+from dataclasses import dataclass
+
+import orjson
+from aiohttp import ClientSession, ClientTimeout, TCPConnector
+from loguru import logger
+from mode import Service
+
+from sapphirerock.connection.engine import EngineClient
+from sapphirerock.connection.platform import PlatformClient
+from sapphirerock.process.clock import SystemClock
+from sapphirerock.process.metrics import Metrics
+from sapphirerock.process.settings import SETTINGS_PREFIX, SettingsStore
+
+LEASE_PATH = "leases/placer"
+LEASE_S = 3.0
+RENEW_INTERVAL_S = 1.0
+ORDER_PAUSE_S = 0.5
+ORDER_BOUND_S = 2.0
+LOAD_MODEL = "load-model"
+UNLOAD_MODEL = "unload-model"
+SECONDS_PER_MINUTE = 60.0
+
+
+@dataclass(slots=True)
+class Lease:
+    """The right to send orders, as this process knows it.
+
+    Parameters
+    ----------
+    number : int
+        Fencing number; 0 while another process holds the lease.
+    version : int
+        Version of the object that was seen last.
+    valid_until_s : float
+        Monotonic time up to which no other process takes over.
+    seen_at_s : float
+        Monotonic time at which the version was first seen.
+    """
+
+    number: int = 0
+    version: int = 0
+    valid_until_s: float = 0.0
+    seen_at_s: float = 0.0
+
+
+class LeaseKeeper:
+    """Acquires and renews the lease.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Where the lease is.
+    holder : str
+        Name of this process.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("lease", "acquired_at_s", "_platform", "_holder", "_clock")
+
+    def __init__(self, platform, holder, clock):
+        self.lease = Lease()
+        self.acquired_at_s = 0.0
+        self._platform = platform
+        self._holder = holder
+        self._clock = clock
+
+    @property
+    def is_held(self):
+        """Whether an order may be sent now."""
+        return self.lease.number > 0 and (
+            self._clock.monotonic() < self.lease.valid_until_s
+        )
+
+    async def keep(self):
+        """Renew the lease, or take it over when its holder is gone."""
+        if self.lease.number:
+            await self._renew()
+        else:
+            await self._try_acquire()
+
+    async def _write(self):
+        """Write the lease if it has the version seen; return whether."""
+        asked_at_s = self._clock.monotonic()
+        value = orjson.dumps({"holder": self._holder})
+        written = await self._platform.put(LEASE_PATH, value, self.lease.version)
+        if written.is_error():
+            return False
+        self.lease.version = written.ok
+        self.lease.valid_until_s = asked_at_s + LEASE_S
+        return True
+
+    async def _renew(self):
+        if await self._write():
+            return
+        read = await self._platform.get(LEASE_PATH)
+        if read.is_error():
+            return
+        if not self._wrote(read.ok):
+            self._lose(read.ok.version)
+        else:
+            # The answer to the renewal was lost after its effect.
+            self.lease.version = read.ok.version
+
+    def _wrote(self, stored):
+        return bool(stored.value) and (
+            orjson.loads(stored.value)["holder"] == self._holder
+        )
+
+    def _lose(self, version):
+        logger.info("lease lost by {}", self._holder)
+        self.lease = Lease(version=version, seen_at_s=self._clock.monotonic())
+
+    async def _try_acquire(self):
+        read = await self._platform.get(LEASE_PATH)
+        if read.is_error():
+            return
+        now_s = self._clock.monotonic()
+        if read.ok.version != self.lease.version:
+            self.lease.version = read.ok.version
+            self.lease.seen_at_s = now_s
+        if read.ok.version and now_s - self.lease.seen_at_s < LEASE_S:
+            return
+        if await self._write():
+            self.lease.number = self.lease.version
+            self.acquired_at_s = self._clock.monotonic()
+            logger.info("lease {} held by {}", self.lease.number, self._holder)
+
+
+class LoadBudget:
+    """The weight store's rate, for one term of the lease.
+
+    It starts empty, so that two terms together keep the rate.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_clock", "_credit", "_refilled_at_s")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._credit = 0.0
+        self._refilled_at_s = clock.monotonic()
+
+    def take(self, loads_per_minute):
+        """Return whether weights may be loaded now, and count the load."""
+        now_s = self._clock.monotonic()
+        rate_per_s = loads_per_minute / SECONDS_PER_MINUTE
+        self._credit += (now_s - self._refilled_at_s) * rate_per_s
+        self._credit = min(1.0, self._credit)
+        self._refilled_at_s = now_s
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
+
+
+class PlacerService(Service):
+    """One placer process; any host's may hold the lease.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        This host's settings.
+    clock : Clock or None
+        Source of time; the system's when None.
+    """
+
+    def __init__(self, settings, clock=None, **kwargs):
+        super().__init__(**kwargs)
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.store = SettingsStore()
+        self._session = None
+        self._platform = None
+        self._keeper = None
+        self._budget = None
+
+    async def on_start(self):
+        """Open connections."""
+        self._session = ClientSession(
+            connector=TCPConnector(local_addr=(self.settings.address.address, 0)),
+            timeout=ClientTimeout(total=ORDER_BOUND_S),
+        )
+        self._platform = PlatformClient(
+            self._session, self.settings.platform_url, Metrics()
+        )
+        name = f"{self.settings.address.host}-{random.getrandbits(32):08x}"
+        self._keeper = LeaseKeeper(self._platform, name, self.clock)
+
+    async def on_shutdown(self):
+        """Close connections."""
+        await self._session.close()
+
+    @Service.task
+    async def _keep_lease(self):
+        while not self.should_stop:
+            held_before = self._keeper.lease.number
+            await self._keeper.keep()
+            if self._keeper.lease.number != held_before:
+                self._budget = LoadBudget(self.clock)
+            await self.clock.sleep(RENEW_INTERVAL_S)
+
+    @Service.task
+    async def _place(self):
+        while not self.should_stop:
+            if self._keeper.is_held:
+                await self._read_settings()
+                await self._place_once()
+            await self.clock.sleep(ORDER_PAUSE_S)
+
+    async def _read_settings(self):
+        after = self.store.horizon
+        read = await self._platform.watch(SETTINGS_PREFIX, after, 0)
+        if read.is_ok():
+            changes = [
+                (item.path, item.version, None if item.deleted else item.value.encode())
+                for item in read.ok.changes
+            ]
+            self.store.apply(after, read.ok.horizon, changes)
+
+    async def _place_once(self):
+        """Send each engine at most one order."""
+        snapshot = self.store.snapshot
+        upstreams = {
+            upstream.name: upstream
+            for service in snapshot.services.values()
+            for upstream in service.upstreams
+        }
+        for item in snapshot.placements:
+            for placed in item.settings.upstreams:
+                upstream = upstreams.get(placed.upstream)
+                if upstream is not None:
+                    await self._place_one(item.settings, placed, upstream)
+
+    async def _place_one(self, placement, placed, upstream):
+        client = EngineClient(self._session, upstream)
+        report = await client.read_load()
+        if report.is_error():
+            return
+        order = choose_order(placed.models, report.ok.models)
+        if order is None or not self._may_order(placed):
+            return
+        kind, target = order
+        if kind == LOAD_MODEL and not self._budget.take(placement.loads_per_minute):
+            return
+        # The lease is looked at once more right before the order leaves.
+        if self._keeper.is_held:
+            await client.send_order(
+                self._keeper.lease.number, kind, target, ORDER_BOUND_S
+            )
+
+    def _may_order(self, placed):
+        """Return whether orders of a former holder can't arrive any more.
+
+        Engines that check fencing numbers refuse those by themselves.
+        """
+        if placed.checks_fencing:
+            return True
+        held_s = self.clock.monotonic() - self._keeper.acquired_at_s
+        return held_s > placed.order_delay_bound_s + ORDER_BOUND_S
+
+
+def choose_order(wanted, loaded):
+    """Return (kind, target) of the next order, or None when all is as declared."""
+    for model in wanted:
+        if model not in loaded:
+            return LOAD_MODEL, model
+    for model in loaded:
+        if model not in wanted:
+            return UNLOAD_MODEL, model
+    return None
--- /dev/null
+++ b/src/sapphirerock/process/placercli.py
@@ -0,0 +1,31 @@
+"""Command ``sapphirerock-placer``."""
+
+import sys
+
+import click
+
+from sapphirerock import __version__
+from sapphirerock.process.hostsettings import read_host_settings
+from sapphirerock.process.logs import configure_logs
+from sapphirerock.process.placer import PlacerService
+from sapphirerock.process.worker import run_service
+
+
+@click.command()
+@click.version_option(__version__)
+@click.argument("settings_file", type=click.Path(exists=True, dir_okay=False))
+def main(settings_file):
+    """Run the placer of an entry host.
+
+    SETTINGS_FILE is the host's own settings, the same as the router's.
+
+    Example: sapphirerock-placer /etc/sapphirerock/host.json
+    """
+    read = read_host_settings(settings_file)
+    if read.is_error():
+        for fault in read.error.faults:
+            click.echo(f"{settings_file}: {fault}", err=True)
+        sys.exit(2)
+    settings = read.ok
+    configure_logs(settings.logs.style, settings.logs.level)
+    run_service(PlacerService(settings))
--- /dev/null
+++ b/src/sapphirerock/process/router.py
@@ -0,0 +1,245 @@
+"""The router: all parts of the process, put together and run."""
+
+import asyncio
+import random
+import time
+
+from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
+from loguru import logger
+from mode import Service
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from sapphirerock.connection.messages import (
+    JournalAppend,
+    JournalBackfill,
+    JournalClose,
+    JournalFind,
+    JournalOpen,
+    JournalRecordMessage,
+)
+from sapphirerock.connection.platform import PlatformClient
+from sapphirerock.connection.singleuse import send_once
+from sapphirerock.process.admin import Admin, SettingsWriter
+from sapphirerock.process.clock import SystemClock
+from sapphirerock.process.dispatcher import Dispatcher
+from sapphirerock.process.gateway import BODY_LIMIT_BYTES, Gateway
+from sapphirerock.process.generations import GenerationTable
+from sapphirerock.process.gossip import CrashNews, Gossip, SuspectNews
+from sapphirerock.process.hosts import HostTable
+from sapphirerock.process.journal import JournalStore
+from sapphirerock.process.journaling import JournalClient
+from sapphirerock.process.ledger import Ledger
+from sapphirerock.process.limits import LimitTable
+from sapphirerock.process.metrics import Metrics
+from sapphirerock.process.peers import PeerTable
+from sapphirerock.process.quarantine import Quarantine
+from sapphirerock.process.runtime import Runtime
+from sapphirerock.process.settings import SettingsStore
+from sapphirerock.process.spread import SettingsSpread
+from sapphirerock.process.tracing import make_tracer
+from sapphirerock.process.upstreams import UpstreamTable
+from sapphirerock.process.watchers import UpstreamWatch
+from sapphirerock.process.web import WebService
+
+DRAIN_POLL_S = 0.05
+# Callers' balancers need a moment to see that this host is not ready any more.
+DRAIN_GRACE_S = 0.2
+UPSTREAM_CONNECT_BOUND_S = 0.5
+
+
+class RouterService(Service):
+    """One entry host's process.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        This host's settings.
+    clock : Clock or None
+        Source of time; the system's when None.
+    """
+
+    def __init__(self, settings, clock=None, **kwargs):
+        super().__init__(**kwargs)
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.metrics = Metrics()
+        self.journal_store = JournalStore(self.clock)
+        self._sessions = []
+
+    async def on_start(self):
+        """Build every part and start those that run by themselves."""
+        self._build_control()
+        self._build_requests()
+        self._register_handlers()
+        for service in (
+            self.peers,
+            self.spread,
+            self.watch,
+            self.runtime.dispatcher,
+            self.runtime.journal,
+            self.limits,
+            self.generations,
+            WebService(
+                self._make_application(),
+                self.settings.address.address,
+                self.settings.address.caller_port,
+            ),
+        ):
+            await self.add_runtime_dependency(service)
+        logger.info("router {} started", self.settings.address.host)
+
+    def _make_session(self, middlewares=(), force_close=False):
+        """Return a session that calls from this host's own address."""
+        connector = TCPConnector(
+            limit=0,
+            local_addr=(self.settings.address.address, 0),
+            force_close=force_close,
+        )
+        session = ClientSession(
+            connector=connector,
+            timeout=ClientTimeout(sock_connect=UPSTREAM_CONNECT_BOUND_S),
+            middlewares=middlewares,
+        )
+        self._sessions.append(session)
+        return session
+
+    def _build_control(self):
+        """Build what talks to peers and the platform."""
+        settings, clock = self.settings, self.clock
+        hosts = HostTable(settings.address, settings.peers, clock)
+        incarnation = time.time_ns()
+        self.tracer = make_tracer(settings.tracing, settings.address.host)
+        self.peers = PeerTable(
+            hosts,
+            settings.peer_key,
+            incarnation,
+            clock,
+            self.metrics,
+            settings.peer_listen_port,
+        )
+        self.gossip = Gossip(self.peers)
+        self.platform = PlatformClient(
+            self._make_session(), settings.platform_url, self.metrics, self.tracer
+        )
+        self.store = SettingsStore()
+        self.spread = SettingsSpread(
+            self.store, self.platform, self.peers, self.gossip, clock
+        )
+        self.limits = LimitTable(self.peers, self.gossip, clock)
+
+    def _build_requests(self):
+        """Build what requests use."""
+        settings, clock = self.settings, self.clock
+        session = self._make_session()
+        upstreams = UpstreamTable(settings.address, session, clock)
+        quarantine = Quarantine(clock)
+        self.watch = UpstreamWatch(upstreams, self.peers, self.gossip, clock)
+        generator = random.Random(settings.address.host)
+        self.runtime = Runtime(
+            clock=clock,
+            metrics=self.metrics,
+            tracer=self.tracer,
+            session=session,
+            single_use_session=self._make_session((send_once,), force_close=True),
+            settings=self.store,
+            upstreams=upstreams,
+            quarantine=quarantine,
+            gossip=self.gossip,
+            dispatcher=Dispatcher(
+                upstreams, quarantine, clock, self.metrics, generator
+            ),
+            journal=JournalClient(
+                self.peers, self.journal_store, clock, self.metrics, settings.journal
+            ),
+            ledger=Ledger(self.platform, self.peers, clock),
+        )
+        self.generations = GenerationTable(self.runtime)
+        self.gateway = Gateway(self.runtime, self.generations, self.limits)
+
+    def _register_handlers(self):
+        """Connect messages, news and settings with the parts that take them."""
+        store = self.journal_store
+        register = self.peers.register_handler
+        register(JournalOpen, self._open_journal)
+        register(JournalFind, self._find_journal)
+        register(JournalAppend, lambda stream, message: store.append(message))
+        register(JournalBackfill, lambda stream, message: store.backfill(message))
+        register(JournalClose, lambda stream, message: store.close(message))
+        self.gossip.subscribe(CrashNews, self.runtime.quarantine.apply_news)
+        self.gossip.subscribe(SuspectNews, self.runtime.apply_suspect)
+        self.peers.on_connect.append(self._tell_crashes)
+        self.store.subscribe(self._apply_snapshot)
+        self.spread.subscribe_hosts(self._apply_hosts)
+
+    def _apply_snapshot(self, snapshot):
+        self.runtime.upstreams.apply_snapshot(snapshot)
+        self.metrics.settings_horizon.set(snapshot.horizon)
+
+    def _apply_hosts(self, host_list):
+        """Take over upstreams that the platform's list marks as leaving."""
+        for entry in host_list.entries:
+            if entry.role != "router" and entry.leaving:
+                self.runtime.upstreams.mark_leaving(entry.host)
+
+    def _tell_crashes(self, stream):
+        for crash in self.runtime.quarantine.list_crashes():
+            self.gossip.spread(CrashNews(*crash))
+
+    def _open_journal(self, stream, message):
+        """Answer a driver; what this host itself drives is handed over."""
+        record = self.generations.hand_over(message.organisation, message.key)
+        if record is not None:
+            self.journal_store.adopt(record)
+        return self.journal_store.open(message)
+
+    def _find_journal(self, stream, message):
+        record = self.generations.describe(message.organisation, message.key)
+        if record is None:
+            record = self.journal_store.find(message.organisation, message.key)
+        if record is None:
+            return JournalRecordMessage(False, "", b"", [], b"", "", "", "")
+        return record.to_message(found=True)
+
+    def _make_application(self):
+        application = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        self.gateway.add_routes(application)
+        writer = SettingsWriter(self.platform, self.store, self.clock)
+        admin = Admin(self, writer, self.settings.root_operator_sha256)
+        admin.add_routes(application)
+        application.add_routes(
+            [
+                web.get("/healthz", self._answer_alive),
+                web.get("/readyz", self._answer_ready),
+                web.get("/metrics", self._answer_metrics),
+            ]
+        )
+        return application
+
+    async def _answer_alive(self, request):
+        return web.json_response({"alive": True})
+
+    async def _answer_ready(self, request):
+        ready = self.spread.is_synchronised and not self.gateway.leaving
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def _answer_metrics(self, request):
+        return web.Response(
+            body=generate_latest(self.metrics.registry),
+            headers={"Content-Type": CONTENT_TYPE_LATEST},
+        )
+
+    async def on_stop(self):
+        """Take no new work, finish every stream, then stop."""
+        self.gateway.leaving = True
+        self.peers.announce_leaving()
+        deadline_s = self.clock.monotonic() + self.settings.drain_bound_s
+        await self.clock.sleep(DRAIN_GRACE_S)
+        while self.gateway.calls and self.clock.monotonic() < deadline_s:
+            await self.clock.sleep(DRAIN_POLL_S)
+        logger.info("router {} drained", self.settings.address.host)
+
+    async def on_shutdown(self):
+        """Close connections to upstreams and the platform."""
+        for session in self._sessions:
+            await session.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/src/sapphirerock/process/runtime.py
@@ -0,0 +1,81 @@
+"""What lives as long as the process, as requests see it."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from sapphirerock.process.budget import RetryBudget
+from sapphirerock.process.gossip import CrashNews, SuspectNews
+
+
+@dataclass(slots=True, eq=False)
+class Runtime:
+    """Parts of the process that requests use.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        Counters of the process.
+    tracer : opentelemetry.trace.Tracer
+        Makes spans.
+    session : aiohttp.ClientSession
+        Connections to upstreams.
+    single_use_session : aiohttp.ClientSession
+        Connections that carry one request each and never repeat it.
+    settings : SettingsStore
+        Settings in force.
+    upstreams : UpstreamTable
+        Upstreams and their load.
+    quarantine : Quarantine
+        Requests that were part of crashes.
+    gossip : Gossip
+        News to and from peers.
+    dispatcher : Dispatcher
+        Admission and choice.
+    journal : JournalClient
+        Write-ahead of tokens.
+    ledger : Ledger
+        Claims of orders.
+    """
+
+    clock: object
+    metrics: object
+    tracer: object
+    session: object
+    single_use_session: object
+    settings: object
+    upstreams: object
+    quarantine: object
+    gossip: object
+    dispatcher: object
+    journal: object
+    ledger: object
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    _tasks: set = field(default_factory=set)
+
+    def spawn(self, coroutine):
+        """Run a coroutine on its own and return its task."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def announce_crash(self, fingerprint, upstream, incarnation, convicted):
+        """Record a crash here and tell all hosts."""
+        self.gossip.spread(CrashNews(fingerprint, upstream, incarnation, convicted))
+        self.metrics.quarantined.set(len(self.quarantine.list_convicted()))
+
+    def announce_suspect(self, fingerprint, upstream, running):
+        """Record where a suspect runs and tell all hosts."""
+        self.gossip.spread(SuspectNews(fingerprint, upstream, running))
+
+    def apply_suspect(self, news):
+        """Take over where a suspect runs."""
+        state = self.upstreams.get(news.upstream)
+        if state is None:
+            return
+        if news.running:
+            state.suspects.add(news.fingerprint)
+        else:
+            state.suspects.discard(news.fingerprint)
--- /dev/null
+++ b/src/sapphirerock/process/tracing.py
@@ -0,0 +1,78 @@
+"""OpenTelemetry: a span for each hop, sent where the settings say."""
+
+from opentelemetry import propagate, trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    ConsoleSpanExporter,
+    SimpleSpanProcessor,
+)
+
+EXPORTERS = {}
+
+
+def register_exporter(name):
+    """Register a function from a target to a span processor."""
+
+    def register(function):
+        EXPORTERS[name] = function
+        return function
+
+    return register
+
+
+@register_exporter("console")
+def export_to_console(target):
+    """Write spans to standard output."""
+    return SimpleSpanProcessor(ConsoleSpanExporter())
+
+
+@register_exporter("file")
+def export_to_file(target):
+    """Append spans to a file, one JSON object a line."""
+    stream = open(target, "a", encoding="utf-8")  # noqa: SIM115
+    return SimpleSpanProcessor(ConsoleSpanExporter(out=stream, formatter=format_span))
+
+
+@register_exporter("otlp")
+def export_over_otlp(target):
+    """Send spans to a collector over HTTP."""
+    # Imported here: it takes several megabytes that other exporters save.
+    from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+
+    return BatchSpanProcessor(OTLPSpanExporter(endpoint=target))
+
+
+def format_span(span):
+    """Return a span as one line of JSON."""
+    return span.to_json(indent=None) + "\n"
+
+
+def make_tracer(settings, host):
+    """Return the tracer of a process.
+
+    Parameters
+    ----------
+    settings : TracingSettings
+        The exporter and its target.
+    host : str
+        Name of the host, a resource attribute of each span.
+    """
+    if settings.exporter == "none":
+        return trace.NoOpTracer()
+    resource = Resource.create({"service.name": "sapphirerock", "host.name": host})
+    provider = TracerProvider(resource=resource)
+    provider.add_span_processor(EXPORTERS[settings.exporter](settings.target))
+    return provider.get_tracer("sapphirerock")
+
+
+def read_context(headers):
+    """Return the trace context that ``traceparent`` names."""
+    return propagate.extract({key.lower(): value for key, value in headers.items()})
+
+
+def write_context(headers):
+    """Add ``traceparent`` of the current span to some headers."""
+    propagate.inject(headers)
+    return headers
--- /dev/null
+++ b/src/sapphirerock/process/upstreams.py
@@ -0,0 +1,217 @@
+"""Upstreams as this host sees them: reports, own calls, who is leaving."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from sapphirerock.connection.engine import EngineClient
+from sapphirerock.process.gossip import UpstreamNews
+
+SUSPECTED_FOR_S = 2.0
+REPORT_LIFE_S = 10.0
+DEFAULT_CAPACITY = 16
+DEFAULT_DURATION_S = 2.0
+SMOOTHING = 0.1
+REMEMBERED_CALLS = 256
+
+
+@dataclass(slots=True)
+class UpstreamState:
+    """What is known of one upstream.
+
+    Parameters
+    ----------
+    settings : Upstream
+        Name, address and place.
+    client : EngineClient
+        Calls to it.
+    in_flight : int
+        Calls of this host that are under way.
+    sent_since_report : int
+        Calls of this host that the last report does not count yet.
+    begun_at_s : deque of float
+        Monotonic times at which this host's last calls began.
+    down_until_s : float
+        Monotonic time until which it is left out.
+    suspects : set of bytes
+        Fingerprints of suspect requests that run on it, here or elsewhere.
+    """
+
+    settings: object
+    client: EngineClient
+    incarnation: str = ""
+    leaving: bool = False
+    running: int = 0
+    queued: int = 0
+    capacity: int = DEFAULT_CAPACITY
+    models: list | None = None
+    reported_at_s: float = 0.0
+    in_flight: int = 0
+    sent_since_report: int = 0
+    down_until_s: float = 0.0
+    duration_s: float = DEFAULT_DURATION_S
+    suspects: set = field(default_factory=set)
+    begun_at_s: deque = field(default_factory=lambda: deque(maxlen=REMEMBERED_CALLS))
+
+    @property
+    def name(self):
+        """Name of the upstream."""
+        return self.settings.name
+
+    @property
+    def load(self):
+        """Estimate of the calls that it has now, from all hosts."""
+        return max(self.running + self.queued + self.sent_since_report, self.in_flight)
+
+    @property
+    def free_slots(self):
+        """Estimate of the calls that it would start at once."""
+        return self.capacity - self.load
+
+    @property
+    def wait_s(self):
+        """Estimate of the time until a new call starts, in seconds."""
+        excess = max(0, self.load + 1 - self.capacity)
+        return excess * self.duration_s / max(1, self.capacity)
+
+    def holds_model(self, model):
+        """Return whether the engine has a model, as far as it said."""
+        return self.models is None or not self.models or model in self.models
+
+
+class UpstreamTable:
+    """All upstreams of all services.
+
+    Parameters
+    ----------
+    own : HostAddress
+        This host, to prefer what is near.
+    session : aiohttp.ClientSession
+        Connections to use.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("own", "_states", "_session", "_clock", "_on_change")
+
+    def __init__(self, own, session, clock):
+        self.own = own
+        self._states = {}
+        self._session = session
+        self._clock = clock
+        self._on_change = []
+
+    def subscribe(self, listener):
+        """Call a function whenever an upstream may have become free."""
+        self._on_change.append(listener)
+
+    def _notify(self):
+        for listener in self._on_change:
+            listener()
+
+    def apply_snapshot(self, snapshot):
+        """Take over the upstreams of new settings, keeping what is known."""
+        wanted = {}
+        for service in snapshot.services.values():
+            for upstream in service.upstreams:
+                wanted[upstream.name] = upstream
+        for name in list(self._states):
+            if wanted.get(name) != self._states[name].settings:
+                del self._states[name]
+        for name, upstream in wanted.items():
+            if name not in self._states:
+                client = EngineClient(self._session, upstream)
+                self._states[name] = UpstreamState(upstream, client)
+        self._notify()
+
+    def get(self, name):
+        """Return the state of an upstream, or None."""
+        return self._states.get(name)
+
+    def list_all(self):
+        """Return all states."""
+        return list(self._states.values())
+
+    def apply_news(self, news: UpstreamNews):
+        """Take over what a watcher saw.
+
+        `leaving` never goes back within an incarnation.
+        """
+        state = self._states.get(news.upstream)
+        if state is None:
+            return
+        if not news.alive:
+            self.mark_down(news.upstream)
+            return
+        was_leaving = state.leaving and state.incarnation == news.incarnation
+        if state.incarnation != news.incarnation:
+            state.down_until_s = 0.0
+        state.incarnation = news.incarnation
+        state.leaving = news.leaving or was_leaving
+        state.running = news.running
+        state.queued = news.queued
+        state.capacity = news.capacity
+        state.models = news.models
+        state.reported_at_s = self._clock.monotonic()
+        sampled_at_s = state.reported_at_s - news.age_s
+        state.sent_since_report = sum(at > sampled_at_s for at in state.begun_at_s)
+        self._notify()
+
+    def mark_down(self, name):
+        """Leave an upstream out for a while."""
+        state = self._states.get(name)
+        if state is not None:
+            state.down_until_s = self._clock.monotonic() + SUSPECTED_FOR_S
+
+    def mark_up(self, name):
+        """Take an upstream for usable again."""
+        state = self._states.get(name)
+        if state is not None:
+            state.down_until_s = 0.0
+
+    def mark_leaving(self, name):
+        """Take note that an upstream refuses new work."""
+        state = self._states.get(name)
+        if state is not None:
+            state.leaving = True
+
+    def is_usable(self, state, model=None):
+        """Return whether new work may go to an upstream."""
+        if state.leaving or state.down_until_s > self._clock.monotonic():
+            return False
+        return model is None or state.holds_model(model)
+
+    def list_usable(self, service, model=None, excluded=()):
+        """Return the usable upstreams of a service."""
+        found = []
+        for upstream in service.upstreams:
+            state = self._states.get(upstream.name)
+            if state is None or upstream.name in excluded:
+                continue
+            if self.is_usable(state, model):
+                found.append(state)
+        return found
+
+    def begin_call(self, state):
+        """Count a call of this host."""
+        state.in_flight += 1
+        state.sent_since_report += 1
+        state.begun_at_s.append(self._clock.monotonic())
+
+    def end_call(self, state, duration_s=None):
+        """Count the end of a call.
+
+        Parameters
+        ----------
+        duration_s : float or None
+            How long it ran; None when it was cut short.
+        """
+        state.in_flight -= 1
+        if duration_s is not None:
+            state.duration_s += SMOOTHING * (duration_s - state.duration_s)
+        self._notify()
+
+    def measure_distance(self, state):
+        """Return 0 for the own availability zone, 1 for the region, 2 beyond."""
+        if state.settings.availability_zone == self.own.availability_zone:
+            return 0
+        return 1 if state.settings.region == self.own.region else 2
--- /dev/null
+++ b/src/sapphirerock/process/watchers.py
@@ -0,0 +1,134 @@
+"""Watch the upstreams of the own availability zone and tell the others.
+
+Each upstream is watched by one live host of its zone, chosen by rendezvous.
+Load stays within the zone; that an upstream is leaving goes everywhere.
+"""
+
+import asyncio
+
+from mode import Service
+
+from sapphirerock.process.gossip import EVERYWHERE, UpstreamNews
+from sapphirerock.process.rendezvous import pick_candidate
+
+POLL_INTERVAL_S = 0.5
+POLL_BOUND_S = 1.0
+MAX_REPORT_AGE_S = 10.0
+REFRESH_S = 5.0
+
+
+class UpstreamWatch(Service):
+    """Polls of the load of the upstreams that this host watches.
+
+    Parameters
+    ----------
+    upstreams : UpstreamTable
+        All upstreams.
+    peers : PeerTable
+        Live hosts of the zone.
+    gossip : Gossip
+        Carries the news.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, upstreams, peers, gossip, clock, **kwargs):
+        super().__init__(**kwargs)
+        self._upstreams = upstreams
+        self._peers = peers
+        self._gossip = gossip
+        self._clock = clock
+        self._told = {}
+        self._told_at_s = {}
+        gossip.subscribe(UpstreamNews, upstreams.apply_news)
+        peers.on_connect.append(self._tell_leaving)
+
+    def _list_watched(self):
+        """Return the upstreams of the zone that this host is to watch.
+
+        Upstreams of zones without any known host fall to the others.
+        """
+        hosts = self._peers.hosts
+        own = hosts.own
+        staffed = {address.availability_zone for address in hosts.list_known()}
+        mates = [address.host for address in hosts.list_zone()]
+        watched = []
+        for state in self._upstreams.list_all():
+            zone = state.settings.availability_zone
+            near = zone == own.availability_zone or zone not in staffed
+            if near and pick_candidate(mates, state.name) == own.host:
+                watched.append(state)
+        return watched
+
+    @Service.task
+    async def _poll(self):
+        while not self.should_stop:
+            watched = self._list_watched()
+            await asyncio.gather(*(self._poll_one(state) for state in watched))
+            await self._clock.sleep(POLL_INTERVAL_S)
+
+    async def _poll_one(self, state):
+        read = await state.client.read_load(POLL_BOUND_S)
+        if read.is_error():
+            news = UpstreamNews(
+                state.name, state.incarnation, state.leaving, False, 0, 0, 0, [], 0.0
+            )
+        else:
+            news = self._make_news(read.ok, state)
+        self._tell(state, news)
+
+    def _make_news(self, report, state):
+        age_s = self._clock.now().timestamp() - report.sampled_at
+        return UpstreamNews(
+            state.name,
+            report.incarnation,
+            report.leaving,
+            True,
+            report.running,
+            report.queued,
+            report.capacity,
+            report.models,
+            min(max(age_s, 0.0), MAX_REPORT_AGE_S),
+        )
+
+    def _tell(self, state, news):
+        """Spread news that differ from the last, and the same now and then."""
+        previous = self._told.get(news.upstream)
+        now_s = self._clock.monotonic()
+        told_at_s = self._told_at_s.get(news.upstream, -REFRESH_S)
+        if not is_news(previous, news) and now_s - told_at_s < REFRESH_S:
+            self._upstreams.apply_news(news)
+            return
+        self._told[news.upstream] = news
+        self._told_at_s[news.upstream] = now_s
+        leaves = news.leaving and not (previous and previous.leaving)
+        zone = state.settings.availability_zone
+        self._gossip.spread(news, EVERYWHERE if leaves else zone)
+
+    def _tell_leaving(self, stream):
+        for news in list(self._told.values()):
+            if news.leaving:
+                self._gossip.spread(news)
+
+
+def is_news(previous, news):
+    """Return whether a report differs from the last in more than its age."""
+    if previous is None:
+        return True
+    return (
+        previous.incarnation,
+        previous.leaving,
+        previous.alive,
+        previous.running,
+        previous.queued,
+        previous.capacity,
+        previous.models,
+    ) != (
+        news.incarnation,
+        news.leaving,
+        news.alive,
+        news.running,
+        news.queued,
+        news.capacity,
+        news.models,
+    )
--- /dev/null
+++ b/src/sapphirerock/request/check.py
@@ -0,0 +1,124 @@
+"""An idempotent call: retried and hedged within the budget."""
+
+import asyncio
+
+from opentelemetry.trace import SpanKind
+
+from sapphirerock.connection.plain import send_plain
+from sapphirerock.process.dispatcher import ChoiceRequest
+from sapphirerock.request.problem import UNAVAILABLE, UPSTREAM_FAILED, Problem
+
+RETRY_AFTER_S = 1
+SERVER_ERROR = 500
+MAX_ATTEMPTS = 3
+
+
+class CheckCall:
+    """One idempotent call.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        What lives as long as the process.
+    service : ServiceSettings
+        Where it goes.
+    request : PlainRequest
+        The call.
+    deadline_s : float
+        Monotonic time by which the answer is wanted.
+    """
+
+    __slots__ = ("_runtime", "_choice", "_request", "_deadline_s", "_running")
+
+    def __init__(self, runtime, service, request, deadline_s):
+        self._runtime = runtime
+        self._choice = ChoiceRequest(service, affinity=request.path)
+        self._request = request
+        self._deadline_s = deadline_s
+        self._running = set()
+
+    async def run(self):
+        """Return the first good answer, or the last bad one.
+
+        Returns
+        -------
+        PlainAnswer or Problem
+        """
+        self._runtime.budget.add_request()
+        try:
+            return await self._race()
+        finally:
+            for task in self._running:
+                task.cancel()
+
+    async def _race(self):
+        last = Problem(UNAVAILABLE, "no upstream can be reached", RETRY_AFTER_S)
+        attempts = 0
+        if self._launch():
+            attempts += 1
+        while self._running:
+            done = await self._wait_answer(attempts)
+            for task in done:
+                answer = task.result()
+                if answer.is_ok() and answer.ok.status < SERVER_ERROR:
+                    return answer.ok
+                last = self._note_failure(answer)
+            if self._may_launch(attempts, done) and self._launch():
+                attempts += 1
+        return last
+
+    async def _wait_answer(self, attempts):
+        """Wait for an answer, or until a second copy is due."""
+        remaining_s = max(0.0, self._deadline_s - self._runtime.clock.monotonic())
+        hedge_s = self._choice.service.hedge_after_s
+        wait_s = remaining_s
+        if attempts == 1 and hedge_s is not None:
+            wait_s = min(hedge_s, remaining_s)
+        done, self._running = await asyncio.wait(
+            self._running, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        return done
+
+    def _may_launch(self, attempts, done):
+        if attempts >= MAX_ATTEMPTS or (self._running and attempts > 1):
+            return False
+        if self._runtime.clock.monotonic() >= self._deadline_s:
+            return False
+        if not self._runtime.budget.take():
+            self._runtime.metrics.retries_denied.inc()
+            return False
+        if not done:
+            self._runtime.metrics.hedges.inc()
+        return True
+
+    def _launch(self):
+        """Send a copy to an upstream that has none yet; return whether."""
+        state = self._runtime.dispatcher.choose(self._choice)
+        if state is None:
+            return False
+        self._choice.excluded.add(state.name)
+        self._running.add(asyncio.ensure_future(self._send(state)))
+        return True
+
+    async def _send(self, state):
+        runtime = self._runtime
+        runtime.upstreams.begin_call(state)
+        started_s = runtime.clock.monotonic()
+        try:
+            with runtime.tracer.start_as_current_span("upstream", kind=SpanKind.CLIENT):
+                answer = await send_plain(
+                    runtime.session,
+                    state.settings,
+                    self._request,
+                    self._deadline_s - started_s,
+                )
+        finally:
+            runtime.upstreams.end_call(state)
+        if answer.is_error():
+            runtime.upstreams.mark_down(state.name)
+        return answer
+
+    def _note_failure(self, answer):
+        if answer.is_ok():
+            return answer.ok
+        return Problem(UPSTREAM_FAILED, repr(answer.error), RETRY_AFTER_S)
--- /dev/null
+++ b/src/sapphirerock/request/completion.py
@@ -0,0 +1,123 @@
+"""A caller's request for a generation, checked."""
+
+import hashlib
+from dataclasses import dataclass
+
+import orjson
+from expression import Error, Ok
+
+from sapphirerock.request.problem import MALFORMED, Problem
+from sapphirerock.version.faults import find_faults
+
+PROMPT_LIMIT_CHARS = 4 << 20
+TOKENS_LIMIT = 1 << 17
+ID_SEPARATOR = ":"
+HINT_SEPARATOR = "@"
+
+SCHEMA = {
+    "type": "object",
+    "properties": {
+        "model": {"type": "string", "minLength": 1},
+        "prompt": {"type": "string", "maxLength": PROMPT_LIMIT_CHARS},
+        "max_tokens": {"type": "integer", "minimum": 1, "maximum": TOKENS_LIMIT},
+        "stream": {"type": "boolean"},
+        "priority": {"type": "integer", "minimum": 0, "maximum": 9},
+        "seed": {"type": "integer"},
+    },
+    "required": ["model", "prompt", "max_tokens"],
+}
+
+
+@dataclass(slots=True, frozen=True)
+class CompletionRequest:
+    """The body of ``POST /v1/completions``.
+
+    Parameters
+    ----------
+    digest : bytes
+        Digest of what decides the answer.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    priority: int
+    seed: int | None
+    digest: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class EventPosition:
+    """What the id of a server-sent event says.
+
+    Parameters
+    ----------
+    generation_id : str
+        Id of the generation.
+    offset : int
+        Offset of the last token in the event.
+    branch : str
+        Driver that sent it.
+    holder : str
+        Host that holds the journal; empty when none does.
+    """
+
+    generation_id: str
+    offset: int
+    branch: str = ""
+    holder: str = ""
+
+    def encode(self):
+        """Return the id of an event."""
+        hint = f"{self.branch}{HINT_SEPARATOR}{self.holder}"
+        return ID_SEPARATOR.join((self.generation_id, str(self.offset), hint))
+
+
+def parse_position(text):
+    """Decode a ``Last-Event-ID`` header.
+
+    Returns
+    -------
+    expression.Result of EventPosition or Problem
+    """
+    parts = text.split(ID_SEPARATOR, 2)
+    if len(parts) < 2 or not parts[1].lstrip("-").isdigit():
+        return Error(Problem(MALFORMED, f"Last-Event-ID {text[:80]!r} is no event id"))
+    branch, _, holder = parts[2].partition(HINT_SEPARATOR) if parts[2:] else ("",) * 3
+    return Ok(EventPosition(parts[0], int(parts[1]), branch, holder))
+
+
+def parse_completion(content):
+    """Check and decode a body.
+
+    Returns
+    -------
+    expression.Result of CompletionRequest or Problem
+    """
+    try:
+        document = orjson.loads(content)
+    except orjson.JSONDecodeError as error:
+        return Error(Problem(MALFORMED, f"the body is not JSON: {error}"))
+    faults = find_faults(SCHEMA, document)
+    if faults:
+        return Error(Problem(MALFORMED, "; ".join(str(fault) for fault in faults)))
+    return Ok(
+        CompletionRequest(
+            document["model"],
+            document["prompt"],
+            document["max_tokens"],
+            document.get("stream", False),
+            document.get("priority", 0),
+            document.get("seed"),
+            digest_body(document),
+        )
+    )
+
+
+def digest_body(document):
+    """Return a digest of the fields that decide the answer."""
+    decisive = [
+        document.get(name) for name in ("model", "prompt", "max_tokens", "seed")
+    ]
+    return hashlib.blake2b(orjson.dumps(decisive), digest_size=16).digest()
--- /dev/null
+++ b/src/sapphirerock/request/driver.py
@@ -0,0 +1,386 @@
+"""Drive one generation: attempts on engines until every token is there."""
+
+import uuid
+from dataclasses import dataclass
+
+from expression import Error, Ok
+from opentelemetry.trace import SpanKind
+
+from sapphirerock.connection.engine import EngineRequest
+from sapphirerock.connection.errors import (
+    UpstreamBroken,
+    UpstreamRefused,
+    UpstreamUnreachable,
+)
+from sapphirerock.connection.eventstream import DoneEvent
+from sapphirerock.process.dispatcher import ChoiceRequest
+from sapphirerock.process.quarantine import EVIDENCE_LIFE_S, make_fingerprint
+from sapphirerock.request.problem import (
+    CRASHES_ENGINES,
+    GENERATION_LOST,
+    OVERLOADED,
+    UNAVAILABLE,
+    Problem,
+)
+from sapphirerock.request.recovery import POLICIES
+
+AFFINITY_CHARS = 256
+RECOVERY_BOUND_S = 60.0
+RECOVERY_PAUSE_S = 0.02
+RECOVERY_PRIORITY = 9
+OPEN_BOUND_S = 1.0
+FRUITLESS_RESUMES = 2
+
+
+@dataclass(slots=True, frozen=True)
+class Loss:
+    """Why an attempt ended before the generation did.
+
+    Parameters
+    ----------
+    cause : {"crash", "silence", "refused", "broken"}
+        What was seen.
+    upstream : str
+        Where the attempt ran.
+    incarnation : str
+        Incarnation that it ran on; empty when nothing ran.
+    """
+
+    cause: str
+    upstream: str
+    incarnation: str = ""
+
+
+class GenerationDriver:
+    """One driver of one generation.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        What lives as long as the process.
+    generation : Generation
+        What is driven.
+    route : Route
+        How the caller's model is served.
+    service : ServiceSettings
+        The service, from the request's snapshot.
+    deadline_s : float
+        Monotonic time by which the first token is wanted.
+    """
+
+    __slots__ = (
+        "_runtime",
+        "_generation",
+        "_service",
+        "_policy",
+        "_priority",
+        "_deadline_s",
+        "_choice",
+        "_attempts",
+        "_state",
+    )
+
+    def __init__(self, runtime, generation, route, service, deadline_s):
+        self._runtime = runtime
+        self._generation = generation
+        self._service = service
+        self._policy = POLICIES[service.recovery]
+        self._priority = max(generation.request.priority, route.priority)
+        self._deadline_s = deadline_s
+        self._attempts = 0
+        self._state = None
+        request = generation.request
+        self._choice = ChoiceRequest(
+            service,
+            request.model,
+            request.prompt[:AFFINITY_CHARS],
+            make_fingerprint(generation.organisation.name, request.digest),
+        )
+
+    async def run(self):
+        """Drive until the generation is over."""
+        generation = self._generation
+        try:
+            with self._runtime.tracer.start_as_current_span("generation"):
+                attempt = await self._start()
+                while attempt.is_ok():
+                    loss = await self._attempt(attempt.ok)
+                    if loss is None:
+                        return
+                    attempt = await self._recover(loss)
+                generation.fail(attempt.error)
+        finally:
+            if generation.problem is None and not generation.finish_reason:
+                self._cancel_upstream()
+
+    def _cancel_upstream(self):
+        if self._state is not None:
+            cancel = self._state.client.cancel(self._generation.generation_id)
+            self._runtime.spawn(cancel)
+
+    async def _start(self):
+        """Return the first upstream: that of the former driver, if there was one."""
+        if self._runtime.quarantine.is_convicted(self._choice.fingerprint):
+            return Error(make_conviction())
+        former = self._runtime.upstreams.get(self._generation.upstream)
+        if former is not None and self._policy.resumes:
+            self._runtime.upstreams.begin_call(former)
+            return Ok(former)
+        return await self._admit()
+
+    async def _admit(self):
+        generation = self._generation
+        return await self._runtime.dispatcher.admit(
+            self._choice,
+            generation.organisation,
+            self._priority,
+            generation.request.max_tokens,
+            self._deadline_s,
+        )
+
+    async def _attempt(self, state):
+        """Run the generation on an upstream; return the loss, or None at the end."""
+        runtime = self._runtime
+        started_s = runtime.clock.monotonic()
+        self._state = state
+        self._attempts += 1
+        ran_s = None
+        self._mark_suspect(state, running=True)
+        try:
+            with runtime.tracer.start_as_current_span("engine", kind=SpanKind.CLIENT):
+                opened = await self._open(state)
+                if opened.is_error():
+                    return opened.error
+                loss = await self._relay(state, opened.ok)
+            if loss is None:
+                ran_s = runtime.clock.monotonic() - started_s
+            return loss
+        finally:
+            self._mark_suspect(state, running=False)
+            runtime.upstreams.end_call(state, ran_s)
+
+    def _mark_suspect(self, state, running):
+        fingerprint = self._choice.fingerprint
+        if self._runtime.quarantine.is_suspect(fingerprint):
+            self._runtime.announce_suspect(fingerprint, state.name, running)
+
+    async def _open(self, state):
+        """Open a stream: resume what the former driver left, or start.
+
+        Returns
+        -------
+        expression.Result of EventStream or Loss
+        """
+        generation = self._generation
+        if self._attempts == 1 and generation.upstream == state.name:
+            resumed = await state.client.resume_stream(
+                generation.generation_id,
+                generation.text_end,
+                self._policy.probe_bound_s,
+            )
+            if resumed.is_ok():
+                return resumed
+            if not isinstance(resumed.error, UpstreamRefused):
+                return Error(await self._classify(state, resumed.error))
+        opened = await state.client.open_stream(self._make_request(), OPEN_BOUND_S)
+        if opened.is_error():
+            return Error(self._refuse(state, opened.error))
+        if generation.tokens:
+            self._runtime.metrics.prefilled_again.inc(len(generation.tokens))
+        generation.upstream = state.name
+        generation.incarnation = opened.ok.incarnation
+        return opened
+
+    def _make_request(self):
+        generation = self._generation
+        request = generation.request
+        max_tokens = request.max_tokens
+        if generation.finish_reason:
+            max_tokens = len(generation.tokens)
+        priority = RECOVERY_PRIORITY if generation.tokens else self._priority
+        return EngineRequest(
+            uuid.uuid4().hex,
+            generation.generation_id,
+            request.model,
+            request.prompt,
+            max_tokens,
+            priority,
+            request.seed,
+            generation.tokens,
+            generation.text_end,
+        )
+
+    def _refuse(self, state, failure):
+        """Take note that an upstream did not take the generation."""
+        upstreams = self._runtime.upstreams
+        if isinstance(failure, UpstreamRefused):
+            if failure.leaving:
+                upstreams.mark_leaving(state.name)
+            return Loss("refused", state.name)
+        upstreams.mark_down(state.name)
+        return Loss("broken", state.name)
+
+    async def _relay(self, state, stream):
+        """Take events until the end; return the loss, or None."""
+        fruitless = 0
+        while True:
+            silence_s = self._policy.waiting_silence_s
+            if self._generation.segments:
+                silence_s = self._policy.streaming_silence_s
+            event = await stream.read_event(silence_s)
+            if event.is_ok() and self._take_event(event.ok):
+                fruitless = 0
+                if self._generation.is_over:
+                    stream.close()
+                    return None
+                continue
+            stream.close()
+            failure = UpstreamBroken(state.name, "tokens do not follow")
+            if event.is_error():
+                failure = event.error
+            self._note_loss()
+            fruitless += 1
+            resumed = await self._resume(state, failure, fruitless)
+            if resumed.is_error():
+                return resumed.error
+            stream = resumed.ok
+
+    def _note_loss(self):
+        if self._generation.lost_at_s is None:
+            self._generation.lost_at_s = self._runtime.clock.monotonic()
+
+    def _take_event(self, event):
+        """Take an event; return whether it follows what came before."""
+        generation = self._generation
+        if isinstance(event, DoneEvent):
+            if event.tokens_total != generation.text_end:
+                return False
+            self._finish(event.finish_reason)
+            return True
+        if not generation.accept(event.offset, event.tokens, event.text):
+            self._runtime.metrics.tokens_dropped.inc(len(event.tokens))
+            return event.offset + len(event.tokens) <= generation.text_end
+        self._write_ahead(event)
+        return True
+
+    def _write_ahead(self, event):
+        generation = self._generation
+        metrics = self._runtime.metrics
+        if generation.lost_at_s is not None:
+            now_s = self._runtime.clock.monotonic()
+            metrics.resume_latency.observe(now_s - generation.lost_at_s)
+            generation.lost_at_s = None
+        if generation.text_end <= generation.journaled:
+            generation.release(generation.text_end)
+        else:
+            self._runtime.journal.append(generation, event.offset)
+
+    def _finish(self, reason):
+        generation = self._generation
+        if not generation.finish_reason:
+            generation.finish(reason)
+            self._runtime.journal.append(generation, len(generation.tokens))
+        else:
+            generation.release(len(generation.tokens))
+
+    async def _resume(self, state, failure, fruitless):
+        """Open a new connection to the same upstream.
+
+        Returns
+        -------
+        expression.Result of EventStream or Loss
+        """
+        if not self._policy.resumes or fruitless > FRUITLESS_RESUMES:
+            return Error(await self._classify(state, failure))
+        generation = self._generation
+        resumed = await state.client.resume_stream(
+            generation.generation_id, generation.text_end, self._policy.probe_bound_s
+        )
+        if resumed.is_error():
+            return Error(await self._classify(state, resumed.error))
+        self._runtime.metrics.recoveries.labels("connection").inc()
+        return resumed
+
+    async def _classify(self, state, failure):
+        """Return the loss that a failure amounts to.
+
+        Only a process that is gone, or has another incarnation, has crashed.
+        """
+        incarnation = self._generation.incarnation
+        upstreams = self._runtime.upstreams
+        if isinstance(failure, UpstreamUnreachable) and failure.refused:
+            upstreams.mark_down(state.name)
+            return Loss("crash", state.name, incarnation)
+        report = await state.client.read_load(self._policy.probe_bound_s)
+        if report.is_ok():
+            if incarnation and report.ok.incarnation != incarnation:
+                return Loss("crash", state.name, incarnation)
+            return Loss("broken", state.name, incarnation)
+        upstreams.mark_down(state.name)
+        if isinstance(report.error, UpstreamUnreachable) and report.error.refused:
+            return Loss("crash", state.name, incarnation)
+        return Loss("silence", state.name, incarnation)
+
+    async def _recover(self, loss):
+        """Return the next upstream after a loss.
+
+        Returns
+        -------
+        expression.Result of UpstreamState or Problem
+        """
+        generation = self._generation
+        self._note_loss()
+        self._runtime.metrics.recoveries.labels(loss.cause).inc()
+        self._choice.excluded.add(loss.upstream)
+        if loss.cause == "crash" and self._note_crash(loss):
+            return Error(make_conviction())
+        if not generation.tokens:
+            return await self._start_again()
+        if not self._policy.continues:
+            detail = f"{loss.upstream} was lost after {len(generation.tokens)} tokens"
+            return Error(Problem(GENERATION_LOST, detail, 0))
+        return await self._choose_successor()
+
+    def _note_crash(self, loss):
+        """Record the evidence; return whether it convicts the request."""
+        fingerprint = self._choice.fingerprint
+        quarantine = self._runtime.quarantine
+        state = self._runtime.upstreams.get(loss.upstream)
+        alone = state is not None and not state.suspects - {fingerprint}
+        convicted = quarantine.needs_exclusion(fingerprint) and alone
+        self._runtime.announce_crash(
+            fingerprint, loss.upstream, loss.incarnation, convicted
+        )
+        return quarantine.is_convicted(fingerprint)
+
+    async def _start_again(self):
+        """Return an upstream for a generation that has no token yet."""
+        if self._runtime.clock.monotonic() > self._deadline_s:
+            return Error(Problem(OVERLOADED, "no first token in time", 1))
+        admitted = await self._admit()
+        if admitted.is_ok() or len(self._choice.excluded) <= 1:
+            return admitted
+        self._choice.excluded.clear()
+        return await self._admit()
+
+    async def _choose_successor(self):
+        """Return an upstream that goes on after the delivered tokens."""
+        runtime = self._runtime
+        give_up_s = runtime.clock.monotonic() + RECOVERY_BOUND_S
+        while runtime.clock.monotonic() < give_up_s:
+            state = runtime.dispatcher.choose(self._choice)
+            if state is not None:
+                runtime.upstreams.begin_call(state)
+                return Ok(state)
+            self._choice.excluded.clear()
+            await runtime.clock.sleep(RECOVERY_PAUSE_S)
+        return Error(Problem(UNAVAILABLE, "no upstream can go on", 5))
+
+
+def make_conviction():
+    """Return the final answer to a request that crashes engines."""
+    return Problem(
+        CRASHES_ENGINES,
+        "every engine that ran the request alone crashed; it is not tried again",
+        int(EVIDENCE_LIFE_S),
+    )
--- /dev/null
+++ b/src/sapphirerock/request/generation.py
@@ -0,0 +1,193 @@
+"""One generation: its tokens, who drives it and who reads it."""
+
+import asyncio
+from dataclasses import dataclass
+
+from sapphirerock.process.journal import is_resumable
+from sapphirerock.request.completion import EventPosition
+
+
+@dataclass(slots=True, frozen=True)
+class Segment:
+    """Tokens with their text, as one event carries them."""
+
+    offset: int
+    tokens: list
+    text: str
+
+    @property
+    def end(self):
+        """Offset after the last token."""
+        return self.offset + len(self.tokens)
+
+
+class Generation:
+    """The state of one generation on the host that drives it.
+
+    Parameters
+    ----------
+    generation_id : str
+        The same for all drivers of the generation.
+    organisation : Organisation
+        Whose it is.
+    key : str
+        The caller's idempotency key.
+    request : CompletionRequest
+        What was asked for.
+    branch : str
+        Name of this driver.
+    history : list of [str, int]
+        All drivers' branches and the offsets that they started from.
+    known_tokens : sequence of int
+        Tokens from the journal that still lack their text.
+    text_start : int
+        Offset of the first token whose text is wanted.
+    """
+
+    __slots__ = (
+        "generation_id",
+        "organisation",
+        "key",
+        "request",
+        "branch",
+        "history",
+        "tokens",
+        "text_start",
+        "segments",
+        "released",
+        "journaled",
+        "holder",
+        "finish_reason",
+        "problem",
+        "upstream",
+        "incarnation",
+        "readers",
+        "last_read_s",
+        "lost_at_s",
+        "task",
+        "_text_end",
+        "_changed",
+    )
+
+    def __init__(
+        self,
+        generation_id,
+        organisation,
+        key,
+        request,
+        branch,
+        history,
+        known_tokens=(),
+        text_start=0,
+    ):
+        self.generation_id = generation_id
+        self.organisation = organisation
+        self.key = key
+        self.request = request
+        self.branch = branch
+        self.history = history
+        self.tokens = list(known_tokens)
+        self.text_start = text_start
+        self.segments = []
+        self.released = text_start
+        self.journaled = len(self.tokens)
+        self.holder = ""
+        self.finish_reason = ""
+        self.problem = None
+        self.upstream = ""
+        self.incarnation = ""
+        self.readers = 0
+        self.last_read_s = 0.0
+        self.lost_at_s = None
+        self.task = None
+        self._text_end = text_start
+        self._changed = asyncio.Event()
+
+    @property
+    def text_end(self):
+        """Offset of the next token whose text is wanted."""
+        return self._text_end
+
+    @property
+    def is_over(self):
+        """Whether nothing more will come."""
+        return bool(self.finish_reason) or self.problem is not None
+
+    @property
+    def is_finished(self):
+        """Whether every token was released."""
+        return bool(self.finish_reason) and self.released >= len(self.tokens)
+
+    def accept(self, offset, tokens, text):
+        """Take the next tokens from the engine.
+
+        Returns
+        -------
+        bool
+            False when they do not follow: too early, too late, or different
+            from what the journal has.
+        """
+        if offset != self._text_end or not tokens:
+            return False
+        known = self.tokens[offset : offset + len(tokens)]
+        if known != tokens[: len(known)]:
+            return False
+        self.tokens.extend(tokens[len(known) :])
+        self.segments.append(Segment(offset, tokens, text))
+        self._text_end = offset + len(tokens)
+        return True
+
+    def release(self, end):
+        """Let readers have all tokens before an offset."""
+        if end > self.released:
+            self.released = end
+            self._wake()
+
+    def finish(self, reason):
+        """Take note that the engine is done."""
+        self.finish_reason = reason
+        self._wake()
+
+    def fail(self, problem):
+        """End with a problem."""
+        if not self.is_over:
+            self.problem = problem
+            self._wake()
+
+    def can_read_after(self, offset):
+        """Return whether readers can go on after an offset, to the token."""
+        start = offset + 1
+        if start == self.text_start or start >= self._text_end:
+            return start <= len(self.tokens) and start >= self.text_start
+        return any(segment.offset == start for segment in self.segments)
+
+    def accepts_position(self, position):
+        """Return whether an event id belongs to the answer as it stands."""
+        return position.generation_id == self.generation_id and is_resumable(
+            self.history, position.branch, position.offset
+        )
+
+    def make_position(self, offset):
+        """Return the position of the token at an offset."""
+        return EventPosition(self.generation_id, offset, self.branch, self.holder)
+
+    def find_segments(self, start):
+        """Return released segments from an offset on."""
+        low = len(self.segments)
+        while low > 0 and self.segments[low - 1].offset >= start:
+            low -= 1
+        return [item for item in self.segments[low:] if item.end <= self.released]
+
+    async def wait_change(self, timeout_s):
+        """Wait until something was released or the end came; return whether."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/src/sapphirerock/request/order.py
@@ -0,0 +1,207 @@
+"""A non-idempotent call: claimed in the platform, then sent at most once."""
+
+import base64
+import hashlib
+import uuid
+
+from expression import Ok
+from opentelemetry.trace import SpanKind
+
+from sapphirerock.connection.errors import UpstreamUnreachable
+from sapphirerock.connection.plain import PlainAnswer, send_plain
+from sapphirerock.process.ledger import (
+    CLAIMED,
+    DONE,
+    RELEASED,
+    STORED_BODY_BYTES,
+    LedgerEntry,
+    make_entry_key,
+)
+from sapphirerock.request.problem import (
+    IN_PROGRESS,
+    KEY_REUSED,
+    OUTCOME_UNKNOWN,
+    PLATFORM_UNAVAILABLE,
+    RAN,
+    UNAVAILABLE,
+    UNKNOWN,
+    Problem,
+)
+
+RETRY_AFTER_S = 2
+IN_PROGRESS_S = 30.0
+SERVER_ERROR = 500
+
+
+class OrderCall:
+    """One attempt at an order.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        What lives as long as the process.
+    service : ServiceSettings
+        Where it goes.
+    organisation : Organisation
+        Whose it is.
+    key : str
+        The caller's idempotency key.
+    request : PlainRequest
+        The call.
+    deadline_s : float
+        Monotonic time after which it is not sent any more.
+    """
+
+    __slots__ = (
+        "_runtime",
+        "_service",
+        "_request",
+        "_deadline_s",
+        "_entry",
+    )
+
+    def __init__(self, runtime, service, organisation, key, request, deadline_s):
+        self._runtime = runtime
+        self._service = service
+        self._request = request
+        self._deadline_s = deadline_s
+        self._entry = LedgerEntry(
+            make_entry_key(service.name, organisation.name, key),
+            uuid.uuid4().hex[:16],
+            digest_call(request),
+            at_s=runtime.clock.now().timestamp(),
+        )
+
+    async def run(self):
+        """Claim, send and record.
+
+        Returns
+        -------
+        tuple of (PlainAnswer or Problem, str)
+            The answer and the outcome that the caller is told.
+        """
+        claimed = await self._runtime.ledger.submit(self._service.name, self._entry)
+        if claimed.is_error():
+            # The claim may stand all the same, but only this call could use it.
+            self._release_later()
+            return self._refuse(PLATFORM_UNAVAILABLE, "no claim could be made")
+        standing = claimed.ok
+        if standing is not None and standing.claimant != self._entry.claimant:
+            return self._answer_from(standing)
+        if standing is None:
+            return self._refuse(PLATFORM_UNAVAILABLE, "the claim did not stand")
+        return await self._send()
+
+    def _refuse(self, kind, detail):
+        problem = Problem(kind, detail, RETRY_AFTER_S)
+        return problem, problem.kind.outcome
+
+    def _answer_from(self, standing):
+        """Answer with what an earlier call of the same key came to."""
+        if standing.body_digest != self._entry.body_digest:
+            return self._refuse(KEY_REUSED, "the key belongs to another call")
+        if standing.state == DONE and standing.status:
+            body = base64.b64decode(standing.body)
+            answer = PlainAnswer(standing.status, standing.content_type, body)
+            return answer, choose_outcome(standing.status)
+        age_s = self._runtime.clock.now().timestamp() - standing.at_s
+        if standing.state == CLAIMED and age_s < IN_PROGRESS_S:
+            return self._refuse(IN_PROGRESS, "an earlier call of the key is under way")
+        return self._refuse(OUTCOME_UNKNOWN, "an earlier call of the key may have run")
+
+    async def _send(self):
+        runtime = self._runtime
+        tried = 0
+        for state in self._list_targets():
+            remaining_s = self._deadline_s - runtime.clock.monotonic()
+            if remaining_s <= 0:
+                break
+            tried += 1
+            runtime.upstreams.begin_call(state)
+            with runtime.tracer.start_as_current_span("upstream", kind=SpanKind.CLIENT):
+                answer = await send_plain(
+                    runtime.single_use_session,
+                    state.settings,
+                    self._request,
+                    remaining_s,
+                )
+            runtime.upstreams.end_call(state)
+            if answer.is_ok():
+                return self._record(answer.ok)
+            if not isinstance(answer.error, UpstreamUnreachable):
+                return self._record_unknown(answer.error)
+            runtime.upstreams.mark_down(state.name)
+        self._release_later()
+        return self._refuse(UNAVAILABLE, f"no byte left; {tried} upstreams tried")
+
+    def _list_targets(self):
+        upstreams = self._runtime.upstreams
+        states = upstreams.list_usable(self._service)
+        return sorted(
+            states, key=lambda state: (upstreams.measure_distance(state), state.load)
+        )
+
+    def _record(self, answer):
+        """Keep the answer for resends of the key."""
+        body = answer.body if len(answer.body) <= STORED_BODY_BYTES else b""
+        self._submit_later(
+            LedgerEntry(
+                self._entry.key,
+                self._entry.claimant,
+                self._entry.body_digest,
+                DONE,
+                answer.status,
+                answer.content_type,
+                base64.b64encode(body).decode(),
+                self._entry.at_s,
+            )
+        )
+        return answer, choose_outcome(answer.status)
+
+    def _record_unknown(self, failure):
+        self._submit_later(
+            LedgerEntry(
+                self._entry.key,
+                self._entry.claimant,
+                self._entry.body_digest,
+                DONE,
+                at_s=self._entry.at_s,
+            )
+        )
+        return self._refuse(OUTCOME_UNKNOWN, f"sent, and no answer came: {failure!r}")
+
+    def _release_later(self):
+        """Withdraw the claim, so that the caller may try the key again."""
+        self._submit_later(
+            LedgerEntry(
+                self._entry.key,
+                self._entry.claimant,
+                self._entry.body_digest,
+                RELEASED,
+            )
+        )
+
+    def _submit_later(self, entry):
+        self._runtime.spawn(self._submit_until_done(entry))
+
+    async def _submit_until_done(self, entry):
+        for pause_s in (0.2, 1.0, 5.0, 15.0, 30.0, 60.0):
+            result = await self._runtime.ledger.submit(self._service.name, entry)
+            if result.is_ok():
+                return Ok(None)
+            await self._runtime.clock.sleep(pause_s)
+        return result
+
+
+def choose_outcome(status):
+    """Return what a status says of the call: a server error says nothing sure."""
+    return UNKNOWN if status >= SERVER_ERROR else RAN
+
+
+def digest_call(request):
+    """Return a digest of all that makes up a call."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.method, request.path, request.query):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/sapphirerock/request/problem.py
@@ -0,0 +1,104 @@
+"""Problem documents: what a caller is told when a request is not served."""
+
+from dataclasses import dataclass
+
+import orjson
+
+CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:sapphirerock:problem:"
+NOT_RUN = "not-run"
+RAN = "ran"
+UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class ProblemKind:
+    """One kind of problem and its HTTP status."""
+
+    name: str
+    status: int
+    title: str
+    outcome: str = NOT_RUN
+
+
+@dataclass(slots=True, frozen=True)
+class Problem(Exception):
+    """A final answer that is not the one asked for.
+
+    Parameters
+    ----------
+    kind : ProblemKind
+        What went wrong.
+    detail : str
+        What is particular to this request.
+    retry_after_s : int or None
+        When to come back, in seconds; None where that would not help.
+    """
+
+    kind: ProblemKind
+    detail: str
+    retry_after_s: int | None = None
+
+    @property
+    def status(self):
+        """HTTP status."""
+        return self.kind.status
+
+    def encode(self):
+        """Return the document as bytes."""
+        document = {
+            "type": TYPE_PREFIX + self.kind.name,
+            "title": self.kind.title,
+            "status": self.kind.status,
+            "detail": self.detail,
+            "outcome": self.kind.outcome,
+        }
+        if self.retry_after_s is not None:
+            document["retry_after"] = self.retry_after_s
+        return orjson.dumps(document)
+
+    def make_headers(self):
+        """Return the headers of the answer."""
+        headers = {
+            "Content-Type": CONTENT_TYPE,
+            "Sapphirerock-Outcome": self.kind.outcome,
+        }
+        if self.retry_after_s is not None:
+            headers["Retry-After"] = str(self.retry_after_s)
+        return headers
+
+
+MALFORMED = ProblemKind("malformed-request", 400, "The request is malformed")
+KEY_REQUIRED = ProblemKind("idempotency-key-required", 400, "A key is required")
+UNAUTHORISED = ProblemKind("unknown-key", 401, "The key is not known")
+FORBIDDEN = ProblemKind("forbidden", 403, "Not within the operator's subtree")
+NOT_FOUND = ProblemKind("not-found", 404, "There is no such model or service")
+CONFLICT = ProblemKind("version-conflict", 409, "Another change came first")
+IN_PROGRESS = ProblemKind(
+    "order-in-progress", 409, "The order is under way", outcome=UNKNOWN
+)
+OUTCOME_UNKNOWN = ProblemKind(
+    "order-outcome-unknown", 409, "The order may have run", outcome=UNKNOWN
+)
+TOO_LARGE = ProblemKind("body-too-large", 413, "The body is too large")
+KEY_REUSED = ProblemKind("key-reused", 422, "The key belongs to another request")
+REFUSED_SETTINGS = ProblemKind("refused-settings", 422, "The settings are refused")
+CRASHES_ENGINES = ProblemKind(
+    "request-crashes-engines", 422, "The request crashed the engines that ran it"
+)
+RATE_LIMITED = ProblemKind("rate-limited", 429, "Over the organisation's rate")
+OVERLOADED = ProblemKind("overloaded", 429, "No capacity before the deadline")
+GENERATION_LOST = ProblemKind(
+    "generation-lost", 503, "The generation cannot be continued", outcome=UNKNOWN
+)
+SUPERSEDED = ProblemKind(
+    "superseded", 503, "The generation goes on over another connection", outcome=UNKNOWN
+)
+UNAVAILABLE = ProblemKind("unavailable", 503, "No upstream can be reached")
+PLATFORM_UNAVAILABLE = ProblemKind(
+    "platform-unavailable", 503, "The platform does not answer"
+)
+LEAVING = ProblemKind("leaving", 503, "This host takes no new work")
+UPSTREAM_FAILED = ProblemKind(
+    "upstream-failed", 502, "The upstream gave no answer", outcome=UNKNOWN
+)
--- /dev/null
+++ b/src/sapphirerock/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services and the platform, with faults."""
--- /dev/null
+++ b/src/sapphirerock/standin/chain.py
@@ -0,0 +1,63 @@
+"""Token chains that show a missing, repeated or mixed-in token.
+
+A token has 32 bits. The low 16 are check bits, a function of the prompt and
+all earlier tokens. The high 16 also depend on the engine's salt, so two engines
+continue one prefix differently, and a splice of both fails the check.
+"""
+
+import xxhash
+
+CHECK_BITS = 16
+CHECK_MASK = (1 << CHECK_BITS) - 1
+
+
+class TokenChain:
+    """The state after a prompt and the tokens so far.
+
+    Parameters
+    ----------
+    prompt : str
+        The caller's prompt.
+    salt : int
+        Choice of the engine; a verifier needs none.
+    """
+
+    __slots__ = ("_hash", "_salt", "length")
+
+    def __init__(self, prompt, salt=0):
+        self._hash = xxhash.xxh64(prompt.encode())
+        self._salt = salt
+        self.length = 0
+
+    def make_token(self):
+        """Return the next token and append it."""
+        state = self._hash.intdigest()
+        check = state & CHECK_MASK
+        choice = xxhash.xxh32_intdigest(state.to_bytes(8, "big"), seed=self._salt)
+        token = (choice >> CHECK_BITS << CHECK_BITS) | check
+        self._append(token)
+        return token
+
+    def accept_token(self, token):
+        """Append a token made elsewhere; return whether its check bits fit."""
+        fits = token & CHECK_MASK == self._hash.intdigest() & CHECK_MASK
+        self._append(token)
+        return fits
+
+    def _append(self, token):
+        self._hash.update(token.to_bytes(4, "big"))
+        self.length += 1
+
+
+def find_broken_token(prompt, tokens):
+    """Return the offset of the first token that does not follow, or None."""
+    chain = TokenChain(prompt)
+    for offset, token in enumerate(tokens):
+        if not chain.accept_token(token):
+            return offset
+    return None
+
+
+def render_text(tokens):
+    """Return the text of some tokens, the same however they are grouped."""
+    return "".join(f"{token:08x} " for token in tokens)
--- /dev/null
+++ b/src/sapphirerock/standin/cli.py
@@ -0,0 +1,94 @@
+"""Command ``sapphirerock-standin``: an engine, a plain service or the platform."""
+
+import click
+import orjson
+
+from sapphirerock import __version__
+from sapphirerock.process.logs import configure_logs
+from sapphirerock.process.web import WebService
+from sapphirerock.process.worker import run_service
+from sapphirerock.standin.batch import EngineModel
+from sapphirerock.standin.engine import EngineService, EngineStandin
+from sapphirerock.standin.link import LinkService, LinkStandin
+from sapphirerock.standin.platform import PlatformStandin
+from sapphirerock.standin.service import ServiceStandin
+
+
+@click.group()
+@click.version_option(__version__)
+def main():
+    """Run a stand-in for an outside system.
+
+    Example: sapphirerock-standin engine --name e1 --port 9101 --model quote
+    """
+    configure_logs(level="WARNING")
+
+
+def add_address(command):
+    """Add the options that every stand-in has."""
+    command = click.option("--port", type=int, required=True, help="TCP port.")(command)
+    return click.option("--host", default="127.0.0.1", help="IP number.")(command)
+
+
+@main.command()
+@add_address
+@click.option("--name", required=True, help="Name of the upstream.")
+@click.option("--model", "models", multiple=True, help="A model loaded at the start.")
+@click.option("--capacity", default=16, help="Generations in one batch.")
+@click.option("--token-interval", default=0.02, help="Seconds for one token.")
+@click.option("--report-lag", default=0.0, help="Age of load reports, in seconds.")
+@click.option("--crash-marker", default="", help="Prompts with it kill the engine.")
+@click.option("--order-delay", default=0.0, help="Seconds that an order takes.")
+@click.option("--checks-fencing/--ignores-fencing", default=True)
+def engine(
+    host,
+    port,
+    name,
+    models,
+    capacity,
+    token_interval,
+    report_lag,
+    crash_marker,
+    order_delay,
+    checks_fencing,
+):
+    """Run a model engine."""
+    model = EngineModel(capacity=capacity, token_interval_s=token_interval)
+    standin = EngineStandin(
+        name, models, model, checks_fencing, report_lag, crash_marker, order_delay
+    )
+    run_service(EngineService(standin, host, port))
+
+
+@main.command()
+@add_address
+@click.option("--name", required=True, help="Name of the upstream.")
+@click.option("--delay", default=0.0, help="Seconds that a call takes.")
+def service(host, port, name, delay):
+    """Run an upstream of a plain service."""
+    standin = ServiceStandin(name, delay)
+    run_service(WebService(standin.make_application(), host, port))
+
+
+@main.command()
+@add_address
+@click.option("--hosts", "hosts_file", type=click.Path(exists=True), help="JSON list.")
+@click.option("--delay", default=0.001, help="Seconds that a call takes.")
+@click.option("--list-lag", default=0.0, help="Lag of the host list, in seconds.")
+def platform(host, port, hosts_file, delay, list_lag):
+    """Run the platform's object API and host list."""
+    hosts = []
+    if hosts_file:
+        with open(hosts_file, "rb") as stream:
+            hosts = orjson.loads(stream.read())
+    standin = PlatformStandin(hosts, delay, list_lag)
+    run_service(WebService(standin.make_application(), host, port))
+
+
+@main.command()
+@add_address
+@click.option("--forward", "forwards", multiple=True, help="LISTEN_PORT:PORT.")
+def link(host, port, forwards):
+    """Run a network link that can be cut; faults go to --port."""
+    pairs = [tuple(int(number) for number in pair.split(":")) for pair in forwards]
+    run_service(LinkService(LinkStandin(host), port, pairs))
--- /dev/null
+++ b/src/sapphirerock/standin/service.py
@@ -0,0 +1,77 @@
+"""The plain-service stand-in: idempotent checks and orders with run counts."""
+
+import asyncio
+from collections import Counter
+
+from aiohttp import web
+
+from sapphirerock.standin.faults import FaultState, drop_connection
+
+
+class ServiceStandin(FaultState):
+    """One upstream of a plain service.
+
+    Parameters
+    ----------
+    name : str
+        Name of the upstream.
+    delay_s : float
+        Time that a call takes, in seconds.
+    """
+
+    def __init__(self, name, delay_s=0.0):
+        super().__init__()
+        self.name = name
+        self.delay_s = delay_s
+        self.runs = Counter()
+        self.die_after_run = False
+
+    def make_application(self):
+        """Return the HTTP application."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.get("/v1/load", self._load),
+                web.get("/runs", self._runs),
+                web.post("/faults", self.handle_fault),
+                web.post("/orders/{path:.*}", self._order),
+                web.route("*", "/{path:.*}", self._check),
+            ]
+        )
+        return application
+
+    async def _load(self, request):
+        return web.json_response(
+            {
+                "upstream": self.name,
+                "incarnation": self.name,
+                "leaving": self.leaving,
+                "running": 0,
+                "queued": 0,
+                "capacity": 64,
+                "kv_free": 0,
+                "models": [],
+                "sampled_at": 0,
+            }
+        )
+
+    async def _runs(self, request):
+        return web.json_response(dict(self.runs))
+
+    async def _order(self, request):
+        if self.is_down:
+            return web.Response(status=503)
+        await asyncio.sleep(self.delay_s * self.slowness / 2)
+        self.runs[request.headers.get("Idempotency-Key", "")] += 1
+        if self.take_lost_answer():
+            return drop_connection(request)
+        await asyncio.sleep(self.delay_s * self.slowness / 2)
+        return web.json_response({"upstream": self.name, "accepted": True}, status=201)
+
+    async def _check(self, request):
+        if self.is_down:
+            return web.Response(status=503)
+        await asyncio.sleep(self.delay_s * self.slowness)
+        if self.take_lost_answer():
+            return drop_connection(request)
+        return web.json_response({"upstream": self.name, "path": request.path})
--- /dev/null
+++ b/src/sapphirerock/version/objects.py
@@ -0,0 +1,215 @@
+"""Settings objects, decoded: services, routes, operators, placements."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from expression import Error, Ok
+
+from sapphirerock.version.faults import SettingsError, SettingsFault, find_faults
+from sapphirerock.version.organisations import Organisation
+from sapphirerock.version.schema import SCHEMAS
+
+KINDS = {}
+DEFAULT_START_DEADLINE_S = 30.0
+DEFAULT_CALL_TIMEOUT_S = 10.0
+
+
+def register_kind(kind):
+    """Register the decoded class of a kind of settings object."""
+
+    def register(cls):
+        KINDS[kind] = cls
+        return cls
+
+    return register
+
+
+class SettingsObject(ABC):
+    """A decoded settings object of one kind."""
+
+    __slots__ = ()
+
+    @classmethod
+    @abstractmethod
+    def from_document(cls, document):
+        """Return the object that a checked JSON document describes."""
+
+
+@dataclass(slots=True, frozen=True)
+class Operator:
+    """Somebody who may write below one path."""
+
+    name: str
+    token_sha256: str
+    subtree: str
+
+
+@dataclass(slots=True, frozen=True)
+class Upstream:
+    """A back end: a model engine or an instance of a plain service."""
+
+    name: str
+    url: str
+    availability_zone: str
+    region: str
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """Which service answers for a model, for some organisations or for all."""
+
+    model: str
+    service: str
+    organisations: tuple = ()
+    priority: int = 0
+
+    def admits(self, organisation):
+        """Return whether an organisation may use the route."""
+        return not self.organisations or organisation in self.organisations
+
+
+@dataclass(slots=True, frozen=True)
+class PlacedUpstream:
+    """What one engine is to hold."""
+
+    upstream: str
+    checks_fencing: bool
+    models: tuple
+    role: str = "mixed"
+    order_delay_bound_s: float = 1.0
+
+
+@register_kind("operators")
+@dataclass(slots=True, frozen=True)
+class OperatorList(SettingsObject):
+    """All operators and the subtree of each."""
+
+    operators: tuple
+
+    @classmethod
+    def from_document(cls, document):
+        """Decode the list."""
+        return cls(tuple(Operator(**item) for item in document["operators"]))
+
+
+@register_kind("organisations")
+@dataclass(slots=True, frozen=True)
+class OrganisationList(SettingsObject):
+    """A group of organisations."""
+
+    organisations: tuple
+
+    @classmethod
+    def from_document(cls, document):
+        """Decode the group."""
+        return cls(tuple(Organisation(**item) for item in document["organisations"]))
+
+
+@register_kind("service")
+@dataclass(slots=True, frozen=True)
+class ServiceSettings(SettingsObject):
+    """A service, its upstreams and its policies.
+
+    Parameters
+    ----------
+    name : str
+        Name that routes and callers use.
+    type : {"generation", "plain"}
+        Whether engines or plain services answer.
+    upstreams : tuple of Upstream
+        Its back ends.
+    recovery : str
+        Name of a recovery policy.
+    balancer : str
+        Name of a balancer.
+    start_deadline_s : float
+        Longest wait for a first token, where the caller names none.
+    call_timeout_s : float
+        Bound of one plain call.
+    hedge_after_s : float or None
+        When a second copy of an idempotent check is sent; never when None.
+    order_paths : tuple of str
+        Prefixes of paths whose calls must run at most once.
+    """
+
+    name: str
+    type: str
+    upstreams: tuple
+    recovery: str = "latency"
+    balancer: str = "least-wait"
+    start_deadline_s: float = DEFAULT_START_DEADLINE_S
+    call_timeout_s: float = DEFAULT_CALL_TIMEOUT_S
+    hedge_after_s: float | None = None
+    order_paths: tuple = ()
+
+    @classmethod
+    def from_document(cls, document):
+        """Decode the service."""
+        values = {key: value for key, value in document.items() if key != "kind"}
+        values["upstreams"] = tuple(Upstream(**item) for item in values["upstreams"])
+        values["order_paths"] = tuple(values.get("order_paths", ()))
+        return cls(**values)
+
+    def is_order(self, path):
+        """Return whether calls of a path must run at most once."""
+        return any(path.startswith(prefix) for prefix in self.order_paths)
+
+
+@register_kind("routing")
+@dataclass(slots=True, frozen=True)
+class RoutingSettings(SettingsObject):
+    """A team's routes."""
+
+    routes: tuple
+
+    @classmethod
+    def from_document(cls, document):
+        """Decode the routes."""
+        routes = []
+        for item in document["routes"]:
+            organisations = tuple(item.get("organisations", ()))
+            routes.append(Route(**{**item, "organisations": organisations}))
+        return cls(tuple(routes))
+
+
+@register_kind("placement")
+@dataclass(slots=True, frozen=True)
+class PlacementSettings(SettingsObject):
+    """What a team's engines are to hold."""
+
+    upstreams: tuple
+    loads_per_minute: float = 60.0
+
+    @classmethod
+    def from_document(cls, document):
+        """Decode the placement."""
+        placed = []
+        for item in document["upstreams"]:
+            placed.append(PlacedUpstream(**{**item, "models": tuple(item["models"])}))
+        return cls(tuple(placed), document.get("loads_per_minute", 60.0))
+
+
+@dataclass(slots=True, frozen=True)
+class VersionedSettings:
+    """One settings object with its path and version."""
+
+    path: str
+    version: int
+    settings: SettingsObject = field(compare=False)
+
+
+def decode_settings(document):
+    """Check a document against the schema of its kind and decode it.
+
+    Returns
+    -------
+    expression.Result of SettingsObject or SettingsError
+    """
+    kind = document.get("kind") if isinstance(document, dict) else None
+    if kind not in KINDS:
+        expected = "one of " + ", ".join(sorted(KINDS))
+        return Error(SettingsError([SettingsFault("$.kind", repr(kind), expected)]))
+    faults = find_faults(SCHEMAS[kind], document)
+    if faults:
+        return Error(SettingsError(faults))
+    return Ok(KINDS[kind].from_document(document))
--- /dev/null
+++ b/src/sapphirerock/version/schema.py
@@ -0,0 +1,124 @@
+"""JSON schemas of the settings objects that operators write."""
+
+NAME = {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"}
+DIGEST = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
+SECONDS = {"type": "number", "exclusiveMinimum": 0}
+URL = {"type": "string", "pattern": "^http://[0-9.]+:[0-9]+$"}
+
+
+def describe_object(kind, properties, required):
+    """Return the schema of one kind of settings object."""
+    return {
+        "type": "object",
+        "properties": {"kind": {"const": kind}, **properties},
+        "required": ["kind", *required],
+        "additionalProperties": False,
+    }
+
+
+def describe_list(properties, required):
+    """Return the schema of a list of objects."""
+    return {
+        "type": "array",
+        "items": {
+            "type": "object",
+            "properties": properties,
+            "required": required,
+            "additionalProperties": False,
+        },
+    }
+
+
+OPERATORS = describe_object(
+    "operators",
+    {
+        "operators": describe_list(
+            {
+                "name": NAME,
+                "token_sha256": DIGEST,
+                "subtree": {"type": "string", "pattern": "^settings/([a-z0-9-]+/)*$"},
+            },
+            ["name", "token_sha256", "subtree"],
+        )
+    },
+    ["operators"],
+)
+
+ORGANISATIONS = describe_object(
+    "organisations",
+    {
+        "organisations": describe_list(
+            {
+                "name": NAME,
+                "key_sha256": DIGEST,
+                "weight": {"type": "integer", "minimum": 1, "maximum": 1000},
+                "requests_per_s": {"type": "number", "exclusiveMinimum": 0},
+            },
+            ["name", "key_sha256"],
+        )
+    },
+    ["organisations"],
+)
+
+UPSTREAMS = describe_list(
+    {"name": NAME, "url": URL, "availability_zone": NAME, "region": NAME},
+    ["name", "url", "availability_zone", "region"],
+)
+
+SERVICE = describe_object(
+    "service",
+    {
+        "name": NAME,
+        "type": {"enum": ["generation", "plain"]},
+        "upstreams": UPSTREAMS,
+        "recovery": {"enum": ["latency", "cost", "naive"]},
+        "balancer": {"enum": ["least-wait", "least-in-flight", "round-robin"]},
+        "start_deadline_s": SECONDS,
+        "call_timeout_s": SECONDS,
+        "hedge_after_s": SECONDS,
+        "order_paths": {"type": "array", "items": {"type": "string", "minLength": 1}},
+    },
+    ["name", "type", "upstreams"],
+)
+
+ROUTING = describe_object(
+    "routing",
+    {
+        "routes": describe_list(
+            {
+                "model": NAME,
+                "service": NAME,
+                "organisations": {"type": "array", "items": NAME},
+                "priority": {"type": "integer", "minimum": 0, "maximum": 9},
+            },
+            ["model", "service"],
+        )
+    },
+    ["routes"],
+)
+
+PLACEMENT = describe_object(
+    "placement",
+    {
+        "loads_per_minute": {"type": "number", "exclusiveMinimum": 0},
+        "upstreams": describe_list(
+            {
+                "upstream": NAME,
+                "checks_fencing": {"type": "boolean"},
+                "models": {"type": "array", "items": {"type": "string"}},
+                "role": {"enum": ["mixed", "prefill", "decode"]},
+                "order_delay_bound_s": SECONDS,
+            },
+            ["upstream", "checks_fencing", "models"],
+        ),
+    },
+    ["upstreams"],
+)
+
+SCHEMAS = {
+    "operators": OPERATORS,
+    "organisations": ORGANISATIONS,
+    "service": SERVICE,
+    "routing": ROUTING,
+    "placement": PLACEMENT,
+}
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for tests and experiments."""
--- /dev/null
+++ b/tools/localcluster.py
@@ -0,0 +1,389 @@
+"""A cluster of real processes on loopback, for tests and experiments."""
+
+import asyncio
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import closing
+from pathlib import Path
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+ROOT = Path(__file__).resolve().parent.parent
+RUN_FOLDER = ROOT / ".test-run"
+BIN = Path(sys.executable).parent
+ROOT_TOKEN = "root-token"
+ORGANISATION_KEY = "organisation-key"
+PEER_KEY = "a-key-that-peers-share"
+START_BOUND_S = 20.0
+STOP_BOUND_S = 10.0
+
+
+def hash_key(key):
+    """Return the digest that settings keep of a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def find_free_port(address="127.0.0.1"):
+    """Return a TCP port that nothing listens on."""
+    with closing(socket.socket()) as probe:
+        probe.bind((address, 0))
+        return probe.getsockname()[1]
+
+
+class LocalProcess:
+    """One process that was started here.
+
+    Parameters
+    ----------
+    name : str
+        Name of its log.
+    arguments : list of str
+        Command line.
+    log : pathlib.Path
+        Where its output goes.
+    """
+
+    def __init__(self, name, arguments, log):
+        self.name = name
+        self.arguments = arguments
+        self.log = log
+        self.popen = None
+
+    def start(self):
+        """Start it, or start it again."""
+        with self.log.open("ab") as output:
+            self.popen = subprocess.Popen(
+                self.arguments,
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    @property
+    def is_running(self):
+        """Whether it has not ended."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def signal(self, number):
+        """Send it a signal."""
+        if self.is_running:
+            self.popen.send_signal(number)
+
+    def kill(self):
+        """End it without a word."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait(STOP_BOUND_S)
+
+    def pause(self):
+        """Stop it where it stands."""
+        self.signal(signal.SIGSTOP)
+
+    def wake(self):
+        """Let it go on."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self):
+        """Ask it to end and wait; return its exit status."""
+        self.wake()
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(STOP_BOUND_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+
+class LocalCluster:
+    """Stand-ins and routers, each a process.
+
+    Parameters
+    ----------
+    name : str
+        Folder of the logs.
+    """
+
+    def __init__(self, name):
+        self.folder = RUN_FOLDER / f"{name}-{os.getpid()}-{time.monotonic_ns()}"
+        self.folder.mkdir(parents=True)
+        self.processes = {}
+        self.urls = {}
+        self.places = {}
+        self.hosts = []
+        self.platform_url = ""
+
+    def spawn(self, name, command, *arguments):
+        """Start a process of the project."""
+        line = [str(BIN / f"sapphirerock-{command}"), *map(str, arguments)]
+        process = LocalProcess(name, line, self.folder / f"{name}.log")
+        process.start()
+        self.processes[name] = process
+        return process
+
+    def add_platform(self, **options):
+        """Start the platform stand-in."""
+        port = find_free_port()
+        self.platform_url = f"http://127.0.0.1:{port}"
+        self.urls["platform"] = self.platform_url
+        hosts_file = self.folder / "hosts.json"
+        hosts_file.write_text(json.dumps(self.hosts))
+        self.spawn(
+            "platform",
+            "standin",
+            "platform",
+            "--port",
+            port,
+            "--hosts",
+            hosts_file,
+            *format_options(options),
+        )
+
+    def plan_router(self, host, zone, region, address="127.0.0.1", linked=False):
+        """Reserve ports of a router, so that others can name it."""
+        entry = {
+            "host": host,
+            "availability_zone": zone,
+            "region": region,
+            "address": address,
+            "caller_port": find_free_port(address),
+            "peer_port": find_free_port(address),
+        }
+        self.hosts.append(entry)
+        self.urls[host] = f"http://{address}:{entry['caller_port']}"
+        return entry
+
+    def start_router(self, host, **options):
+        """Start a planned router, or start it again."""
+        if host in self.processes:
+            self.processes[host].start()
+            return
+        path = self.write_host_settings(host, **options)
+        self.spawn(host, "router", path)
+
+    def write_host_settings(self, host, **options):
+        """Write the settings file of a planned host; return its path."""
+        entry = next(item for item in self.hosts if item["host"] == host)
+        document = {
+            **entry,
+            "platform_url": self.platform_url,
+            "peer_key": PEER_KEY,
+            "root_operator_sha256": hash_key(ROOT_TOKEN),
+            "peers": [item for item in self.hosts if item["host"] != host],
+            "logs": {"style": "text", "level": "INFO"},
+            **options,
+        }
+        path = self.folder / f"{host}.json"
+        path.write_text(json.dumps(document))
+        return path
+
+    def add_engine(self, name, zone, region, models=("quote",), **options):
+        """Start an engine stand-in."""
+        self._add_upstream(
+            "engine",
+            name,
+            zone,
+            region,
+            *(part for model in models for part in ("--model", model)),
+            *format_options(options),
+        )
+
+    def add_service(self, name, zone, region, **options):
+        """Start a plain-service stand-in."""
+        self._add_upstream("service", name, zone, region, *format_options(options))
+
+    def _add_upstream(self, kind, name, zone, region, *arguments):
+        port = find_free_port()
+        self.urls[name] = f"http://127.0.0.1:{port}"
+        self.places[name] = (zone, region)
+        self.spawn(name, "standin", kind, "--name", name, "--port", port, *arguments)
+
+    def describe_upstreams(self, names):
+        """Return upstreams as settings name them."""
+        return [
+            {
+                "name": name,
+                "url": self.urls[name],
+                "availability_zone": self.places[name][0],
+                "region": self.places[name][1],
+            }
+            for name in names
+        ]
+
+    def list_routers(self):
+        """Return the names of all planned routers."""
+        return [entry["host"] for entry in self.hosts if "role" not in entry]
+
+    def get_router_urls(self, *hosts):
+        """Return addresses of routers, of all when none is named."""
+        return [self.urls[host] for host in hosts or self.list_routers()]
+
+    async def wait_ready(self, *names, path=None):
+        """Wait until processes answer."""
+        async with ClientSession() as session:
+            for name in names or list(self.processes):
+                if name in self.urls:
+                    await self._wait_one(session, name)
+
+    async def _wait_one(self, session, name):
+        paths = {"platform": "/calls"}
+        path = "/readyz" if name in self.list_routers() else "/v1/load"
+        url = self.urls[name] + paths.get(name, path)
+        deadline_s = time.monotonic() + START_BOUND_S
+        while time.monotonic() < deadline_s:
+            try:
+                async with session.get(url, timeout=ClientTimeout(total=1)) as answer:
+                    if answer.status == 200:
+                        return
+            except (ClientError, TimeoutError, OSError):
+                pass
+            if not self.processes[name].is_running:
+                break
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"{name} is not ready: {self.read_log(name)}")
+
+    async def put_settings(
+        self, path, document, version=0, token=ROOT_TOKEN, host=None
+    ):
+        """Write a settings object through a router; return status and answer."""
+        url = self.urls[host or self.list_routers()[0]]
+        headers = {"Authorization": f"Bearer {token}", "If-Match": str(version)}
+        async with ClientSession() as session:
+            async with session.put(
+                f"{url}/admin/settings/{path}", json=document, headers=headers
+            ) as answer:
+                return answer.status, await answer.json(content_type=None)
+
+    async def read_status(self, host, token=ROOT_TOKEN):
+        """Return a router's status."""
+        headers = {"Authorization": f"Bearer {token}"}
+        return await self.get_json(self.urls[host] + "/admin/status", headers)
+
+    async def wait_in_force(self, version, hosts=(), bound_s=4.0):
+        """Wait until routers have a version in force; return those that don't."""
+        missing = set(hosts or self.list_routers())
+        deadline_s = time.monotonic() + bound_s
+        while missing and time.monotonic() < deadline_s:
+            for host in list(missing):
+                status = await self.read_status(host)
+                if status["settings_horizon"] >= version:
+                    missing.discard(host)
+            await asyncio.sleep(0.05)
+        return missing
+
+    async def get_json(self, url, headers=None):
+        """Return a JSON answer."""
+        async with ClientSession() as session:
+            async with session.get(url, headers=headers) as answer:
+                return await answer.json()
+
+    async def read_metric(self, host, name):
+        """Return the sum of a router's metric over its labels."""
+        async with ClientSession() as session:
+            async with session.get(self.urls[host] + "/metrics") as answer:
+                text = await answer.text()
+        total = 0.0
+        for line in text.splitlines():
+            if line.startswith((name + " ", name + "{")):
+                total += float(line.rsplit(" ", 1)[1])
+        return total
+
+    async def inject(self, name, kind, **fields):
+        """Order a fault at a stand-in."""
+        async with ClientSession() as session:
+            try:
+                async with session.post(
+                    self.urls[name] + "/faults",
+                    json={"kind": kind, **fields},
+                    timeout=ClientTimeout(total=2),
+                ) as answer:
+                    return answer.status
+            except (ClientError, TimeoutError, OSError):
+                return 0
+
+    def read_log(self, name):
+        """Return the end of a process's output."""
+        return self.processes[name].log.read_text()[-3000:]
+
+    def close(self):
+        """End every process."""
+        for process in self.processes.values():
+            if process.is_running:
+                process.wake()
+                process.kill()
+
+
+def format_options(options):
+    """Return keyword options as command-line options."""
+    arguments = []
+    for name, value in options.items():
+        flag = "--" + name.replace("_", "-")
+        if value is True:
+            arguments.append(flag)
+        else:
+            arguments += [flag, str(value)]
+    return arguments
+
+
+async def declare_basics(cluster, engines=(), services=(), **service_fields):
+    """Declare one organisation, one model and one plain service."""
+    objects = [
+        (
+            "team/organisations/main",
+            {
+                "kind": "organisations",
+                "organisations": [
+                    {"name": "weavers", "key_sha256": hash_key(ORGANISATION_KEY)}
+                ],
+            },
+        )
+    ]
+    if engines:
+        objects.append(
+            (
+                "team/services/quote",
+                {
+                    "kind": "service",
+                    "name": "quote-engines",
+                    "type": "generation",
+                    "upstreams": cluster.describe_upstreams(engines),
+                    **service_fields,
+                },
+            )
+        )
+        objects.append(
+            (
+                "team/routing/quote",
+                {
+                    "kind": "routing",
+                    "routes": [{"model": "quote", "service": "quote-engines"}],
+                },
+            )
+        )
+    if services:
+        objects.append(
+            (
+                "team/services/stock",
+                {
+                    "kind": "service",
+                    "name": "stock",
+                    "type": "plain",
+                    "upstreams": cluster.describe_upstreams(services),
+                    "order_paths": ["orders/"],
+                    "call_timeout_s": 2.0,
+                    "hedge_after_s": 0.3,
+                },
+            )
+        )
+    version = 0
+    for path, document in objects:
+        status, answer = await cluster.put_settings(path, document)
+        assert status == 200, (path, status, answer)
+        version = answer["version"]
+    missing = await cluster.wait_in_force(version)
+    assert not missing, f"not in force at {missing}"
