Test recovery with real processes: engines, routers and holders lost

Cause: nothing showed yet that a generation survives a loss. Two faults of the steps themselves were found first: they waited for load reports that stay within a zone, and looked for a busy engine when one token was left.

--- /dev/null
+++ b/features/steps/recovery_steps.py
@@ -0,0 +1,210 @@
+"""Steps on generations that lose engines, routers and journal holders."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+LOSSES = {}
+ENGINE_OPTIONS = {"token_interval": 0.02}
+PAUSE_BETWEEN_LOSSES_S = 0.6
+
+
+def register_loss(text):
+    """Register a coroutine function under the words of the feature."""
+
+    def register(function):
+        LOSSES[text] = function
+        return function
+
+    return register
+
+
+@given("two zones with {routers:d} routers and {engines:d} engines each")
+def start_two_zones(context, routers, engines):
+    places = [("zone-a", "region-a"), ("zone-b", "region-a")]
+    router_names = iter(range(1, 100))
+    engine_names = iter(range(1, 100))
+    context.run(
+        context.world.start(
+            [(f"r{next(router_names)}", *place) for place in places]
+            + [
+                (f"r{next(router_names)}", *place)
+                for place in places
+                for _ in range(routers - 1)
+            ],
+            [
+                (f"e{next(engine_names)}", *place, ENGINE_OPTIONS)
+                for place in places
+                for _ in range(engines)
+            ],
+        )
+    )
+
+
+@when("a generation of {tokens:d} tokens is read through {host}")
+def begin_generation(context, tokens, host):
+    begin(context, tokens, host, resumes=True)
+
+
+@when(
+    "a generation of {tokens:d} tokens is read through {host} by a caller that resends"
+)
+def begin_resending_generation(context, tokens, host):
+    begin(context, tokens, host, resumes=False)
+
+
+def begin(context, tokens, host, resumes):
+    world = context.world
+    others = [name for name in world.cluster.list_routers() if name != host]
+
+    async def run():
+        world.begin_generation(
+            "a long pattern archive", tokens, host, *others, resumes=resumes
+        )
+        await asyncio.sleep(0)
+
+    context.run(run())
+
+
+@when("after {tokens:d} tokens {loss}")
+def lose(context, tokens, loss):
+    world = context.world
+
+    async def run():
+        if tokens:
+            await world.wait_tokens(tokens)
+        world.moment_s = time.monotonic()
+        await LOSSES[loss](world)
+
+    context.run(run())
+
+
+@register_loss("its engine is killed")
+async def kill_engine(world):
+    name = await world.find_busy_engine()
+    world.moment_s = time.monotonic()
+    world.cluster.processes[name].kill()
+
+
+@register_loss("its engine freezes for 4 seconds")
+async def freeze_engine(world):
+    name = await world.find_busy_engine()
+    await pause(world, name, 4)
+
+
+async def pause(world, name, seconds):
+    process = world.cluster.processes[name]
+    world.moment_s = time.monotonic()
+    process.pause()
+    asyncio.get_running_loop().call_later(seconds, process.wake)
+
+
+@register_loss("its engine's open connections go silent")
+async def silence_engine(world):
+    name = await world.find_busy_engine()
+    world.notes["engine"] = name
+    world.moment_s = time.monotonic()
+    await world.cluster.inject(name, "silence")
+
+
+@register_loss("its engine is killed and starts again at its address")
+async def restart_engine(world):
+    process = world.cluster.processes[await world.find_busy_engine()]
+    world.moment_s = time.monotonic()
+    process.kill()
+    process.start()
+
+
+@register_loss("two engines are killed one after the other")
+async def kill_two_engines(world):
+    await kill_engine(world)
+    await asyncio.sleep(PAUSE_BETWEEN_LOSSES_S)
+    await kill_engine(world)
+
+
+@register_loss("the router is killed")
+async def kill_router(world):
+    host = world.read_driving_hosts()
+    world.moment_s = time.monotonic()
+    world.cluster.processes[host].kill()
+
+
+@register_loss("the router is paused for 4 seconds")
+async def pause_router(world):
+    await pause(world, world.read_driving_hosts(), 4)
+
+
+@register_loss("the router and its engine are killed together")
+async def kill_router_and_engine(world):
+    name = await world.find_busy_engine()
+    await kill_router(world)
+    world.cluster.processes[name].kill()
+
+
+@register_loss("the journal holder is killed")
+async def kill_holder(world):
+    position = world.callers[-1].records[0].last_event_id
+    holder = position.rsplit("@", 1)[1]
+    assert holder, "the generation has no journal holder"
+    world.moment_s = time.monotonic()
+    world.cluster.processes[holder].kill()
+
+
+@register_loss("the journal holder is killed, then the router")
+async def kill_holder_then_router(world):
+    await kill_holder(world)
+    await asyncio.sleep(PAUSE_BETWEEN_LOSSES_S)
+    await kill_router(world)
+
+
+@register_loss("the journal holder is killed, then the engine")
+async def kill_holder_then_engine(world):
+    await kill_holder(world)
+    await asyncio.sleep(PAUSE_BETWEEN_LOSSES_S)
+    await kill_engine(world)
+
+
+@then("the answer is whole and of one generation")
+def check_whole(context):
+    (record,) = context.run(context.world.finish_calls())
+    context.record = record
+    seen = (record.status, record.problem, len(record.tokens), record.reconnects)
+    assert record.is_whole, seen
+    assert len(record.generation_ids) == 1, record.generation_ids
+
+
+@then("it went on within {seconds:d} seconds")
+def check_resume_latency(context, seconds):
+    gap_s = context.record.find_gap_after(context.world.moment_s)
+    if gap_s is not None:  # else the loss came after the last token
+        assert gap_s <= seconds, gap_s
+    assert context.record.longest_gap_s <= seconds, context.record.longest_gap_s
+
+
+@then("no more than {tokens:d} tokens were decoded")
+def check_decoded(context, tokens):
+    cluster = context.world.cluster
+
+    async def count():
+        total = 0
+        for name in ("e1", "e2", "e3", "e4"):
+            if cluster.processes[name].is_running:
+                counters = await cluster.get_json(cluster.urls[name] + "/v1/counters")
+                total += counters["decoded_tokens"]
+        return total
+
+    total = context.run(count())
+    assert total <= tokens, total
+
+
+@then("it was recovered by a new connection to the same engine")
+def check_same_engine(context):
+    cluster = context.world.cluster
+
+    async def read():
+        name = context.world.notes["engine"]
+        counters = await cluster.get_json(cluster.urls[name] + "/v1/counters")
+        return counters["decoded_tokens"]
+
+    assert context.run(read()) == len(context.record.tokens)
--- a/src/sapphirerock/load/caller.py
+++ b/src/sapphirerock/load/caller.py
@@ -89,6 +89,11 @@
     uses_last_event_id : bool
         Whether a reconnect says where it stopped; otherwise the answer is read
         anew from its beginning.
+
+    Attributes
+    ----------
+    records : list of CallRecord
+        All calls, those under way included.
     """
 
     def __init__(self, session, urls, organisation_key, model, uses_last_event_id=True):
@@ -97,6 +102,7 @@
         self._organisation_key = organisation_key
         self._model = model
         self._uses_last_event_id = uses_last_event_id
+        self.records = []
 
     async def generate(
         self, prompt, max_tokens, key=None, first=0, start_timeout_s=None, priority=0
@@ -108,6 +114,7 @@
         CallRecord
         """
         record = CallRecord(key or uuid.uuid4().hex, prompt, time.monotonic())
+        self.records.append(record)
         body = {
             "model": self._model,
             "prompt": prompt,
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -7,13 +7,16 @@
 import json
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-RESULTS = ROOT / ".test-run" / "results.json"
+RESULTS = ROOT / ".test-run" / "results"
 FIELD_SEPARATOR = "|"
+# Most scenarios wait on timeouts; three at a time leave the cores half idle.
+SIDE_BY_SIDE = 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,16 +51,44 @@
     return faults
 
 
-def run_features(arguments):
-    """Run behave; return the results of all scenarios."""
-    RESULTS.parent.mkdir(exist_ok=True)
-    RESULTS.unlink(missing_ok=True)
-    command = [sys.executable, "-m", "behave", "--format", "progress3"]
-    command += ["--format", "json", "--outfile", str(RESULTS)]
-    subprocess.run([*command, *arguments], cwd=ROOT, check=False)
-    if not RESULTS.exists():
-        return []
-    features = json.loads(RESULTS.read_text())
+def run_feature(path):
+    """Run behave on one feature; return the results of its scenarios.
+
+    A feature that can't be read, or whose run ends early, counts as failed.
+    """
+    results = RESULTS / f"{path.stem}.json"
+    results.unlink(missing_ok=True)
+    command = [sys.executable, "-m", "behave", "--no-color"]
+    command += ["--format", "json", "--outfile", str(results)]
+    command += ["--format", "progress3", str(path)]
+    run = subprocess.run(command, cwd=ROOT, check=False, capture_output=True, text=True)
+    scenarios = read_results(results) if results.exists() else []
+    good = bool(scenarios) and all(item.status == "passed" for item in scenarios)
+    if run.returncode and (good or not scenarios):
+        scenarios.append(ScenarioResult(str(path), "the feature's run", "failed"))
+    print(run.stdout if not good else summarise(path, scenarios), flush=True)
+    if not good:
+        print(run.stderr, flush=True)
+    return scenarios
+
+
+def summarise(path, scenarios):
+    """Return one line on a feature that passed."""
+    return f"{path.relative_to(ROOT)}: {len(scenarios)} scenarios passed"
+
+
+def run_features(names):
+    """Run features side by side; return the results of all scenarios."""
+    RESULTS.mkdir(parents=True, exist_ok=True)
+    paths = [ROOT / name for name in names]
+    paths = paths or sorted((ROOT / "features").glob("*.feature"))
+    with ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
+        return [result for found in pool.map(run_feature, paths) for result in found]
+
+
+def read_results(path):
+    """Return the results that behave wrote of a feature."""
+    features = json.loads(path.read_text())
     return [
         ScenarioResult(
             feature["location"].rsplit(":", 1)[0], scenario["name"], scenario["status"]
