--- a/src/sapphirerock/connection/platform.py
+++ b/src/sapphirerock/connection/platform.py
@@ -8,6 +8,7 @@
 from opentelemetry.trace import NoOpTracer, SpanKind
 
 from sapphirerock.connection.errors import PlatformConflict, PlatformUnavailable
+from sapphirerock.connection.singleuse import SingleUse
 
 CALL_TIMEOUT_S = 1.0
 WATCH_MARGIN_S = 2.0
@@ -160,6 +161,8 @@
             read_version,
             data=value,
             headers=headers,
+            # A repeated write would meet the version that it made itself.
+            middlewares=(SingleUse(),),
         )
 
     async def _read_value(self, response):
--- a/src/sapphirerock/process/admin.py
+++ b/src/sapphirerock/process/admin.py
@@ -307,6 +307,7 @@
         return {
             "version": __version__,
             "host": own.host,
+            "incarnation": router.peers.incarnation,
             "availability_zone": own.availability_zone,
             "leaving": router.gateway.leaving,
             "settings_horizon": runtime.settings.horizon,
--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -9,7 +9,7 @@
 from sapphirerock.process.worker import run_service
 from sapphirerock.standin.batch import EngineModel
 from sapphirerock.standin.engine import EngineService, EngineStandin
-from sapphirerock.standin.link import LinkService, LinkStandin
+from sapphirerock.standin.link import LinkService, LinkStandin, parse_forward
 from sapphirerock.standin.platform import PlatformStandin
 from sapphirerock.standin.service import ServiceStandin
 
@@ -87,8 +87,10 @@
 
 @main.command()
 @add_address
-@click.option("--forward", "forwards", multiple=True, help="LISTEN_PORT:PORT.")
+@click.option(
+    "--forward", "forwards", multiple=True, help="LISTEN_ADDRESS:PORT:ADDRESS:PORT."
+)
 def link(host, port, forwards):
     """Run a network link that can be cut; faults go to --port."""
-    pairs = [tuple(int(number) for number in pair.split(":")) for pair in forwards]
-    run_service(LinkService(LinkStandin(host), port, pairs))
+    parsed = [parse_forward(text) for text in forwards]
+    run_service(LinkService(LinkStandin(), host, port, parsed))
--- a/tools/localcluster.py
+++ b/tools/localcluster.py
@@ -20,8 +20,10 @@
 ROOT_TOKEN = "root-token"
 ORGANISATION_KEY = "organisation-key"
 PEER_KEY = "a-key-that-peers-share"
-START_BOUND_S = 20.0
+START_BOUND_S = 12.0
 STOP_BOUND_S = 10.0
+PLATFORM_LINK = "127.0.0.9"
+UPSTREAM_LINK = "127.0.0.8"
 
 
 def hash_key(key):
@@ -117,6 +119,8 @@
         self.places = {}
         self.hosts = []
         self.platform_url = ""
+        self.listen_ports = {}
+        self._zones = []
 
     def spawn(self, name, command, *arguments):
         """Start a process of the project."""
@@ -144,8 +148,12 @@
             *format_options(options),
         )
 
-    def plan_router(self, host, zone, region, address="127.0.0.1", linked=False):
-        """Reserve ports of a router, so that others can name it."""
+    def plan_router(self, host, zone, region):
+        """Reserve ports of a router, so that others can name it.
+
+        Each zone has addresses of its own, so that a link can tell them apart.
+        """
+        address = self.get_zone_prefix(zone) + "1"
         entry = {
             "host": host,
             "availability_zone": zone,
@@ -158,6 +166,55 @@
         self.urls[host] = f"http://{address}:{entry['caller_port']}"
         return entry
 
+    def get_zone_prefix(self, zone):
+        """Return what the addresses of a zone's hosts begin with."""
+        if zone not in self._zones:
+            self._zones.append(zone)
+        return f"127.0.{self._zones.index(zone) + 1}."
+
+    def add_link(self):
+        """Put a link before the platform, the peers' ports and the upstreams.
+
+        To be called once all of them are planned, before routers start.
+        """
+        self.urls["link"] = f"http://127.0.0.1:{find_free_port()}"
+        forwards = [self._forward_url("platform", PLATFORM_LINK)]
+        self.platform_url = self.urls["platform-link"]
+        for name in self.places:
+            forwards.append(self._forward_url(name, UPSTREAM_LINK))
+        for entry in self.hosts:
+            port = find_free_port(entry["address"])
+            self.listen_ports[entry["host"]] = port
+            address = entry["address"]
+            forwards.append(f"{address}:{entry['peer_port']}:{address}:{port}")
+        self.spawn(
+            "link",
+            "standin",
+            "link",
+            "--port",
+            self.urls["link"].rsplit(":", 1)[1],
+            *(part for text in forwards for part in ("--forward", text)),
+        )
+
+    def _forward_url(self, name, address):
+        """Return the forward of a stand-in, under an address of the link."""
+        port = find_free_port(address)
+        target = self.urls[name].removeprefix("http://")
+        self.urls[f"{name}-link"] = f"http://{address}:{port}"
+        return f"{address}:{port}:{target}"
+
+    async def cut_zones(self, kind, zone, other):
+        """Cut or heal the peer streams between two zones, both ways."""
+        pair = (self.get_zone_prefix(zone), self.get_zone_prefix(other))
+        for source, target in (pair, pair[::-1]):
+            await self.inject("link", kind, source=source, target=target)
+
+    async def cut_platform(self, kind, zone):
+        """Cut or heal a zone's way to the platform."""
+        await self.inject(
+            "link", kind, source=self.get_zone_prefix(zone), target=PLATFORM_LINK
+        )
+
     def start_router(self, host, **options):
         """Start a planned router, or start it again."""
         if host in self.processes:
@@ -178,6 +235,8 @@
             "logs": {"style": "text", "level": "INFO"},
             **options,
         }
+        if host in self.listen_ports:
+            document["peer_listen_port"] = self.listen_ports[host]
         path = self.folder / f"{host}.json"
         path.write_text(json.dumps(document))
         return path
@@ -208,7 +267,7 @@
         return [
             {
                 "name": name,
-                "url": self.urls[name],
+                "url": self.urls.get(f"{name}-link", self.urls[name]),
                 "availability_zone": self.places[name][0],
                 "region": self.places[name][1],
             }
@@ -223,7 +282,7 @@
         """Return addresses of routers, of all when none is named."""
         return [self.urls[host] for host in hosts or self.list_routers()]
 
-    async def wait_ready(self, *names, path=None):
+    async def wait_ready(self, *names):
         """Wait until processes answer."""
         async with ClientSession() as session:
             for name in names or list(self.processes):
@@ -231,7 +290,7 @@
                     await self._wait_one(session, name)
 
     async def _wait_one(self, session, name):
-        paths = {"platform": "/calls"}
+        paths = {"platform": "/calls", "link": "/cuts"}
         path = "/readyz" if name in self.list_routers() else "/v1/load"
         url = self.urls[name] + paths.get(name, path)
         deadline_s = time.monotonic() + START_BOUND_S
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -39,7 +39,9 @@
             self._session = ClientSession(timeout=ClientTimeout(total=30))
         return self._session
 
-    async def start(self, routers, engines=(), services=(), fields=None):
+    async def start(
+        self, routers, engines=(), services=(), fields=None, linked=False, **options
+    ):
         """Start the platform, upstreams and routers, and declare them.
 
         Parameters
@@ -50,15 +52,22 @@
             Name, availability zone, region, options.
         fields : dict
             Further fields of the model's service.
+        linked : bool
+            Whether a link that can be cut stands between zones, and before the
+            platform and the upstreams.
+        options : dict
+            Options of the platform stand-in.
         """
         cluster = self.cluster
         for host, zone, region in routers:
             cluster.plan_router(host, zone, region)
-        cluster.add_platform()
+        cluster.add_platform(**options)
         for name, zone, region, options in engines:
             cluster.add_engine(name, zone, region, **options)
         for name, zone, region, options in services:
             cluster.add_service(name, zone, region, **options)
+        if linked:
+            cluster.add_link()
         await cluster.wait_ready()
         for host, _, _ in routers:
             cluster.start_router(host)
