--- a/src/sapphirerock/process/admin.py
+++ b/src/sapphirerock/process/admin.py
@@ -324,6 +324,7 @@
             "routes": describe_routes(runtime.settings.snapshot),
             "generations": len(router.generations.active),
             "journal_records": len(router.journal_store),
+            "suspects": len(runtime.quarantine),
             "convicted": len(runtime.quarantine.list_convicted()),
             "upstreams": [
                 describe_upstream(runtime.upstreams, state)
--- a/src/sapphirerock/process/dispatcher.py
+++ b/src/sapphirerock/process/dispatcher.py
@@ -118,13 +118,27 @@
         return self._find_queue(service).balancer.choose(states, choice.affinity)
 
     def _isolate(self, states, fingerprint):
-        """Keep suspects apart: one alone after two crashes, else few together."""
-        if not self._quarantine.is_suspect(fingerprint) or not states:
-            return states
+        """Keep suspects apart: one alone after two crashes, else few together.
+
+        Where a request runs as the only suspect no other suspect may go, and
+        anybody else goes only if there is no other upstream.
+        """
+        shared = [
+            state for state in states if not self._is_reserved(state, fingerprint)
+        ]
+        if not self._quarantine.is_suspect(fingerprint):
+            return shared or states
         if self._quarantine.needs_exclusion(fingerprint):
-            return [state for state in states if not state.suspects - {fingerprint}]
-        fewest = min(len(state.suspects) for state in states)
-        return [state for state in states if len(state.suspects) == fewest]
+            return [state for state in shared if not state.suspects - {fingerprint}]
+        fewest = min((len(state.suspects) for state in shared), default=0)
+        return [state for state in shared if len(state.suspects) == fewest]
+
+    def _is_reserved(self, state, fingerprint):
+        """Return whether another request runs there as the only suspect."""
+        return any(
+            self._quarantine.needs_exclusion(other)
+            for other in state.suspects - {fingerprint}
+        )
 
     async def admit(self, choice, organisation, priority, cost, deadline_s):
         """Wait for a turn and an upstream.
--- a/src/sapphirerock/process/ledger.py
+++ b/src/sapphirerock/process/ledger.py
@@ -22,7 +22,7 @@
 CLAIMED = "claimed"
 DONE = "done"
 BUCKET_BITS = 6
-SPLIT_BYTES = 600_000
+SPLIT_BYTES = 128_000
 RETENTION_S = 86_400
 OWNER_BOUND_S = 1.0
 COMMIT_TRIES = 6
@@ -214,7 +214,7 @@
                 return Ok(entries)
             bucket = replace(self._bucket, entries=entries)
             value = bucket.encode()
-            if len(value) > SPLIT_BYTES:
+            if len(value) > self._ledger.split_bytes:
                 await self._split()
                 continue
             written = await self._ledger.platform.put(self._path, value, self._version)
@@ -327,12 +327,23 @@
         Source of time.
     seed : int or None
         Seed of the pauses after conflicts.
+    split_bytes : int
+        Size of a bucket that makes it split.
     """
 
-    __slots__ = ("platform", "clock", "random", "tasks", "_peers", "_committers")
+    __slots__ = (
+        "platform",
+        "clock",
+        "random",
+        "split_bytes",
+        "tasks",
+        "_peers",
+        "_committers",
+    )
 
-    def __init__(self, platform, peers, clock, seed=None):
+    def __init__(self, platform, peers, clock, seed=None, split_bytes=SPLIT_BYTES):
         self.platform = platform
+        self.split_bytes = split_bytes
         self.clock = clock
         self.random = random.Random(seed)
         self._peers = peers
--- a/src/sapphirerock/standin/batch.py
+++ b/src/sapphirerock/standin/batch.py
@@ -146,6 +146,7 @@
         "cache",
         "prefilled_tokens",
         "decoded_tokens",
+        "submitted",
         "_state",
     )
 
@@ -159,6 +160,7 @@
         self.cache = PrefixCache(model.cache_entries)
         self.prefilled_tokens = 0
         self.decoded_tokens = 0
+        self.submitted = 0
         self._state = state
 
     @property
@@ -168,6 +170,7 @@
 
     def add(self, job):
         """Queue a job behind those of higher or equal priority."""
+        self.submitted += 1
         previous = self.jobs.get(job.generation_id)
         if previous is not None:
             previous.cancel()
--- a/src/sapphirerock/standin/engine.py
+++ b/src/sapphirerock/standin/engine.py
@@ -235,7 +235,7 @@
                 "decoded_tokens": self.batch.decoded_tokens,
                 "cache_hits": self.batch.cache.hits,
                 "orders": self.orders,
-                "jobs": len(self.batch.jobs),
+                "submitted": self.batch.submitted,
             }
         )
 
