Let a request that must run alone wait until its peers know

Cause: a request that crashes engines took 4 of 6 engines. The log showed two suspects sent to one engine within a millisecond by two hosts, so the third crash convicted nobody. Ruled out: the choice of upstream (it kept suspects apart within one host). Change: such a request is announced first, waits 0.1 to 0.2 s, and goes elsewhere if another suspect turned up; only an attempt that ran alone convicts.

--- a/src/sapphirerock/process/runtime.py
+++ b/src/sapphirerock/process/runtime.py
@@ -1,6 +1,7 @@
 """What lives as long as the process, as requests see it."""
 
 from dataclasses import dataclass, field
+from random import Random
 
 from sapphirerock.process.budget import RetryBudget
 from sapphirerock.process.gossip import CrashNews, SuspectNews
@@ -52,6 +53,7 @@
     journal: object
     ledger: object
     budget: RetryBudget = field(default_factory=RetryBudget)
+    random: Random = field(default_factory=Random)
     tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def announce_crash(self, fingerprint, upstream, incarnation, convicted):
--- a/src/sapphirerock/request/driver.py
+++ b/src/sapphirerock/request/driver.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from expression import Error, Ok
+from loguru import logger
 from opentelemetry.trace import SpanKind
 
 from sapphirerock.connection.engine import EngineRequest
@@ -30,6 +31,8 @@
 RECOVERY_PRIORITY = 9
 OPEN_BOUND_S = 1.0
 FRUITLESS_RESUMES = 2
+# News of where a suspect runs need a moment to reach the other hosts.
+SETTLE_S = 0.1
 # Ends that an engine reports without having finished the generation.
 ABORTED_REASONS = ("cancelled", "aborted", "error")
 
@@ -40,8 +43,8 @@
 
     Parameters
     ----------
-    cause : {"crash", "silence", "refused", "broken"}
-        What was seen.
+    cause : {"crash", "silence", "refused", "broken", "reserved"}
+        What was seen; "reserved" means that another suspect runs there.
     upstream : str
         Where the attempt ran.
     incarnation : str
@@ -80,6 +83,7 @@
         "_choice",
         "_attempts",
         "_state",
+        "_ran_alone",
     )
 
     def __init__(self, runtime, generation, route, service, deadline_s):
@@ -91,6 +95,7 @@
         self._deadline_s = deadline_s
         self._attempts = 0
         self._state = None
+        self._ran_alone = False
         request = generation.request
         self._choice = ChoiceRequest(
             service,
@@ -149,6 +154,8 @@
         ran_s = None
         self._mark_suspect(state, running=True)
         try:
+            if not await self._reserve(state):
+                return Loss("reserved", state.name)
             with runtime.tracer.start_as_current_span("engine", kind=SpanKind.CLIENT):
                 opened = await self._open(state)
                 if opened.is_error():
@@ -166,6 +173,23 @@
         if self._runtime.quarantine.is_suspect(fingerprint):
             self._runtime.announce_suspect(fingerprint, state.name, running)
 
+    async def _reserve(self, state):
+        """Wait until peers know of a request that must run as the only suspect.
+
+        Returns
+        -------
+        bool
+            Whether no other suspect turned up on the upstream meanwhile.
+        """
+        fingerprint = self._choice.fingerprint
+        self._ran_alone = False
+        if not self._runtime.quarantine.needs_exclusion(fingerprint):
+            return True
+        settle_s = SETTLE_S * (1 + self._runtime.random.random())
+        await self._runtime.clock.sleep(settle_s)
+        self._ran_alone = not state.suspects - {fingerprint}
+        return self._ran_alone
+
     async def _open(self, state):
         """Open a stream: resume what the former driver left, or start.
 
@@ -350,11 +374,20 @@
         fingerprint = self._choice.fingerprint
         quarantine = self._runtime.quarantine
         state = self._runtime.upstreams.get(loss.upstream)
-        alone = state is not None and not state.suspects - {fingerprint}
+        alone = self._ran_alone and not (state and state.suspects - {fingerprint})
         convicted = quarantine.needs_exclusion(fingerprint) and alone
         self._runtime.announce_crash(
             fingerprint, loss.upstream, loss.incarnation, convicted
         )
+        logger.warning(
+            "request {} was under way on {} when it crashed; crashes {}, alone {}, "
+            "convicted {}",
+            fingerprint.hex(),
+            loss.upstream,
+            quarantine.count_crashes(fingerprint),
+            alone,
+            convicted,
+        )
         return quarantine.is_convicted(fingerprint)
 
     async def _start_again(self):
