--- /dev/null
+++ b/features/steps/limit_steps.py
@@ -0,0 +1,117 @@
+"""Steps on organisations' rates."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from tools.localcluster import ORGANISATION_KEY, hash_key
+
+ZONES = (("zone-a", "region-a"), ("zone-b", "region-a"))
+CHECK_PATH = "/v1/services/stock/check"
+TOO_MANY = 429
+
+
+@given(
+    "two linked zones with {routers:d} routers each and a limit of {limit:d} requests "
+    "a second"
+)
+def start_with_limit(context, routers, limit):
+    world = context.world
+    hosts = [(f"r{number + 1}", *ZONES[number % 2]) for number in range(2 * routers)]
+    services = [(f"s{number + 1}", *place, {}) for number, place in enumerate(ZONES)]
+
+    async def run():
+        await world.start(hosts, (), services, linked=True)
+        path = "team/organisations/main"
+        status = await world.cluster.read_status("r1")
+        document = {
+            "kind": "organisations",
+            "organisations": [
+                {
+                    "name": "weavers",
+                    "key_sha256": hash_key(ORGANISATION_KEY),
+                    "requests_per_s": limit,
+                }
+            ],
+        }
+        version = status["settings"][f"settings/{path}"]
+        code, answer = await world.cluster.put_settings(path, document, version)
+        assert code == 200, answer
+        assert not await world.cluster.wait_in_force(answer["version"])
+
+    context.run(run())
+
+
+@when(
+    "callers send {rate:d} requests a second, three quarters of them to r1, for "
+    "{seconds:d} seconds"
+)
+def send_uneven(context, rate, seconds):
+    hosts = context.world.cluster.list_routers()
+    context.run(send(context, rate, seconds, ["r1"] * 9 + hosts[1:]))
+
+
+@when("callers send {rate:d} requests a second to all hosts for {seconds:d} seconds")
+def send_even(context, rate, seconds):
+    context.rate = rate
+    context.run(send(context, rate, seconds, context.world.cluster.list_routers()))
+
+
+@when(
+    "zone-b is cut off from everything, and the callers go on for {seconds:d} seconds"
+)
+def send_while_cut(context, seconds):
+    cluster = context.world.cluster
+
+    async def run():
+        await cluster.cut_platform("cut", "zone-b")
+        await cluster.cut_zones("cut", "zone-a", "zone-b")
+        await send(context, context.rate, seconds, cluster.list_routers())
+
+    context.run(run())
+
+
+async def send(context, rate, seconds, hosts):
+    """Send checks at an even pace and note (second, status, Retry-After, took)."""
+    context.seen = []
+    started_s = time.monotonic()
+
+    async def send_one(number):
+        at_s = number / rate
+        await asyncio.sleep(max(0.0, started_s + at_s - time.monotonic()))
+        sent_s = time.monotonic()
+        status, headers, _ = await context.world.call(
+            "GET", CHECK_PATH, host=hosts[number % len(hosts)]
+        )
+        took_s = time.monotonic() - sent_s
+        context.seen.append((at_s, status, headers.get("Retry-After"), took_s))
+
+    await asyncio.gather(*(send_one(number) for number in range(rate * seconds)))
+    context.seconds = seconds
+
+
+def measure_rate(context, start_s):
+    admitted = sum(
+        status == 200 and at_s >= start_s for at_s, status, _, _ in context.seen
+    )
+    return admitted / (context.seconds - start_s)
+
+
+@then("from second {start:d} on the admitted rate is within 10 percent of {limit:d}")
+def check_rate(context, start, limit):
+    rate = measure_rate(context, start)
+    assert abs(rate - limit) <= 0.1 * limit, rate
+
+
+@then("from second {start:d} on the admitted rate is no more than {limit:d}")
+def check_bound(context, start, limit):
+    rate = measure_rate(context, start)
+    assert rate <= limit, rate
+
+
+@then("refusals came at once with Retry-After")
+def check_refusals(context):
+    refused = [item for item in context.seen if item[1] == TOO_MANY]
+    assert refused
+    assert all(int(retry_after) >= 1 for _, _, retry_after, _ in refused)
+    assert sorted(took_s for _, _, _, took_s in refused)[len(refused) // 2] < 0.5
--- a/src/sapphirerock/load/caller.py
+++ b/src/sapphirerock/load/caller.py
@@ -47,6 +47,7 @@
     ended_s: float = 0.0
     last_event_id: str = ""
     hosts: list = field(default_factory=list)
+    headers: list = field(default_factory=list)
 
     @property
     def is_whole(self):
@@ -96,6 +97,8 @@
     ----------
     records : list of CallRecord
         All calls, those under way included.
+    traceparent : str
+        Trace context to send; none when empty.
     """
 
     def __init__(self, session, urls, organisation_key, model, uses_last_event_id=True):
@@ -105,6 +108,7 @@
         self.model = model
         self._uses_last_event_id = uses_last_event_id
         self.records = []
+        self.traceparent = ""
 
     async def generate(
         self, prompt, max_tokens, key=None, first=0, start_timeout_s=None, priority=0
@@ -144,6 +148,8 @@
             headers["Last-Event-ID"] = record.last_event_id
         if start_timeout_s is not None:
             headers["Request-Timeout"] = str(start_timeout_s)
+        if self.traceparent:
+            headers["traceparent"] = self.traceparent
         return headers
 
     async def _read_once(self, url, body, record, start_timeout_s):
@@ -157,6 +163,7 @@
             ) as response:
                 record.status = response.status
                 record.hosts.append(url)
+                record.headers.append(dict(response.headers))
                 if response.status != 200:
                     return self._take_refusal(response, await response.read(), record)
                 if not self._uses_last_event_id:
--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -40,6 +40,7 @@
 @click.option("--crash-marker", default="", help="Prompts with it kill the engine.")
 @click.option("--order-delay", default=0.0, help="Seconds that an order takes.")
 @click.option("--checks-fencing/--ignores-fencing", default=True)
+@click.option("--salt", type=int, help="What decides the tokens; drawn by default.")
 def engine(
     host,
     port,
@@ -51,11 +52,12 @@
     crash_marker,
     order_delay,
     checks_fencing,
+    salt,
 ):
     """Run a model engine."""
     model = EngineModel(capacity=capacity, token_interval_s=token_interval)
     standin = EngineStandin(
-        name, models, model, checks_fencing, report_lag, crash_marker, order_delay
+        name, models, model, checks_fencing, report_lag, crash_marker, order_delay, salt
     )
     run_service(EngineService(standin, host, port))
 
--- a/src/sapphirerock/standin/engine.py
+++ b/src/sapphirerock/standin/engine.py
@@ -40,6 +40,8 @@
         A prompt that contains it kills the process; empty for none.
     order_delay_s : float
         Time that an order takes.
+    salt : int or None
+        What decides its tokens; drawn when None.
     """
 
     def __init__(
@@ -51,12 +53,13 @@
         report_lag_s=0.0,
         crash_marker="",
         order_delay_s=0.0,
+        salt=None,
     ):
         super().__init__()
         self.name = name
         self.models = list(models)
         self.incarnation = f"{os.getpid()}-{time.time_ns()}"
-        self.batch = Batch(model, random.getrandbits(31), self)
+        self.batch = Batch(model, salt or random.getrandbits(31), self)
         self.checks_fencing = checks_fencing
         self.crash_marker = crash_marker
         self.order_delay_s = order_delay_s
@@ -221,7 +224,7 @@
                 {"highest": self.highest_fencing_number}, status=409
             )
         self.highest_fencing_number = max(number, self.highest_fencing_number)
-        self.orders.append(body)
+        self.orders.append({**body, "at_s": time.monotonic()})
         if body["kind"] == "load-model" and body["target"] not in self.models:
             self.models.append(body["target"])
         if body["kind"] == "unload-model" and body["target"] in self.models:
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -30,6 +30,7 @@
         self.answers = []
         self.moment_s = 0.0
         self.notes = {}
+        self.trace_routers = False
         self._session = None
 
     @property
@@ -70,7 +71,7 @@
             cluster.add_link()
         await cluster.wait_ready()
         for host, _, _ in routers:
-            cluster.start_router(host)
+            cluster.start_router(host, **self._make_tracing(host))
         await cluster.wait_ready()
         await declare_basics(
             cluster,
@@ -82,6 +83,13 @@
             self._knows_upstreams, "routers know the upstreams of their zones"
         )
 
+    def _make_tracing(self, host):
+        """Return the host settings that make a router write its spans."""
+        if not self.trace_routers:
+            return {}
+        target = str(self.cluster.folder / f"{host}.spans")
+        return {"tracing": {"exporter": "file", "target": target}}
+
     async def _knows_upstreams(self):
         for host in self.cluster.list_routers():
             status = await self.cluster.read_status(host)
