--- a/src/sapphirerock/connection/engine.py
+++ b/src/sapphirerock/connection/engine.py
@@ -17,7 +17,6 @@
 from sapphirerock.process.tracing import write_context
 
 CALL_TIMEOUT_S = 1.0
-LEAVING_STATUS = 503
 EVENT_LIMIT_BYTES = 1 << 18
 
 
@@ -181,14 +180,8 @@
         except (ClientError, TimeoutError, OSError) as error:
             return Error(self._translate(error, bound_s))
         if response.status != 200:
-            response.close()
-            return Error(
-                UpstreamRefused(
-                    self._upstream.name,
-                    response.status,
-                    leaving=response.status == LEAVING_STATUS,
-                )
-            )
+            leaving = await says_leaving(response)
+            return Error(UpstreamRefused(self._upstream.name, response.status, leaving))
         return Ok(EventStream(self._upstream.name, response))
 
     def _translate(self, error, bound_s):
@@ -199,3 +192,15 @@
         if isinstance(error, asyncio.TimeoutError):
             return UpstreamSilent(name, bound_s)
         return UpstreamBroken(name, repr(error))
+
+
+async def says_leaving(response):
+    """Return whether a refusal says that the engine is leaving."""
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            document = orjson.loads(await response.read())
+        return isinstance(document, dict) and document.get("leaving") is True
+    except (ClientError, TimeoutError, OSError, ValueError):
+        return False
+    finally:
+        response.close()
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,274 @@
+"""Measurements on a cluster of real processes; each prints one JSON line.
+
+Run as ``python -m tools.measure NAME [--seed N]``. Figures in the documents name
+the command that gave them.
+"""
+
+import asyncio
+import sys
+from dataclasses import replace
+
+import click
+import orjson
+
+from sapphirerock.load.experiment import Plan, PlannedFault, run_plan
+from sapphirerock.load.report import format_report
+from tools.localcluster import ORGANISATION_KEY
+from tools.scenario import MODEL, ScenarioWorld
+
+MEASUREMENTS = {}
+PLACES = (("zone-a", "region-a"), ("zone-b", "region-a"), ("zone-c", "region-b"))
+PAUSE_BETWEEN_S = 1.0
+CPU_METRIC = "process_cpu_seconds_total"
+MEMORY_METRIC = "process_resident_memory_bytes"
+
+
+def register_measurement(name):
+    """Register a coroutine function of a seed that yields report documents."""
+
+    def register(function):
+        MEASUREMENTS[name] = function
+        return function
+
+    return register
+
+
+class Bench:
+    """A cluster of three zones in two regions, or of one, under a plan.
+
+    Parameters
+    ----------
+    name : str
+        Name of the run.
+    engines : int
+        Engines in each zone.
+    places : tuple of (str, str)
+        Zones and their regions.
+    engine_options : dict
+        Options of the engine stand-ins.
+    fields : dict
+        Fields of the model's service.
+    host_options : dict
+        Further settings of each router.
+    """
+
+    def __init__(
+        self,
+        name,
+        engines=3,
+        routers=1,
+        places=PLACES,
+        engine_options=None,
+        fields=None,
+        host_options=None,
+    ):
+        self.world = ScenarioWorld(name)
+        self.world.host_options = host_options or {}
+        self._places = places
+        self._engines = engines
+        self._routers = routers
+        self._engine_options = engine_options or {}
+        self._fields = fields or {}
+
+    async def __aenter__(self):
+        count = len(self._places)
+        await self.world.start(
+            [
+                (f"r{number + 1}", *self._places[number % count])
+                for number in range(self._routers * count)
+            ],
+            [
+                (f"e{number + 1}", *self._places[number % count], self._engine_options)
+                for number in range(self._engines * count)
+            ],
+            fields=self._fields,
+        )
+        return self
+
+    async def __aexit__(self, *exception):
+        await self.world.close(failed=False)
+
+    def list_engines(self):
+        """Return the addresses of all engines."""
+        cluster = self.world.cluster
+        return [cluster.urls[name] for name in sorted(cluster.places)]
+
+    def make_plan(self, name, rate_per_s, duration_s, **fields):
+        """Return a plan against this cluster."""
+        return Plan(
+            name,
+            tuple(self.world.cluster.get_router_urls()),
+            tuple(self.list_engines()),
+            ORGANISATION_KEY,
+            MODEL,
+            rate_per_s,
+            duration_s,
+            **fields,
+        )
+
+    async def run(self, plan, seed):
+        """Run a plan; add the routers' time and memory to the report."""
+        hosts = self.world.cluster.list_routers()
+        before = await self._sum_metric(hosts, CPU_METRIC)
+        report = await run_plan(plan, seed)
+        cpu_s = await self._sum_metric(hosts, CPU_METRIC) - before
+        memory = await self._sum_metric(hosts, MEMORY_METRIC)
+        tokens = max(1, report["tokens_delivered"])
+        report["router_cost"] = {
+            "cpu_us_per_token": 1e6 * cpu_s / tokens,
+            "resident_bytes_per_router": memory / len(hosts),
+        }
+        return report
+
+    async def _sum_metric(self, hosts, name):
+        values = [
+            await self.world.cluster.read_metric(host, name)
+            for host in hosts
+            if self.world.cluster.processes[host].is_running
+        ]
+        return sum(values)
+
+
+def plan_crashes(engines, seed, first_s, every_s, count, kind="crash", **fields):
+    """Return faults at some engines, one after the other."""
+    return tuple(
+        PlannedFault(
+            first_s + number * every_s,
+            engines[(seed + 4 * number) % len(engines)],
+            kind,
+            fields,
+        )
+        for number in range(count)
+    )
+
+
+@register_measurement("recovery")
+async def measure_recovery(seed):
+    """Compare recovery policies: the same traffic, seeds and faults."""
+    for policy in ("naive", "cost", "latency"):
+        for kind, fields in (
+            ("crash", {}),
+            ("freeze", {"seconds": 4.0}),
+            ("silence", {}),
+        ):
+            options = {"token_interval": 0.03}
+            bench = Bench(
+                f"{policy}-{kind}",
+                engine_options=options,
+                fields={"recovery": policy},
+            )
+            async with bench:
+                faults = plan_crashes(
+                    bench.list_engines(), seed, 4.0, 3.0, 3, kind, **fields
+                )
+                plan = bench.make_plan(
+                    f"recovery {policy}, engines {kind}",
+                    6.0,
+                    12.0,
+                    tokens=(80, 240),
+                    resends_lost=policy == "naive",
+                    faults=faults,
+                )
+                yield await bench.run(plan, seed)
+
+
+@register_measurement("journal")
+async def measure_journal(seed):
+    """Compare the cost of a token with and without the journal."""
+    for enabled in (False, True):
+        bench = Bench(
+            f"journal-{enabled}",
+            engines=2,
+            places=PLACES[:2],
+            engine_options={"token_interval": 0.03, "capacity": 64},
+            host_options={"journal": enabled},
+        )
+        async with bench:
+            plan = bench.make_plan(
+                f"journal {'on' if enabled else 'off'}", 12.0, 12.0, tokens=(150, 250)
+            )
+            yield await bench.run(plan, seed)
+
+
+@register_measurement("balancers")
+async def measure_balancers(seed):
+    """Compare balancers while a sister firm takes half of some engines' slots."""
+    for balancer in ("round-robin", "least-in-flight", "least-wait"):
+        bench = Bench(
+            f"balancer-{balancer}",
+            engines=6,
+            routers=2,
+            places=PLACES[:1],
+            engine_options={
+                "token_interval": 0.03,
+                "capacity": 8,
+                "report_lag": 2.0,
+            },
+            fields={"balancer": balancer, "start_deadline_s": 10.0},
+        )
+        async with bench:
+            occupied = tuple(
+                PlannedFault(5.0, url, "occupy", {"amount": 8})
+                for url in bench.list_engines()[:3]
+            )
+            freed = tuple(
+                replace(fault, at_s=13.0, fields={"amount": 0}) for fault in occupied
+            )
+            plan = bench.make_plan(
+                f"balancer {balancer}",
+                6.0,
+                18.0,
+                tokens=(60, 140),
+                start_timeout_s=10.0,
+                faults=occupied + freed,
+            )
+            yield await bench.run(plan, seed)
+
+
+@register_measurement("cascade")
+async def measure_cascade(seed):
+    """Kill half the engines at four fifths of the load; see goodput come back."""
+    bench = Bench(
+        "cascade",
+        engines=6,
+        routers=2,
+        places=PLACES[:1],
+        engine_options={"token_interval": 0.03, "capacity": 8},
+        fields={"start_deadline_s": 6.0},
+    )
+    async with bench:
+        engines = bench.list_engines()
+        crashed = tuple(
+            PlannedFault(6.0, url, "down", {"seconds": 8.0}) for url in engines[:3]
+        )
+        crashed += tuple(PlannedFault(6.0, url, "crash") for url in engines[:3])
+        plan = bench.make_plan(
+            "half the engines crash at 80 percent load",
+            12.8,
+            24.0,
+            tokens=(60, 140),
+            start_timeout_s=6.0,
+            faults=crashed,
+        )
+        yield await bench.run(plan, seed)
+
+
+@click.command()
+@click.argument("name", type=click.Choice(sorted(MEASUREMENTS)))
+@click.option("--seed", default=1, help="Seed of arrivals, prompts and faults.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
+def main(name, seed, as_json):
+    """Measure on a cluster of real processes."""
+
+    async def run():
+        async for report in MEASUREMENTS[name](seed):
+            line = orjson.dumps(report).decode() if as_json else format_report(report)
+            click.echo(line)
+            sys.stdout.flush()
+            await asyncio.sleep(PAUSE_BETWEEN_S)
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -31,6 +31,7 @@
         self.moment_s = 0.0
         self.notes = {}
         self.trace_routers = False
+        self.host_options = {}
         self._session = None
 
     @property
@@ -71,7 +72,7 @@
             cluster.add_link()
         await cluster.wait_ready()
         for host, _, _ in routers:
-            cluster.start_router(host, **self._make_tracing(host))
+            cluster.start_router(host, **self._make_tracing(host), **self.host_options)
         await cluster.wait_ready()
         await declare_basics(
             cluster,
