--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -63,6 +63,34 @@
     context.method = "POST"
 
 
+@given("two linked zones with {routers:d} routers each and {services:d} plain services")
+def start_linked_for_orders(context, routers, services):
+    places = [("zone-a", "region-a"), ("zone-b", "region-a")]
+    context.run(
+        context.world.start(
+            [(f"r{number + 1}", *places[number % 2]) for number in range(2 * routers)],
+            (),
+            [
+                (f"s{number + 1}", *places[number % 2], {"delay": 0.2})
+                for number in range(services)
+            ],
+            linked=True,
+        )
+    )
+    context.method = "POST"
+
+
+@when("the zones are cut off from each other")
+def cut_zones(context):
+    context.run(context.world.cluster.cut_zones("cut", "zone-a", "zone-b"))
+
+
+@when("the zones are cut off from each other, one also from the platform")
+def cut_zones_and_platform(context):
+    cut_zones(context)
+    context.run(context.world.cluster.cut_platform("cut", "zone-b"))
+
+
 @given("this fault: {fault}")
 def inject_fault(context, fault):
     context.run(FAULTS[fault](context))
--- a/src/sapphirerock/process/generations.py
+++ b/src/sapphirerock/process/generations.py
@@ -21,6 +21,8 @@
 SWEEP_INTERVAL_S = 1.0
 FINISHED_LIFE_S = 60.0
 UNREAD_LIFE_S = 30.0
+# Requests of one key wait for each other; others rarely share a lock.
+LOCK_STRIPES = 1024
 
 
 class AttachRequest:
@@ -84,7 +86,7 @@
         super().__init__(**kwargs)
         self._runtime = runtime
         self._by_key = {}
-        self._locks = {}
+        self._locks = tuple(asyncio.Lock() for _ in range(LOCK_STRIPES))
 
     @property
     def active(self):
@@ -113,12 +115,8 @@
         expression.Result of Generation or Problem
         """
         identity = (request.organisation.name, request.key)
-        lock = self._locks.setdefault(identity, asyncio.Lock())
-        async with lock:
-            try:
-                return await self._attach_alone(request)
-            finally:
-                self._locks.pop(identity, None)
+        async with self._locks[hash(identity) % LOCK_STRIPES]:
+            return await self._attach_alone(request)
 
     async def _attach_alone(self, request):
         current = self.find(request.organisation.name, request.key)
--- a/src/sapphirerock/request/driver.py
+++ b/src/sapphirerock/request/driver.py
@@ -20,6 +20,7 @@
     CRASHES_ENGINES,
     GENERATION_LOST,
     OVERLOADED,
+    SUPERSEDED,
     UNAVAILABLE,
     Problem,
 )
@@ -31,6 +32,7 @@
 RECOVERY_PRIORITY = 9
 OPEN_BOUND_S = 1.0
 FRUITLESS_RESUMES = 2
+LATE_RETRY_AFTER_S = 1
 # News of where a suspect runs need a moment to reach the other hosts.
 SETTLE_S = 0.1
 # Ends that an engine reports without having finished the generation.
@@ -107,6 +109,7 @@
     async def run(self):
         """Drive until the generation is over."""
         generation = self._generation
+        deadline = self._runtime.tasks.spawn(self._enforce_deadline())
         try:
             with self._runtime.tracer.start_as_current_span("generation"):
                 attempt = await self._start()
@@ -117,9 +120,26 @@
                     attempt = await self._recover(loss)
                 generation.fail(attempt.error)
         finally:
-            if generation.problem is None and not generation.finish_reason:
+            deadline.cancel()
+            if self._is_abandoned():
                 self._cancel_upstream()
 
+    async def _enforce_deadline(self):
+        """Give the generation up if it has no token by its deadline."""
+        generation = self._generation
+        remaining_s = self._deadline_s - self._runtime.clock.monotonic()
+        await self._runtime.clock.sleep(max(0.0, remaining_s))
+        if not generation.tokens and not generation.is_over:
+            generation.fail(make_late())
+            generation.task.cancel()
+
+    def _is_abandoned(self):
+        """Return whether no driver, here or elsewhere, wants the engine's work."""
+        problem = self._generation.problem
+        if problem is not None:
+            return problem.kind is not SUPERSEDED
+        return not self._generation.finish_reason
+
     def _cancel_upstream(self):
         if self._state is not None:
             cancel = self._state.client.cancel(self._generation.generation_id)
@@ -133,6 +153,8 @@
         if former is not None and self._policy.resumes:
             self._runtime.upstreams.begin_call(former)
             return Ok(former)
+        if self._generation.tokens:
+            return await self._choose_successor()
         return await self._admit()
 
     async def _admit(self):
@@ -393,7 +415,7 @@
     async def _start_again(self):
         """Return an upstream for a generation that has no token yet."""
         if self._runtime.clock.monotonic() > self._deadline_s:
-            return Error(Problem(OVERLOADED, "no first token in time", 1))
+            return Error(make_late())
         admitted = await self._admit()
         if admitted.is_ok() or len(self._choice.excluded) <= 1:
             return admitted
@@ -414,6 +436,11 @@
         return Error(Problem(UNAVAILABLE, "no upstream can go on", 5))
 
 
+def make_late():
+    """Return the final answer to a request without a token at its deadline."""
+    return Problem(OVERLOADED, "no first token in time", LATE_RETRY_AFTER_S)
+
+
 def make_conviction():
     """Return the final answer to a request that crashes engines."""
     return Problem(
--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -77,13 +77,14 @@
 @click.option("--hosts", "hosts_file", type=click.Path(exists=True), help="JSON list.")
 @click.option("--delay", default=0.001, help="Seconds that a call takes.")
 @click.option("--list-lag", default=0.0, help="Lag of the host list, in seconds.")
-def platform(host, port, hosts_file, delay, list_lag):
+@click.option("--write-rate", type=float, help="Writes a second, at most.")
+def platform(host, port, hosts_file, delay, list_lag, write_rate):
     """Run the platform's object API and host list."""
     hosts = []
     if hosts_file:
         with open(hosts_file, "rb") as stream:
             hosts = orjson.loads(stream.read())
-    standin = PlatformStandin(hosts, delay, list_lag)
+    standin = PlatformStandin(hosts, delay, list_lag, write_rate)
     run_service(WebService(standin.make_application(), host, port))
 
 
--- a/src/sapphirerock/standin/platform.py
+++ b/src/sapphirerock/standin/platform.py
@@ -35,10 +35,14 @@
         Time that a call takes, in seconds.
     list_lag_s : float
         How far the list lags, in seconds.
+    writes_per_s : float or None
+        Writes that are let through in a second; all when None.
     """
 
-    def __init__(self, hosts=(), delay_s=0.001, list_lag_s=0.0):
+    def __init__(self, hosts=(), delay_s=0.001, list_lag_s=0.0, writes_per_s=None):
         super().__init__()
+        self._write_interval_s = 1 / writes_per_s if writes_per_s else 0.0
+        self._next_write_s = 0.0
         self.objects = {}
         self.version = 0
         self.delay_s = delay_s
@@ -78,8 +82,16 @@
         if self.is_down:
             return web.Response(status=503)
         await asyncio.sleep(self.delay_s * self.slowness)
+        if request.method in ("PUT", "DELETE"):
+            await self._wait_write()
         return await handler(request)
 
+    async def _wait_write(self):
+        """Wait until the next write is let through."""
+        now_s = time.monotonic()
+        self._next_write_s = max(now_s, self._next_write_s + self._write_interval_s)
+        await asyncio.sleep(self._next_write_s - now_s)
+
     async def _calls(self, request):
         return web.json_response(dict(self.calls))
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -6,19 +6,23 @@
 
 import asyncio
 import sys
-from dataclasses import replace
+import time
+from collections import Counter
+from dataclasses import asdict, replace
 
 import click
 import orjson
 
 from sapphirerock.load.experiment import Plan, PlannedFault, run_plan
-from sapphirerock.load.report import format_report
+from sapphirerock.load.report import format_report, summarise
 from tools.localcluster import ORGANISATION_KEY
 from tools.scenario import MODEL, ScenarioWorld
 
 MEASUREMENTS = {}
 PLACES = (("zone-a", "region-a"), ("zone-b", "region-a"), ("zone-c", "region-b"))
 PAUSE_BETWEEN_S = 1.0
+WRITES_PER_S = 300
+ORDERS_WINDOW_S = 6.0
 CPU_METRIC = "process_cpu_seconds_total"
 MEMORY_METRIC = "process_resident_memory_bytes"
 
@@ -253,6 +257,64 @@
         yield await bench.run(plan, seed)
 
 
+@register_measurement("orders")
+async def measure_orders(seed):
+    """Count platform writes for an order at a ceiling of 300 writes a second."""
+    for callers in (1, 16, 128):
+        world = ScenarioWorld(f"orders-{callers}")
+        try:
+            await world.start(
+                [(f"r{number + 1}", *PLACES[number % 2]) for number in range(4)],
+                services=[(f"s{number + 1}", *PLACES[number], {}) for number in (0, 1)],
+                write_rate=WRITES_PER_S,
+                delay=0.003,
+            )
+            yield await send_orders(world, callers, seed)
+        finally:
+            await world.close(failed=False)
+
+
+async def send_orders(world, callers, seed):
+    """Let callers send orders one after the other; return what it took."""
+    hosts = world.cluster.list_routers()
+    calls_url = world.cluster.platform_url + "/calls"
+    before = await world.cluster.get_json(calls_url)
+    started_s = time.monotonic()
+    latencies, statuses = [], Counter()
+
+    async def call(number):
+        turn = 0
+        while time.monotonic() - started_s < ORDERS_WINDOW_S:
+            sent_s = time.monotonic()
+            status, _, _ = await world.call(
+                "POST",
+                "/v1/services/stock/orders/fleece",
+                host=hosts[(number + turn) % len(hosts)],
+                body=b"{}",
+                Idempotency_Key=f"{seed}-{number}-{turn}",
+            )
+            latencies.append(time.monotonic() - sent_s)
+            statuses[status] += 1
+            turn += 1
+
+    await asyncio.gather(*(call(number) for number in range(callers)))
+    window_s = time.monotonic() - started_s
+    await asyncio.sleep(PAUSE_BETWEEN_S)
+    after = await world.cluster.get_json(calls_url)
+    orders = max(1, statuses[201])
+    writes = after["PUT"] - before["PUT"]
+    reads = after.get("GET", 0) - before.get("GET", 0)
+    return {
+        "name": f"orders, {callers} callers at once",
+        "seed": seed,
+        "orders_per_s": round(orders / window_s, 1),
+        "writes_per_order": round(writes / orders, 3),
+        "reads_per_order": round(reads / orders, 3),
+        "latency_s": asdict(summarise(latencies)),
+        "statuses": {str(status): count for status, count in statuses.items()},
+    }
+
+
 @click.command()
 @click.argument("name", type=click.Choice(sorted(MEASUREMENTS)))
 @click.option("--seed", default=1, help="Seed of arrivals, prompts and faults.")
