Give a silent engine up after one probe; cancel there once it answers

Change: a new connection that stays silent is enough; the load call remains for connections that break. The lost engine gets its cancel as soon as it answers.

--- a/src/sapphirerock/connection/engine.py
+++ b/src/sapphirerock/connection/engine.py
@@ -116,7 +116,7 @@
         return await self._open("GET", path, bound_s)
 
     async def cancel(self, generation_id):
-        """Ask the engine to forget a generation; failures don't matter."""
+        """Ask the engine to forget a generation; return whether it answered."""
         url = f"{self._upstream.url}/v1/generations/{generation_id}"
         try:
             async with self._session.delete(
@@ -190,7 +190,7 @@
             refused = isinstance(error.os_error, ConnectionRefusedError)
             return UpstreamUnreachable(name, refused)
         if isinstance(error, asyncio.TimeoutError):
-            return UpstreamSilent(name, bound_s)
+            return UpstreamSilent(name, bound_s, is_new_connection=True)
         return UpstreamBroken(name, repr(error))
 
 
--- a/src/sapphirerock/connection/errors.py
+++ b/src/sapphirerock/connection/errors.py
@@ -46,10 +46,17 @@
 
 @dataclass(slots=True, frozen=True)
 class UpstreamSilent(ConnectionFailure):
-    """Nothing came within the bound on an open connection."""
+    """Nothing came within the bound.
+
+    Parameters
+    ----------
+    is_new_connection : bool
+        Whether the connection was made just for this call.
+    """
 
     upstream: str
     bound_s: float
+    is_new_connection: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/connection/eventstream.py
+++ b/src/sapphirerock/connection/eventstream.py
@@ -51,11 +51,12 @@
         An open answer.
     """
 
-    __slots__ = ("upstream", "incarnation", "_response")
+    __slots__ = ("upstream", "incarnation", "received_bytes", "_response")
 
     def __init__(self, upstream, response):
         self.upstream = upstream
         self.incarnation = response.headers.get("Sapphirerock-Incarnation", "")
+        self.received_bytes = 0
         self._response = response
 
     async def read_event(self, silence_bound_s):
@@ -75,6 +76,7 @@
                 return Error(UpstreamSilent(self.upstream, silence_bound_s))
             except (ClientError, ValueError, OSError) as error:
                 return Error(UpstreamBroken(self.upstream, repr(error)))
+            self.received_bytes += len(block)
             if not block.endswith(EVENT_END):
                 return Error(UpstreamBroken(self.upstream, "end of stream"))
             if not block.startswith(COMMENT):
--- a/src/sapphirerock/load/experiment.py
+++ b/src/sapphirerock/load/experiment.py
@@ -16,6 +16,8 @@
 GOODPUT_BUCKET_S = 1.0
 # Shorter gaps are an engine's ordinary rhythm.
 BREAK_S = 0.1
+# Time within which tokens arrive that were sent before a loss.
+FLIGHT_S = 0.1
 ROUTER_METRICS = (
     "sapphirerock_recoveries_total",
     "sapphirerock_tokens_prefilled_again_total",
@@ -23,6 +25,9 @@
     "sapphirerock_tokens_dropped_total",
     "sapphirerock_tokens_total",
     "sapphirerock_peer_bytes_total",
+    "sapphirerock_upstream_bytes_total",
+    "sapphirerock_resume_latency_seconds_sum",
+    "sapphirerock_resume_latency_seconds_count",
     "sapphirerock_refusals_total",
 )
 
@@ -282,19 +287,22 @@
 def find_resume_latency(chain, moment_s):
     """Return the time from a loss until a generation went further than before.
 
-    None for a generation that was not under way, or went on without a break of
-    note. With a policy that starts again, the answer has to pass the offset
-    that it had reached.
+    Tokens that were on their way arrive shortly after the loss, so the break is
+    the first long gap that begins around it. With a policy that starts again the
+    new answer has to pass the offset that the old one had reached. None for a
+    generation that was not under way, or went on without a break of note.
     """
-    reached, broken = 0, False
+    reached, reached_s = 0, None
     for record in chain:
         for at_s, count in record.arrivals:
-            if at_s <= moment_s:
-                reached = max(reached, count)
-            elif count > reached and reached:
-                latency_s = at_s - moment_s
-                return latency_s if broken or latency_s > BREAK_S else None
-        broken = True
+            if count <= reached:
+                continue
+            if reached_s is not None and at_s > moment_s:
+                if reached_s > moment_s + FLIGHT_S:
+                    return None
+                if at_s - max(reached_s, moment_s) > BREAK_S:
+                    return at_s - moment_s
+            reached, reached_s = count, at_s
     return None
 
 
--- a/src/sapphirerock/process/metrics.py
+++ b/src/sapphirerock/process/metrics.py
@@ -32,12 +32,11 @@
         "retries_denied",
         "platform_calls",
         "peer_bytes",
-        "control_bytes",
+        "upstream_bytes",
         "peer_links",
         "settings_horizon",
         "generations",
         "quarantined",
-        "span_drops",
     )
 
     def __init__(self):
@@ -82,9 +81,10 @@
         self.retries_denied = counter("retries_denied", "Retries over the budget")
         self.platform_calls = counter("platform_calls", "Platform calls", "kind")
         self.peer_bytes = counter("peer_bytes", "Bytes to peers", "kind", "reach")
-        self.control_bytes = counter("control_bytes", "Bytes sent for control", "kind")
+        self.upstream_bytes = counter(
+            "upstream_bytes", "Bytes of streams from upstreams", "reach"
+        )
         self.peer_links = gauge("peer_links", "Open peer streams")
         self.settings_horizon = gauge("settings_horizon", "Settings version in force")
         self.generations = gauge("generations", "Generations under way")
         self.quarantined = gauge("quarantined", "Requests convicted of crashes")
-        self.span_drops = counter("span_drops", "Spans that were not exported")
--- a/src/sapphirerock/process/runtime.py
+++ b/src/sapphirerock/process/runtime.py
@@ -7,6 +7,9 @@
 from sapphirerock.process.gossip import CrashNews, SuspectNews
 from sapphirerock.process.tasks import BackgroundTasks
 
+# By the distance of an upstream.
+REACHES = ("zone", "region", "between-regions")
+
 
 @dataclass(slots=True, eq=False)
 class Runtime:
@@ -56,6 +59,11 @@
     random: Random = field(default_factory=Random)
     tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
+    def count_upstream_bytes(self, state, size):
+        """Count bytes from an upstream by how far they came."""
+        reach = REACHES[self.upstreams.measure_distance(state)]
+        self.metrics.upstream_bytes.labels(reach).inc(size)
+
     def announce_crash(self, fingerprint, upstream, incarnation, convicted):
         """Record a crash here and tell all hosts."""
         self.gossip.spread(CrashNews(fingerprint, upstream, incarnation, convicted))
--- a/src/sapphirerock/request/driver.py
+++ b/src/sapphirerock/request/driver.py
@@ -11,6 +11,7 @@
 from sapphirerock.connection.errors import (
     UpstreamBroken,
     UpstreamRefused,
+    UpstreamSilent,
     UpstreamUnreachable,
 )
 from sapphirerock.connection.eventstream import DoneEvent
@@ -33,6 +34,8 @@
 OPEN_BOUND_S = 1.0
 FRUITLESS_RESUMES = 2
 LATE_RETRY_AFTER_S = 1
+CANCEL_TRIES = 20
+CANCEL_PAUSE_S = 0.5
 # News of where a suspect runs need a moment to reach the other hosts.
 SETTLE_S = 0.1
 # Ends that an engine reports without having finished the generation.
@@ -86,6 +89,7 @@
         "_attempts",
         "_state",
         "_ran_alone",
+        "_received_bytes",
     )
 
     def __init__(self, runtime, generation, route, service, deadline_s):
@@ -98,6 +102,7 @@
         self._attempts = 0
         self._state = None
         self._ran_alone = False
+        self._received_bytes = 0
         request = generation.request
         self._choice = ChoiceRequest(
             service,
@@ -145,6 +150,18 @@
             cancel = self._state.client.cancel(self._generation.generation_id)
             self._runtime.tasks.spawn(cancel)
 
+    async def _cancel_lost(self, state):
+        """Cancel on an upstream that does not answer now, once it does again.
+
+        Not if the generation has gone back there meanwhile.
+        """
+        for _ in range(CANCEL_TRIES):
+            await self._runtime.clock.sleep(CANCEL_PAUSE_S)
+            if self._generation.upstream == state.name:
+                return
+            if await state.client.cancel(self._generation.generation_id):
+                return
+
     async def _start(self):
         """Return the first upstream: that of the former driver, if there was one."""
         if self._runtime.quarantine.is_convicted(self._choice.fingerprint):
@@ -189,6 +206,8 @@
         finally:
             self._mark_suspect(state, running=False)
             runtime.upstreams.end_call(state, ran_s)
+            runtime.count_upstream_bytes(state, self._received_bytes)
+            self._received_bytes = 0
 
     def _mark_suspect(self, state, running):
         fingerprint = self._choice.fingerprint
@@ -279,10 +298,10 @@
             if event.is_ok() and self._take_event(event.ok):
                 fruitless = 0
                 if self._generation.is_over:
-                    stream.close()
+                    self._close(stream)
                     return None
                 continue
-            stream.close()
+            self._close(stream)
             failure = UpstreamBroken(state.name, "tokens do not follow")
             if event.is_error():
                 failure = event.error
@@ -293,6 +312,10 @@
                 return resumed.error
             stream = resumed.ok
 
+    def _close(self, stream):
+        stream.close()
+        self._received_bytes += stream.received_bytes
+
     def _note_loss(self):
         if self._generation.lost_at_s is None:
             self._generation.lost_at_s = self._runtime.clock.monotonic()
@@ -361,6 +384,9 @@
         if isinstance(failure, UpstreamUnreachable) and failure.refused:
             upstreams.mark_down(state.name)
             return Loss("crash", state.name, incarnation)
+        if isinstance(failure, UpstreamSilent) and failure.is_new_connection:
+            upstreams.mark_down(state.name)
+            return Loss("silence", state.name, incarnation)
         report = await state.client.read_load(self._policy.probe_bound_s)
         if report.is_ok():
             if incarnation and report.ok.incarnation != incarnation:
@@ -382,6 +408,8 @@
         self._note_loss()
         self._runtime.metrics.recoveries.labels(loss.cause).inc()
         self._choice.excluded.add(loss.upstream)
+        if loss.cause == "silence":
+            self._runtime.tasks.spawn(self._cancel_lost(self._state))
         if loss.cause == "crash" and self._note_crash(loss):
             return Error(make_conviction())
         if not generation.tokens:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -194,6 +194,26 @@
             yield await bench.run(plan, seed)
 
 
+@register_measurement("relay")
+async def measure_relay(seed):
+    """Measure a router's processor time and memory at several rates of tokens."""
+    for rate_per_s in (4.0, 12.0, 28.0):
+        bench = Bench(
+            f"relay-{rate_per_s}",
+            engines=2,
+            places=PLACES[:2],
+            engine_options={"token_interval": 0.05, "capacity": 256},
+        )
+        async with bench:
+            plan = bench.make_plan(
+                f"relay, {rate_per_s:g} requests a second over 2 routers",
+                rate_per_s,
+                20.0,
+                tokens=(150, 250),
+            )
+            yield await bench.run(plan, seed)
+
+
 @register_measurement("balancers")
 async def measure_balancers(seed):
     """Compare balancers while a sister firm takes half of some engines' slots."""
