--- a/features/routerloss.feature
+++ b/features/routerloss.feature
@@ -30,3 +30,9 @@
       | the router is killed                          |
       | the router is paused for 4 seconds            |
       | the router and its engine are killed together |
+
+  Scenario: Router, journal holder and engine at once: the caller is told, nothing is stitched
+    When a generation of 150 tokens is read through r1
+    And after 75 tokens the router, its journal holder and its engine are killed together
+    Then the caller is told within 3 seconds that the generation is lost
+    And what it had is the beginning of one answer
--- a/features/steps/differential_steps.py
+++ b/features/steps/differential_steps.py
@@ -11,6 +11,7 @@
 from tools.memoryplatform import MemoryPlatform
 
 from sapphirerock.connection.messages import JournalAppend, JournalOpen
+from sapphirerock.process.bucket import DONE, RELEASED, LedgerEntry, make_entry_key
 from sapphirerock.process.clock import ManualClock
 from sapphirerock.process.journal import (
     TOKEN_TYPE,
@@ -18,13 +19,7 @@
     is_resumable,
     unpack_tokens,
 )
-from sapphirerock.process.ledger import (
-    DONE,
-    RELEASED,
-    Ledger,
-    LedgerEntry,
-    make_entry_key,
-)
+from sapphirerock.process.ledger import Ledger
 from sapphirerock.request.generation import Generation
 
 SPLIT_BYTES = 30_000
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -5,6 +5,8 @@
 
 from behave import given, then, when
 
+from sapphirerock.standin.chain import find_broken_token
+
 LOSSES = {}
 ENGINE_OPTIONS = {"token_interval": 0.02}
 PAUSE_BETWEEN_LOSSES_S = 0.6
@@ -42,6 +44,25 @@
     )
 
 
+@given("two zones whose links take {delay:d} milliseconds each way")
+def start_slow_links(context, delay):
+    world = context.world
+    places = [("zone-a", "region-a"), ("zone-b", "region-a")]
+
+    async def run():
+        await world.start(
+            [(f"r{number + 1}", *places[number % 2]) for number in range(4)],
+            [
+                (f"e{number + 1}", *places[number % 2], ENGINE_OPTIONS)
+                for number in range(4)
+            ],
+            linked=True,
+        )
+        await world.cluster.inject("link", "delay", seconds=delay / 1000)
+
+    context.run(run())
+
+
 @when("a generation of {tokens:d} tokens is read through {host}")
 def begin_generation(context, tokens, host):
     begin(context, tokens, host, resumes=True)
@@ -141,6 +162,13 @@
     world.cluster.processes[name].kill()
 
 
+@register_loss("the router, its journal holder and its engine are killed together")
+async def kill_all_three(world):
+    position = world.callers[-1].records[0].last_event_id
+    await kill_router_and_engine(world)
+    world.cluster.processes[position.rsplit("@", 1)[1]].kill()
+
+
 @register_loss("the journal holder is killed")
 async def kill_holder(world):
     position = world.callers[-1].records[0].last_event_id
@@ -181,6 +209,23 @@
     assert context.record.longest_gap_s <= seconds, context.record.longest_gap_s
 
 
+@then("the caller is told within {seconds:d} seconds that the generation is lost")
+def check_told_lost(context, seconds):
+    (record,) = context.run(context.world.finish_calls())
+    context.record = record
+    assert record.problem is not None, len(record.tokens)
+    assert record.problem["type"].endswith("generation-lost"), record.problem
+    took_s = record.ended_s - context.world.moment_s
+    assert took_s <= seconds, took_s
+
+
+@then("what it had is the beginning of one answer")
+def check_beginning(context):
+    record = context.record
+    assert find_broken_token(record.prompt, record.tokens) is None
+    assert len(record.generation_ids) == 1
+
+
 @then("no more than {tokens:d} tokens were decoded")
 def check_decoded(context, tokens):
     cluster = context.world.cluster
--- a/src/sapphirerock/load/cli.py
+++ b/src/sapphirerock/load/cli.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientSession, ClientTimeout
 
 from sapphirerock import __version__
+from sapphirerock.load import microslopes  # noqa: F401 (fills the registry)
 from sapphirerock.load.caller import Caller
 from sapphirerock.load.capacity import FleetSize, format_capacity, read_slopes
 from sapphirerock.load.experiment import read_plan, run_plan
--- /dev/null
+++ b/src/sapphirerock/process/bucket.py
@@ -0,0 +1,128 @@
+"""Buckets of claims: what one object of the platform says of many keys."""
+
+import hashlib
+from dataclasses import astuple, dataclass
+
+import orjson
+
+CLAIMED = "claimed"
+DONE = "done"
+RELEASED = "released"
+
+
+@dataclass(slots=True, frozen=True)
+class LedgerEntry:
+    """What the ledger says of one key.
+
+    Parameters
+    ----------
+    key : str
+        Digest of service, organisation and idempotency key, in hexadecimal.
+    claimant : str
+        Random name of the attempt that may send the call.
+    body_digest : str
+        Digest of the call.
+    state : {"claimed", "done", "released"}
+        `released` withdraws a claim whose call was never sent.
+    status : int
+        Status of the answer; 0 when there is none.
+    content_type, body : str
+        The answer, where it was short enough to keep.
+    at_s : float
+        Wall time of the claim, for pruning alone.
+    """
+
+    key: str
+    claimant: str
+    body_digest: str
+    state: str = CLAIMED
+    status: int = 0
+    content_type: str = ""
+    body: str = ""
+    at_s: float = 0.0
+
+
+def make_entry_key(service, organisation, key):
+    """Return the ledger's name of a caller's key."""
+    text = "\0".join((service, organisation, key))
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
+@dataclass(slots=True, frozen=True)
+class Bucket:
+    """A bucket as stored.
+
+    Parameters
+    ----------
+    entries : dict of str to LedgerEntry
+        Entries by key.
+    is_split : bool
+        Whether its keys have moved to two buckets with one more bit.
+    parent_version : int
+        Version of the bucket that this one was split from.
+    """
+
+    entries: dict
+    is_split: bool = False
+    parent_version: int = 0
+
+    def encode(self):
+        """Return the bucket as JSON."""
+        return orjson.dumps(
+            {
+                "entries": [astuple(entry) for entry in self.entries.values()],
+                "is_split": self.is_split,
+                "parent_version": self.parent_version,
+            }
+        )
+
+
+def decode_bucket(value):
+    """Return a bucket from JSON; an empty value is an empty bucket."""
+    if not value:
+        return Bucket({})
+    document = orjson.loads(value)
+    entries = [LedgerEntry(*item) for item in document["entries"]]
+    return Bucket(
+        {entry.key: entry for entry in entries},
+        document["is_split"],
+        document["parent_version"],
+    )
+
+
+def apply_entry(entries, entry):
+    """Change a bucket's entries by a claim, an outcome or a release.
+
+    Parameters
+    ----------
+    entries : dict of str to LedgerEntry
+        Changed in place.
+    entry : LedgerEntry
+        A claim counts only where no claim stands; anything else only where
+        its own claim stands.
+    """
+    standing = entries.get(entry.key)
+    if entry.state == CLAIMED:
+        if standing is None:
+            entries[entry.key] = entry
+    elif standing is not None and standing.claimant == entry.claimant:
+        if entry.state == RELEASED:
+            del entries[entry.key]
+        else:
+            entries[entry.key] = entry
+
+
+def prune_entries(entries, limit_s):
+    """Return the entries claimed after a wall time."""
+    return {key: entry for key, entry in entries.items() if entry.at_s >= limit_s}
+
+
+def choose_child(path, key):
+    """Return the path of the bucket that a key moves to at a split."""
+    bits = path.rsplit("/", 1)[1]
+    return path + format_bits(key)[len(bits)]
+
+
+def format_bits(key):
+    """Return the bits of an entry's key as text."""
+    return f"{int(key, 16):0{len(key) * 4}b}"
--- a/src/sapphirerock/process/journaling.py
+++ b/src/sapphirerock/process/journaling.py
@@ -6,20 +6,18 @@
 """
 
 import asyncio
-from array import array
 from dataclasses import dataclass
 
 from mode import Service
 
 from sapphirerock.connection.messages import (
     JournalAppend,
-    JournalBackfill,
     JournalClose,
     JournalFind,
     JournalOpen,
     JournalRecordMessage,
 )
-from sapphirerock.process.journal import TOKEN_TYPE
+from sapphirerock.process.appends import HolderQueue, PendingAppend, make_backfill
 from sapphirerock.process.rendezvous import rank_candidates
 from sapphirerock.process.tasks import BackgroundTasks
 from sapphirerock.request.problem import SUPERSEDED, Problem
@@ -31,31 +29,6 @@
 CANDIDATES_PER_ZONE = 2
 
 
-@dataclass(slots=True, frozen=True)
-class PendingAppend:
-    """Tokens of one generation that the holder is to have."""
-
-    generation: object
-    offset: int
-    end: int
-    upstream: str
-    incarnation: str
-    finish_reason: str
-
-    def to_entry(self):
-        """Return the entry of `JournalAppend`."""
-        tokens = self.generation.tokens[self.offset : self.end]
-        return [
-            self.generation.generation_id,
-            self.generation.branch,
-            self.offset,
-            array(TOKEN_TYPE, tokens).tobytes(),
-            self.upstream,
-            self.incarnation,
-            self.finish_reason,
-        ]
-
-
 @dataclass(slots=True, frozen=True)
 class Opening:
     """What the journal says of a key.
@@ -72,22 +45,6 @@
     record: JournalRecordMessage | None
 
 
-class HolderQueue:
-    """Appends that wait for one holder."""
-
-    __slots__ = ("host", "pending", "is_sending")
-
-    def __init__(self, host):
-        self.host = host
-        self.pending = []
-        self.is_sending = False
-
-    def take_batch(self):
-        """Return all that waits and empty the queue."""
-        batch, self.pending = self.pending, []
-        return batch
-
-
 class JournalClient(Service):
     """Journals of the generations that this host drives.
 
@@ -359,18 +316,3 @@
 def make_superseded():
     """Return the answer of a driver whose generation another host took over."""
     return Problem(SUPERSEDED, "another connection took the generation over", 0)
-
-
-def make_backfill(generation, end):
-    """Return a generation whole, as a new holder needs it."""
-    return JournalBackfill(
-        generation.organisation.name,
-        generation.key,
-        generation.request.digest,
-        generation.generation_id,
-        [list(item) for item in generation.history],
-        array(TOKEN_TYPE, generation.tokens[:end]).tobytes(),
-        generation.upstream,
-        generation.incarnation,
-        generation.finish_reason,
-    )
--- a/src/sapphirerock/process/ledger.py
+++ b/src/sapphirerock/process/ledger.py
@@ -7,20 +7,26 @@
 """
 
 import asyncio
-import hashlib
 import random
-from dataclasses import astuple, dataclass, replace
+from dataclasses import astuple, replace
 
-import orjson
 from expression import Error, Ok
 
 from sapphirerock.connection.errors import PlatformConflict, PlatformUnavailable
 from sapphirerock.connection.messages import ClaimReply, ClaimRequest, Refusal
+from sapphirerock.process.bucket import (
+    CLAIMED,
+    Bucket,
+    LedgerEntry,
+    apply_entry,
+    choose_child,
+    decode_bucket,
+    format_bits,
+    prune_entries,
+)
 from sapphirerock.process.rendezvous import pick_candidate
 from sapphirerock.process.tasks import BackgroundTasks
 
-CLAIMED = "claimed"
-DONE = "done"
 BUCKET_BITS = 6
 SPLIT_BYTES = 128_000
 RETENTION_S = 86_400
@@ -31,116 +37,6 @@
 BATCH_ENTRIES = 128
 
 
-@dataclass(slots=True, frozen=True)
-class LedgerEntry:
-    """What the ledger says of one key.
-
-    Parameters
-    ----------
-    key : str
-        Digest of service, organisation and idempotency key, in hexadecimal.
-    claimant : str
-        Random name of the attempt that may send the call.
-    body_digest : str
-        Digest of the call.
-    state : {"claimed", "done", "released"}
-        `released` withdraws a claim whose call was never sent.
-    status : int
-        Status of the answer; 0 when there is none.
-    content_type, body : str
-        The answer, where it was short enough to keep.
-    at_s : float
-        Wall time of the claim, for pruning alone.
-    """
-
-    key: str
-    claimant: str
-    body_digest: str
-    state: str = CLAIMED
-    status: int = 0
-    content_type: str = ""
-    body: str = ""
-    at_s: float = 0.0
-
-
-RELEASED = "released"
-
-
-def make_entry_key(service, organisation, key):
-    """Return the ledger's name of a caller's key."""
-    text = "\0".join((service, organisation, key))
-    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
-
-
-@dataclass(slots=True, frozen=True)
-class Bucket:
-    """A bucket as stored.
-
-    Parameters
-    ----------
-    entries : dict of str to LedgerEntry
-        Entries by key.
-    is_split : bool
-        Whether its keys have moved to two buckets with one more bit.
-    parent_version : int
-        Version of the bucket that this one was split from.
-    """
-
-    entries: dict
-    is_split: bool = False
-    parent_version: int = 0
-
-    def encode(self):
-        """Return the bucket as JSON."""
-        return orjson.dumps(
-            {
-                "entries": [astuple(entry) for entry in self.entries.values()],
-                "is_split": self.is_split,
-                "parent_version": self.parent_version,
-            }
-        )
-
-
-def decode_bucket(value):
-    """Return a bucket from JSON; an empty value is an empty bucket."""
-    if not value:
-        return Bucket({})
-    document = orjson.loads(value)
-    entries = [LedgerEntry(*item) for item in document["entries"]]
-    return Bucket(
-        {entry.key: entry for entry in entries},
-        document["is_split"],
-        document["parent_version"],
-    )
-
-
-def apply_entry(entries, entry):
-    """Change a bucket's entries by a claim, an outcome or a release.
-
-    Parameters
-    ----------
-    entries : dict of str to LedgerEntry
-        Changed in place.
-    entry : LedgerEntry
-        A claim counts only where no claim stands; anything else only where
-        its own claim stands.
-    """
-    standing = entries.get(entry.key)
-    if entry.state == CLAIMED:
-        if standing is None:
-            entries[entry.key] = entry
-    elif standing is not None and standing.claimant == entry.claimant:
-        if entry.state == RELEASED:
-            del entries[entry.key]
-        else:
-            entries[entry.key] = entry
-
-
-def prune_entries(entries, limit_s):
-    """Return the entries claimed after a wall time."""
-    return {key: entry for key, entry in entries.items() if entry.at_s >= limit_s}
-
-
 class PendingEntry:
     """An entry that waits for the next write of its bucket."""
 
@@ -303,17 +199,6 @@
         self._version = None
 
 
-def choose_child(path, key):
-    """Return the path of the bucket that a key moves to at a split."""
-    bits = path.rsplit("/", 1)[1]
-    return path + format_bits(key)[len(bits)]
-
-
-def format_bits(key):
-    """Return the bits of an entry's key as text."""
-    return f"{int(key, 16):0{len(key) * 4}b}"
-
-
 class Ledger:
     """Claims and outcomes of all non-idempotent calls.
 
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -18,7 +18,7 @@
     JournalRecordMessage,
 )
 from sapphirerock.connection.platform import PlatformClient
-from sapphirerock.process.admin import Admin, SettingsWriter
+from sapphirerock.process.admin import Admin
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.dispatcher import Dispatcher
 from sapphirerock.process.gateway import BODY_LIMIT_BYTES, Gateway
@@ -35,6 +35,7 @@
 from sapphirerock.process.quarantine import Quarantine
 from sapphirerock.process.runtime import Runtime
 from sapphirerock.process.settings import SettingsStore
+from sapphirerock.process.settingswriter import SettingsWriter
 from sapphirerock.process.spread import SettingsSpread
 from sapphirerock.process.tracing import make_tracer
 from sapphirerock.process.upstreams import UpstreamTable
--- a/src/sapphirerock/request/driver.py
+++ b/src/sapphirerock/request/driver.py
@@ -1,24 +1,20 @@
 """Drive one generation: attempts on engines until every token is there."""
 
 import uuid
-from dataclasses import dataclass
 
 from expression import Error, Ok
-from loguru import logger
 from opentelemetry.trace import SpanKind
 
 from sapphirerock.connection.engine import EngineRequest
 from sapphirerock.connection.errors import (
     UpstreamBroken,
     UpstreamRefused,
-    UpstreamSilent,
-    UpstreamUnreachable,
 )
 from sapphirerock.connection.eventstream import DoneEvent
 from sapphirerock.process.dispatcher import ChoiceRequest
-from sapphirerock.process.quarantine import EVIDENCE_LIFE_S, make_fingerprint
+from sapphirerock.process.quarantine import make_fingerprint
+from sapphirerock.request.loss import Loss, classify_failure
 from sapphirerock.request.problem import (
-    CRASHES_ENGINES,
     GENERATION_LOST,
     OVERLOADED,
     SUPERSEDED,
@@ -26,6 +22,7 @@
     Problem,
 )
 from sapphirerock.request.recovery import POLICIES
+from sapphirerock.request.suspicion import Suspicion, make_conviction
 
 AFFINITY_CHARS = 256
 RECOVERY_BOUND_S = 60.0
@@ -36,31 +33,10 @@
 LATE_RETRY_AFTER_S = 1
 CANCEL_TRIES = 20
 CANCEL_PAUSE_S = 0.5
-# News of where a suspect runs need a moment to reach the other hosts.
-SETTLE_S = 0.1
 # Ends that an engine reports without having finished the generation.
 ABORTED_REASONS = ("cancelled", "aborted", "error")
 
 
-@dataclass(slots=True, frozen=True)
-class Loss:
-    """Why an attempt ended before the generation did.
-
-    Parameters
-    ----------
-    cause : {"crash", "silence", "refused", "broken", "reserved"}
-        What was seen; "reserved" means that another suspect runs there.
-    upstream : str
-        Where the attempt ran.
-    incarnation : str
-        Incarnation that it ran on; empty when nothing ran.
-    """
-
-    cause: str
-    upstream: str
-    incarnation: str = ""
-
-
 class GenerationDriver:
     """One driver of one generation.
 
@@ -88,7 +64,7 @@
         "_choice",
         "_attempts",
         "_state",
-        "_ran_alone",
+        "_suspicion",
         "_received_bytes",
     )
 
@@ -101,7 +77,6 @@
         self._deadline_s = deadline_s
         self._attempts = 0
         self._state = None
-        self._ran_alone = False
         self._received_bytes = 0
         request = generation.request
         self._choice = ChoiceRequest(
@@ -110,6 +85,7 @@
             request.prompt[:AFFINITY_CHARS],
             make_fingerprint(generation.organisation.name, request.digest),
         )
+        self._suspicion = Suspicion(runtime, self._choice.fingerprint)
 
     async def run(self):
         """Drive until the generation is over."""
@@ -164,7 +140,7 @@
 
     async def _start(self):
         """Return the first upstream: that of the former driver, if there was one."""
-        if self._runtime.quarantine.is_convicted(self._choice.fingerprint):
+        if self._suspicion.is_convicted:
             return Error(make_conviction())
         former = self._runtime.upstreams.get(self._generation.upstream)
         if former is not None and self._policy.resumes:
@@ -191,9 +167,9 @@
         self._state = state
         self._attempts += 1
         ran_s = None
-        self._mark_suspect(state, running=True)
+        self._suspicion.announce(state, running=True)
         try:
-            if not await self._reserve(state):
+            if not await self._suspicion.reserve(state):
                 return Loss("reserved", state.name)
             with runtime.tracer.start_as_current_span("engine", kind=SpanKind.CLIENT):
                 opened = await self._open(state)
@@ -204,33 +180,11 @@
                 ran_s = runtime.clock.monotonic() - started_s
             return loss
         finally:
-            self._mark_suspect(state, running=False)
+            self._suspicion.announce(state, running=False)
             runtime.upstreams.end_call(state, ran_s)
             runtime.count_upstream_bytes(state, self._received_bytes)
             self._received_bytes = 0
 
-    def _mark_suspect(self, state, running):
-        fingerprint = self._choice.fingerprint
-        if self._runtime.quarantine.is_suspect(fingerprint):
-            self._runtime.announce_suspect(fingerprint, state.name, running)
-
-    async def _reserve(self, state):
-        """Wait until peers know of a request that must run as the only suspect.
-
-        Returns
-        -------
-        bool
-            Whether no other suspect turned up on the upstream meanwhile.
-        """
-        fingerprint = self._choice.fingerprint
-        self._ran_alone = False
-        if not self._runtime.quarantine.needs_exclusion(fingerprint):
-            return True
-        settle_s = SETTLE_S * (1 + self._runtime.random.random())
-        await self._runtime.clock.sleep(settle_s)
-        self._ran_alone = not state.suspects - {fingerprint}
-        return self._ran_alone
-
     async def _open(self, state):
         """Open a stream: resume what the former driver left, or start.
 
@@ -375,27 +329,13 @@
         return resumed
 
     async def _classify(self, state, failure):
-        """Return the loss that a failure amounts to.
-
-        Only a process that is gone, or has another incarnation, has crashed.
-        """
-        incarnation = self._generation.incarnation
-        upstreams = self._runtime.upstreams
-        if isinstance(failure, UpstreamUnreachable) and failure.refused:
-            upstreams.mark_down(state.name)
-            return Loss("crash", state.name, incarnation)
-        if isinstance(failure, UpstreamSilent) and failure.is_new_connection:
-            upstreams.mark_down(state.name)
-            return Loss("silence", state.name, incarnation)
-        report = await state.client.read_load(self._policy.probe_bound_s)
-        if report.is_ok():
-            if incarnation and report.ok.incarnation != incarnation:
-                return Loss("crash", state.name, incarnation)
-            return Loss("broken", state.name, incarnation)
-        upstreams.mark_down(state.name)
-        if isinstance(report.error, UpstreamUnreachable) and report.error.refused:
-            return Loss("crash", state.name, incarnation)
-        return Loss("silence", state.name, incarnation)
+        """Return the loss that a failure amounts to; leave the upstream out."""
+        loss = await classify_failure(
+            state, failure, self._generation.incarnation, self._policy.probe_bound_s
+        )
+        if loss.is_absent:
+            self._runtime.upstreams.mark_down(state.name)
+        return loss
 
     async def _recover(self, loss):
         """Return the next upstream after a loss.
@@ -410,7 +350,7 @@
         self._choice.excluded.add(loss.upstream)
         if loss.cause == "silence":
             self._runtime.tasks.spawn(self._cancel_lost(self._state))
-        if loss.cause == "crash" and self._note_crash(loss):
+        if loss.is_crash and self._suspicion.record_crash(loss):
             return Error(make_conviction())
         if not generation.tokens:
             return await self._start_again()
@@ -419,27 +359,6 @@
             return Error(Problem(GENERATION_LOST, detail, 0))
         return await self._choose_successor()
 
-    def _note_crash(self, loss):
-        """Record the evidence; return whether it convicts the request."""
-        fingerprint = self._choice.fingerprint
-        quarantine = self._runtime.quarantine
-        state = self._runtime.upstreams.get(loss.upstream)
-        alone = self._ran_alone and not (state and state.suspects - {fingerprint})
-        convicted = quarantine.needs_exclusion(fingerprint) and alone
-        self._runtime.announce_crash(
-            fingerprint, loss.upstream, loss.incarnation, convicted
-        )
-        logger.warning(
-            "request {} was under way on {} when it crashed; crashes {}, alone {}, "
-            "convicted {}",
-            fingerprint.hex(),
-            loss.upstream,
-            quarantine.count_crashes(fingerprint),
-            alone,
-            convicted,
-        )
-        return quarantine.is_convicted(fingerprint)
-
     async def _start_again(self):
         """Return an upstream for a generation that has no token yet."""
         if self._runtime.clock.monotonic() > self._deadline_s:
@@ -467,12 +386,3 @@
 def make_late():
     """Return the final answer to a request without a token at its deadline."""
     return Problem(OVERLOADED, "no first token in time", LATE_RETRY_AFTER_S)
-
-
-def make_conviction():
-    """Return the final answer to a request that crashes engines."""
-    return Problem(
-        CRASHES_ENGINES,
-        "every engine that ran the request alone crashed; it is not tried again",
-        int(EVIDENCE_LIFE_S),
-    )
