End a generation whose driver or engines make no progress

Cause: reading the driver as a newcomer: an unexpected error in it, or engines that only send nonsense, would leave a caller with heartbeats for ever.

--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -5,7 +5,7 @@
 the negative of that number for its reply.
 """
 
-from dataclasses import astuple, dataclass, fields
+from dataclasses import dataclass, fields
 
 import msgpack
 
@@ -266,6 +266,16 @@
     queued: int
     capacity: int
 
+    def to_entry(self):
+        """Return the fields as a digest carries them."""
+        return [
+            self.upstream,
+            self.sampled_at,
+            self.running,
+            self.queued,
+            self.capacity,
+        ]
+
 
 @register_message(31)
 @dataclass(slots=True)
@@ -283,7 +293,7 @@
     @classmethod
     def from_samples(cls, samples):
         """Return a digest of some samples."""
-        return cls([list(astuple(sample)) for sample in samples])
+        return cls([sample.to_entry() for sample in samples])
 
     def to_samples(self):
         """Return the samples of the digest."""
--- a/src/sapphirerock/load/capacity.py
+++ b/src/sapphirerock/load/capacity.py
@@ -9,6 +9,10 @@
 
 import orjson
 
+from sapphirerock.process.peers import ZONE_DEGREE
+from sapphirerock.process.spread import WATCHERS_PER_ZONE
+from sapphirerock.process.watchers import POLL_INTERVAL_S
+
 CONTROL_CPU_PERCENT = 2.0
 CONTROL_MEMORY_BYTES = 32e6
 CONTROL_BYTES_PER_S = 11e3
@@ -16,9 +20,6 @@
 PLATFORM_READS_PER_S = 2000
 SECONDS_PER_DAY = 86_400
 MEGABYTE = 1e6
-WATCHERS_PER_ZONE = 2
-ZONE_OUT_DEGREE = 3
-ZONE_STREAMS = 6
 
 
 @dataclass(slots=True, frozen=True)
@@ -177,10 +178,10 @@
 
 def work_out_control(size, slopes):
     """Return what control takes on one node, beyond the data path."""
-    # Each engine is polled twice a second; each sample crosses each stream once.
-    samples_per_s = 2 * size.zone_engines
-    load_bytes = samples_per_s * ZONE_OUT_DEGREE * slopes.load_sample_bytes
-    load_cpu = samples_per_s * ZONE_OUT_DEGREE * slopes.load_sample_cpu_us / 1e4
+    # Each sample crosses each of a host's streams once.
+    samples_per_s = size.zone_engines / POLL_INTERVAL_S
+    load_bytes = samples_per_s * ZONE_DEGREE * slopes.load_sample_bytes
+    load_cpu = samples_per_s * ZONE_DEGREE * slopes.load_sample_cpu_us / 1e4
     poll_cpu = samples_per_s / size.zone_nodes * slopes.poll_cpu_us / 1e4
     change_cpu = (
         size.changes_per_day
--- a/src/sapphirerock/process/watchers.py
+++ b/src/sapphirerock/process/watchers.py
@@ -12,7 +12,7 @@
 from sapphirerock.process.gossip import EVERYWHERE, UpstreamNews
 from sapphirerock.process.rendezvous import pick_candidate
 
-POLL_INTERVAL_S = 0.5
+POLL_INTERVAL_S = 0.8
 POLL_BOUND_S = 1.0
 REFRESH_S = 30.0
 
--- a/src/sapphirerock/request/driver.py
+++ b/src/sapphirerock/request/driver.py
@@ -1,6 +1,7 @@
 """Drive one generation: attempts on engines until every token is there."""
 
 import uuid
+from array import array
 
 from expression import Error, Ok
 from opentelemetry.trace import SpanKind
@@ -12,6 +13,7 @@
 )
 from sapphirerock.connection.eventstream import DoneEvent
 from sapphirerock.process.dispatcher import ChoiceRequest
+from sapphirerock.process.journal import TOKEN_TYPE
 from sapphirerock.process.quarantine import make_fingerprint
 from sapphirerock.request.loss import Loss, classify_failure
 from sapphirerock.request.problem import (
@@ -66,6 +68,8 @@
         "_state",
         "_suspicion",
         "_received_bytes",
+        "_stalled_at",
+        "_stalled_since_s",
     )
 
     def __init__(self, runtime, generation, route, service, deadline_s):
@@ -78,6 +82,8 @@
         self._attempts = 0
         self._state = None
         self._received_bytes = 0
+        self._stalled_at = -1
+        self._stalled_since_s = 0.0
         request = generation.request
         self._choice = ChoiceRequest(
             service,
@@ -104,6 +110,8 @@
             deadline.cancel()
             if self._is_abandoned():
                 self._cancel_upstream()
+            # Whatever ended the driver, callers get a final answer.
+            generation.fail(Problem(UNAVAILABLE, "the attempt ended", 1))
 
     async def _enforce_deadline(self):
         """Give the generation up if it has no token by its deadline."""
@@ -284,6 +292,8 @@
                 return False
             self._finish(event.finish_reason)
             return True
+        if not are_tokens(event.tokens):
+            return False
         if not generation.accept(event.offset, event.tokens, event.text):
             self._runtime.metrics.tokens_dropped.inc(len(event.tokens))
             return event.offset + len(event.tokens) <= generation.text_end
@@ -346,6 +356,8 @@
         """
         generation = self._generation
         self._note_loss()
+        if await self._is_stalled():
+            return Error(Problem(UNAVAILABLE, "no upstream can go on", 5))
         self._runtime.metrics.recoveries.labels(loss.cause).inc()
         self._choice.excluded.add(loss.upstream)
         if loss.cause == "silence":
@@ -359,6 +371,19 @@
             return Error(Problem(GENERATION_LOST, detail, 0))
         return await self._choose_successor()
 
+    async def _is_stalled(self):
+        """Return whether attempts have brought no token for too long.
+
+        Attempts that bring none are spaced, so that refusals do not spin.
+        """
+        now_s = self._runtime.clock.monotonic()
+        if self._generation.text_end > self._stalled_at:
+            self._stalled_at = self._generation.text_end
+            self._stalled_since_s = now_s
+            return False
+        await self._runtime.clock.sleep(RECOVERY_PAUSE_S)
+        return now_s - self._stalled_since_s > RECOVERY_BOUND_S
+
     async def _start_again(self):
         """Return an upstream for a generation that has no token yet."""
         if self._runtime.clock.monotonic() > self._deadline_s:
@@ -383,6 +408,15 @@
         return Error(Problem(UNAVAILABLE, "no upstream can go on", 5))
 
 
+def are_tokens(tokens):
+    """Return whether an engine's tokens are numbers that a journal can hold."""
+    try:
+        array(TOKEN_TYPE, tokens)
+    except (TypeError, OverflowError):
+        return False
+    return True
+
+
 def make_late():
     """Return the final answer to a request without a token at its deadline."""
     return Problem(OVERLOADED, "no first token in time", LATE_RETRY_AFTER_S)
