Let two placers a zone look for the lease, not every host's

Cause: worked out at 370 nodes, candidates alone would read the lease 370 times a second; the platform's calls are to grow with zones. Change: two candidates a zone by rendezvous over the platform's list; the others look at the list every 10 s.

--- a/features/engines.feature
+++ b/features/engines.feature
@@ -40,3 +40,9 @@
       | what |
       | r1   |
       | e1   |
+
+  Scenario: Events that no engine should send do no harm
+    Given a linked zone with 2 routers and 3 engines
+    When every engine sends 12 malformed events among 6 generations
+    Then every generation under way came whole
+    And every router still runs
--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -249,3 +249,25 @@
         return await context.stopping
 
     assert context.run(run()) == 0
+
+
+@when("every engine sends {count:d} malformed events among {generations:d} generations")
+def send_malformed(context, count, generations):
+    world = context.world
+
+    async def run():
+        hosts = world.cluster.list_routers()
+        for number in range(generations):
+            world.begin_generation(f"garbled {number}", 120, hosts[number % 2])
+        await asyncio.sleep(0.5)
+        for name in ("e1", "e2", "e3"):
+            await world.cluster.inject(name, "garble", amount=count)
+
+    context.run(run())
+
+
+@then("every router still runs")
+def check_routers_run(context):
+    cluster = context.world.cluster
+    for host in cluster.list_routers():
+        assert cluster.processes[host].is_running, host
--- a/src/sapphirerock/load/capacity.py
+++ b/src/sapphirerock/load/capacity.py
@@ -10,6 +10,11 @@
 import orjson
 
 from sapphirerock.process.peers import ZONE_DEGREE
+from sapphirerock.process.placer import (
+    CANDIDATE_INTERVAL_S,
+    CANDIDATES_PER_ZONE,
+    RENEW_INTERVAL_S,
+)
 from sapphirerock.process.spread import WATCHERS_PER_ZONE
 from sapphirerock.process.watchers import POLL_INTERVAL_S
 
@@ -235,7 +240,8 @@
     watch = size.zones * slopes.watch_calls_per_zone_s
     starts = 3 * size.restarts_per_day / SECONDS_PER_DAY
     changes = 2 * size.changes_per_day / SECONDS_PER_DAY
-    lease = size.nodes / 1.0
+    candidates = size.zones * CANDIDATES_PER_ZONE
+    lease = candidates / RENEW_INTERVAL_S + size.nodes / CANDIDATE_INTERVAL_S
     return [
         Need(
             "platform",
@@ -249,10 +255,10 @@
         Need("platform", "changes", changes, "calls/s", "read, conditional write"),
         Need(
             "placer",
-            "lease",
+            "lease and host list",
             lease,
             "reads/s",
-            "each candidate looks once a second",
+            f"{CANDIDATES_PER_ZONE} candidates a zone; the others look rarely",
             PLATFORM_READS_PER_S,
         ),
     ]
--- a/src/sapphirerock/process/placer.py
+++ b/src/sapphirerock/process/placer.py
@@ -18,11 +18,14 @@
 from sapphirerock.connection.platform import PlatformClient
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.metrics import Metrics
+from sapphirerock.process.rendezvous import rank_candidates
 from sapphirerock.process.settings import SETTINGS_PREFIX, SettingsStore
 
 LEASE_PATH = "leases/placer"
 LEASE_S = 3.0
 RENEW_INTERVAL_S = 1.0
+CANDIDATES_PER_ZONE = 2
+CANDIDATE_INTERVAL_S = 10.0
 ORDER_PAUSE_S = 0.5
 ORDER_BOUND_S = 2.0
 LOAD_MODEL = "load-model"
@@ -187,6 +190,8 @@
         self._platform = None
         self._keeper = None
         self._budget = None
+        self._listed_candidate = False
+        self._list_read_at_s = -CANDIDATE_INTERVAL_S
 
     async def on_start(self):
         """Open connections."""
@@ -208,11 +213,36 @@
     async def _keep_lease(self):
         while not self.should_stop:
             held_before = self._keeper.lease.number
+            if not held_before and not await self._is_candidate():
+                await self.clock.sleep(CANDIDATE_INTERVAL_S)
+                continue
             await self._keeper.keep()
             if self._keeper.lease.number != held_before:
                 self._budget = LoadBudget(self.clock)
             await self.clock.sleep(RENEW_INTERVAL_S)
 
+    async def _is_candidate(self):
+        """Return whether this host is to look for a free lease.
+
+        Two hosts of each availability zone are, so that the platform's calls
+        grow with zones. The list is read now and then; it may lag.
+        """
+        now_s = self.clock.monotonic()
+        if now_s < self._list_read_at_s + CANDIDATE_INTERVAL_S:
+            return self._listed_candidate
+        read = await self._platform.list_hosts()
+        if read.is_ok():
+            self._list_read_at_s = now_s
+            zone = self.settings.address.availability_zone
+            names = [
+                entry.host
+                for entry in read.ok.entries
+                if entry.availability_zone == zone and not entry.leaving
+            ]
+            candidates = rank_candidates(names, LEASE_PATH)[:CANDIDATES_PER_ZONE]
+            self._listed_candidate = self.settings.address.host in candidates
+        return self._listed_candidate
+
     @Service.task
     async def _place(self):
         while not self.should_stop:
--- a/src/sapphirerock/standin/engine.py
+++ b/src/sapphirerock/standin/engine.py
@@ -165,6 +165,7 @@
                 await asyncio.sleep(3600)
             tokens = job.tokens[offset:]
             if tokens:
+                await self._garble(response, job, offset)
                 await response.write(encode_event(job.generation_id, offset, tokens))
                 offset += len(tokens)
             elif job.finish_reason is not None:
@@ -174,6 +175,14 @@
         await response.write(encode_done(job))
         await response.write_eof()
 
+    async def _garble(self, response, job, offset):
+        """Send a malformed event, if that fault is on."""
+        if self.garbled_events <= 0:
+            return
+        kind = GARBLED[self.garbled_events % len(GARBLED)]
+        self.garbled_events -= 1
+        await response.write(kind(job, offset))
+
     async def _wait_or_beat(self, response, changed, number):
         try:
             async with asyncio.timeout(HEARTBEAT_S):
@@ -264,6 +273,17 @@
     return b"event: done\ndata: " + orjson.dumps(data) + b"\n\n"
 
 
+# Events that no engine should send, as functions of the job and the offset.
+GARBLED = (
+    lambda job, offset: encode_event(job.generation_id, offset, [1 << 40]),
+    lambda job, offset: encode_event(job.generation_id, offset, ["text"]),
+    lambda job, offset: encode_event(job.generation_id, offset + 5, [1]),
+    lambda job, offset: encode_event(job.generation_id, 0, job.tokens[:1]),
+    lambda job, offset: b"data: {not json\n\n",
+    lambda job, offset: b'event: done\ndata: {"tokens_total": 1}\n\n',
+)
+
+
 class EngineService(Service):
     """The engine stand-in as a process."""
 
--- a/src/sapphirerock/standin/faults.py
+++ b/src/sapphirerock/standin/faults.py
@@ -96,6 +96,12 @@
     standin.occupied = int(order.amount)
 
 
+@register_fault("garble")
+def garble_streams(standin, order):
+    """Send events that no engine should send, this many of them."""
+    standin.garbled_events = int(order.amount)
+
+
 @register_fault("leave")
 def start_leaving(standin, order):
     """Say that this upstream is leaving."""
@@ -114,6 +120,7 @@
         self.stale_s = 0.0
         self.occupied = 0
         self.leaving = False
+        self.garbled_events = 0
 
     @property
     def is_down(self):
