Keep shares of rates true when demand moves, and bounded at size

Cause: reading the limits at 40,000 organisations: every zone would tell the demand of every organisation, and a zone that went idle kept its share for ever. Tried first, and wrong: hosts below their equal share not asking at all; 87 of 60 requests a second were admitted, since what they used was not counted. Change: hosts below a tenth of their equal share stay quiet; demand is told again every 20 s and forgotten after 60 s, but for zones that are cut off; a zone's owner, and no former one, tells that an organisation went idle. Old evidence against requests is forgotten in the background.

--- a/src/sapphirerock/process/generations.py
+++ b/src/sapphirerock/process/generations.py
@@ -253,6 +253,7 @@
             for identity, generation in list(self._by_key.items()):
                 self._sweep_one(identity, generation, now_s)
             self._runtime.metrics.generations.set(len(self.active))
+            self._runtime.quarantine.prune()
 
     def _sweep_one(self, identity, generation, now_s):
         if generation.readers:
--- a/src/sapphirerock/process/gossip.py
+++ b/src/sapphirerock/process/gossip.py
@@ -12,7 +12,7 @@
 from sapphirerock.connection.messages import Rumour
 
 TOPICS = {}
-REMEMBERED = 20_000
+REMEMBERED = 5_000
 EVERYWHERE = ""
 
 
--- a/src/sapphirerock/process/limits.py
+++ b/src/sapphirerock/process/limits.py
@@ -19,9 +19,18 @@
 IDLE_LIFE_S = 10.0
 DEMAND_SMOOTHING = 0.5
 BURST_S = 1.0
+# A caller may send this many at once to one host of many.
+MIN_BURST = 5.0
+TELL_INTERVAL_S = 20.0
+TOLD_LIFE_S = 60.0
 # A zone without demand keeps this part of a limit, so that its first requests
 # need not wait for a share.
 MIN_ZONE_SHARE = 0.05
+# A host that uses less of its equal share does not ask for another one. All hosts
+# together can exceed a limit by no more than this.
+QUIET_SHARE = 0.1
+# Smaller changes of a zone's demand are not told.
+MIN_CHANGE_SHARE = 0.05
 
 
 @dataclass(slots=True)
@@ -48,21 +57,44 @@
     demand_per_s: float = 0.0
     used_at_s: float = 0.0
 
+    @property
+    def burst(self):
+        """Most credit that is kept."""
+        return max(1.0, self.rate_per_s * BURST_S, min(self.limit_per_s, MIN_BURST))
+
 
 @dataclass(slots=True)
 class ZoneDemand:
-    """What an owner knows of one organisation.
+    """What an owner knows of one organisation in its zone.
 
     Parameters
     ----------
     by_host : dict of str to (float, float)
         Demand of hosts of the own zone, and when it was told.
-    by_zone : dict of str to float
-        Demand of zones, the own one included.
     """
 
     by_host: dict = field(default_factory=dict)
-    by_zone: dict = field(default_factory=dict)
+
+    def forget_idle(self, now_s):
+        """Drop hosts that have not told their demand lately."""
+        self.by_host = {
+            host: (demand, told_s)
+            for host, (demand, told_s) in self.by_host.items()
+            if now_s - told_s < IDLE_LIFE_S
+        }
+
+    @property
+    def total_per_s(self):
+        """Demand of the zone."""
+        return sum(demand for demand, _ in self.by_host.values())
+
+
+@dataclass(slots=True, frozen=True)
+class ToldDemand:
+    """Demand of a zone as its owner told it, and when."""
+
+    demand_per_s: float
+    told_at_s: float
 
 
 class LimitTable(Service):
@@ -110,8 +142,9 @@
         if local is None or local.limit_per_s != limit_per_s:
             share = limit_per_s / max(1, self._count_hosts())
             local = self._local[name] = LocalLimit(
-                limit_per_s, share, share * BURST_S, self._clock.monotonic()
+                limit_per_s, share, 0.0, self._clock.monotonic()
             )
+            local.credit = local.burst
         return local
 
     def _count_hosts(self):
@@ -128,6 +161,26 @@
             await self._clock.sleep(SHARE_INTERVAL_S)
             for name in list(self._local):
                 await self._renew(name)
+            self._forget_idle()
+
+    def _forget_idle(self):
+        """Tell other zones of organisations that nobody uses here any more."""
+        now_s = self._clock.monotonic()
+        zone = self._peers.hosts.own.availability_zone
+        for name, owned in list(self._owned.items()):
+            owned.forget_idle(now_s)
+            if owned.by_host:
+                continue
+            del self._owned[name]
+            # A former owner must not speak for the one that took over.
+            is_owner = self._find_owner(name) == self._peers.hosts.own.host
+            if is_owner and zone in self._zones_demand.get(name, ()):
+                self._gossip.spread(DemandNews(name, zone, 0.0))
+
+    def _find_owner(self, name):
+        """Return the host of the zone that shares out an organisation's limit."""
+        hosts = [address.host for address in self._peers.hosts.list_zone()]
+        return pick_candidate(hosts, name)
 
     async def _renew(self, name):
         local = self._local[name]
@@ -139,9 +192,12 @@
         local.arrived = 0
         local.demand_per_s += DEMAND_SMOOTHING * (recent - local.demand_per_s)
         hosts = self._peers.hosts
-        names = [address.host for address in hosts.list_zone()]
-        owner = pick_candidate(names, name)
         refill(local, now_s)
+        default_per_s = local.limit_per_s / self._count_hosts()
+        if local.demand_per_s <= QUIET_SHARE * default_per_s:
+            local.rate_per_s = default_per_s
+            return
+        owner = self._find_owner(name)
         if owner == hosts.own.host:
             rate = self._share(name, owner, local.demand_per_s, local.limit_per_s)
             local.rate_per_s = rate
@@ -166,12 +222,8 @@
         owned = self._owned.setdefault(name, ZoneDemand())
         now_s = self._clock.monotonic()
         owned.by_host[host] = (demand_per_s, now_s)
-        owned.by_host = {
-            other: (demand, told_s)
-            for other, (demand, told_s) in owned.by_host.items()
-            if now_s - told_s < IDLE_LIFE_S
-        }
-        total = sum(demand for demand, _ in owned.by_host.values())
+        owned.forget_idle(now_s)
+        total = owned.total_per_s
         zone_limit = limit_per_s * self._find_zone_share(name, total)
         if total <= 0:
             return zone_limit / len(owned.by_host)
@@ -180,24 +232,44 @@
     def _find_zone_share(self, name, demand_per_s):
         """Return the own zone's part of a limit, between 0 and 1."""
         zone = self._peers.hosts.own.availability_zone
-        known = self._zones_demand.setdefault(name, {})
-        if known.get(zone) is None or abs(known[zone] - demand_per_s) > 0.05:
+        told = self._zones_demand.get(name, {}).get(zone)
+        if told is None or self._needs_telling(told, demand_per_s):
             self._gossip.spread(DemandNews(name, zone, demand_per_s))
-            known[zone] = demand_per_s
         zones = self._list_zones()
-        total = sum(known.get(other, 0.0) for other in zones)
+        demands = self._list_demands(name, zones)
+        demands[zone] = demand_per_s
+        total = sum(demands.values())
         spare = 1 - MIN_ZONE_SHARE * len(zones)
         if total <= 0:
             return 1 / len(zones)
         return MIN_ZONE_SHARE + spare * demand_per_s / total
 
+    def _needs_telling(self, told, demand_per_s):
+        """Return whether other zones know too little of the own zone's demand."""
+        change = abs(told.demand_per_s - demand_per_s)
+        age_s = self._clock.monotonic() - told.told_at_s
+        return change > MIN_CHANGE_SHARE * told.demand_per_s or age_s > TELL_INTERVAL_S
+
+    def _list_demands(self, name, zones):
+        """Return what zones demand; old words count only of zones that are cut off."""
+        live = {address.availability_zone for address in self._peers.hosts.list_live()}
+        limit_s = self._clock.monotonic() - TOLD_LIFE_S
+        return {
+            zone: told.demand_per_s
+            for zone, told in self._zones_demand.get(name, {}).items()
+            if zone in zones and (told.told_at_s > limit_s or zone not in live)
+        }
+
     def _take_demand(self, news):
         known = self._zones_demand.setdefault(news.organisation, {})
-        known[news.availability_zone] = news.demand_per_s
+        now_s = self._clock.monotonic()
+        known[news.availability_zone] = ToldDemand(news.demand_per_s, now_s)
+        if all(told.demand_per_s <= 0 for told in known.values()):
+            del self._zones_demand[news.organisation]
 
 
 def refill(local, now_s):
     """Add the credit earned since the last time."""
     earned = (now_s - local.refilled_at_s) * local.rate_per_s
-    local.credit = min(max(1.0, local.rate_per_s * BURST_S), local.credit + earned)
+    local.credit = min(local.burst, local.credit + earned)
     local.refilled_at_s = now_s
