--- a/src/sapphirerock/connection/caller.py
+++ b/src/sapphirerock/connection/caller.py
@@ -3,7 +3,6 @@
 import orjson
 from aiohttp import web
 
-HEARTBEAT_S = 1.0
 STREAM_HEADERS = {
     "Content-Type": "text/event-stream",
     "Cache-Control": "no-store",
@@ -86,13 +85,13 @@
         """Wait for the first token or for the end without one."""
         generation = self._generation
         while not self._has_more() and not generation.is_over:
-            await generation.wait_change(HEARTBEAT_S)
+            await generation.wait_change()
 
     def _has_more(self):
         return self._generation.released > self._offset
 
     async def read_segments(self):
-        """Yield lists of segments; an empty one after a time without any."""
+        """Yield lists of segments; an empty one when woken without any."""
         generation = self._generation
         while True:
             segments = generation.find_segments(self._offset)
@@ -102,8 +101,10 @@
                 yield segments
             elif generation.problem is not None or generation.is_finished:
                 return
-            elif not await generation.wait_change(HEARTBEAT_S):
-                yield []
+            else:
+                await generation.wait_change()
+                if not self._has_more() and not generation.is_over:
+                    yield []
 
     def _observe_gap(self):
         now_s = self._clock.monotonic()
--- a/src/sapphirerock/connection/eventstream.py
+++ b/src/sapphirerock/connection/eventstream.py
@@ -51,13 +51,28 @@
         An open answer.
     """
 
-    __slots__ = ("upstream", "incarnation", "received_bytes", "_response")
+    __slots__ = (
+        "upstream",
+        "incarnation",
+        "received_bytes",
+        "_response",
+        "_loop",
+        "_bound_s",
+        "_heard_s",
+        "_timer",
+        "_is_silent",
+    )
 
     def __init__(self, upstream, response):
         self.upstream = upstream
         self.incarnation = response.headers.get("Sapphirerock-Incarnation", "")
         self.received_bytes = 0
         self._response = response
+        self._loop = asyncio.get_running_loop()
+        self._bound_s = 0.0
+        self._heard_s = 0.0
+        self._timer = None
+        self._is_silent = False
 
     async def read_event(self, silence_bound_s):
         """Return the next event; heartbeats only renew the bound.
@@ -68,20 +83,37 @@
             `UpstreamSilent` when nothing came within the bound,
             `UpstreamBroken` when the connection ended.
         """
+        self._watch_silence(silence_bound_s)
         while True:
             try:
-                async with asyncio.timeout(silence_bound_s):
-                    block = await self._response.content.readuntil(EVENT_END)
-            except TimeoutError:
-                return Error(UpstreamSilent(self.upstream, silence_bound_s))
+                block = await self._response.content.readuntil(EVENT_END)
             except (ClientError, ValueError, OSError) as error:
+                if self._is_silent:
+                    return Error(UpstreamSilent(self.upstream, silence_bound_s))
                 return Error(UpstreamBroken(self.upstream, repr(error)))
+            self._heard_s = self._loop.time()
             self.received_bytes += len(block)
             if not block.endswith(EVENT_END):
                 return Error(UpstreamBroken(self.upstream, "end of stream"))
             if not block.startswith(COMMENT):
                 return self._decode(block)
 
+    def _watch_silence(self, bound_s):
+        """Keep one timer for the whole stream; one for each event costs more."""
+        self._bound_s = bound_s
+        if self._timer is None:
+            self._heard_s = self._loop.time()
+            self._timer = self._loop.call_later(bound_s, self._check_silence)
+
+    def _check_silence(self):
+        silent_s = self._loop.time() - self._heard_s
+        if silent_s < self._bound_s:
+            remaining_s = self._bound_s - silent_s
+            self._timer = self._loop.call_later(remaining_s, self._check_silence)
+        else:
+            self._is_silent = True
+            self._response.close()
+
     def _decode(self, block):
         try:
             if block.startswith(DONE_FIELD):
@@ -93,4 +125,6 @@
 
     def close(self):
         """Close the connection."""
+        if self._timer is not None:
+            self._timer.cancel()
         self._response.close()
--- a/src/sapphirerock/process/generations.py
+++ b/src/sapphirerock/process/generations.py
@@ -18,6 +18,7 @@
 from sapphirerock.request.generation import Generation
 from sapphirerock.request.problem import GENERATION_LOST, KEY_REUSED, Problem
 
+# Also the interval of heartbeats to callers.
 SWEEP_INTERVAL_S = 1.0
 FINISHED_LIFE_S = 60.0
 UNREAD_LIFE_S = 30.0
@@ -257,6 +258,7 @@
 
     def _sweep_one(self, identity, generation, now_s):
         if generation.readers:
+            generation.poke()
             return
         unread_s = now_s - generation.last_read_s
         if generation.problem is not None or (
--- a/src/sapphirerock/request/generation.py
+++ b/src/sapphirerock/request/generation.py
@@ -180,15 +180,13 @@
             low -= 1
         return [item for item in self.segments[low:] if item.end <= self.released]
 
-    async def wait_change(self, timeout_s):
-        """Wait until something was released or the end came; return whether."""
-        changed = self._changed
-        try:
-            async with asyncio.timeout(timeout_s):
-                await changed.wait()
-        except TimeoutError:
-            return False
-        return True
+    async def wait_change(self):
+        """Wait until something was released, the end came, or a poke."""
+        await self._changed.wait()
+
+    def poke(self):
+        """Let readers look again, so that they can send a heartbeat."""
+        self._wake()
 
     def _wake(self):
         self._changed.set()
