Leave an upstream's queue when another one has a free slot

Ruled out: the choice itself; all three balancers suffer alike. Change: a generation without a token for 0.5 s goes to another engine that has a free slot; it is cancelled at the first. Nothing is decoded twice. Also: ports of the in-process fleet come from below the range of outgoing connections (a bind failed in a fleet of 24).

--- a/src/sapphirerock/load/cli.py
+++ b/src/sapphirerock/load/cli.py
@@ -15,6 +15,7 @@
 from sapphirerock.load.experiment import read_plan, run_plan
 from sapphirerock.load.report import format_report
 from sapphirerock.load.slopes import MEASUREMENTS, format_slopes
+from sapphirerock.process.logs import configure_logs
 
 CALL_TIMEOUT_S = 10.0
 
@@ -118,6 +119,7 @@
 
     Example: sapphirerock-load slopes organisations peers
     """
+    configure_logs(level="ERROR")
     chosen = names or sorted(MEASUREMENTS)
     for name in chosen:
         click.echo(format_slopes(name, MEASUREMENTS[name]()))
--- a/src/sapphirerock/load/slopes.py
+++ b/src/sapphirerock/load/slopes.py
@@ -24,6 +24,7 @@
 FLEET_WARM_UP_S = 6.0
 FLEET_WINDOW_S = 10.0
 ADDRESS = "127.0.0.1"
+PORTS = iter(range(7_000, 15_000))
 
 
 def register_measurement(name):
@@ -161,10 +162,18 @@
 
 
 def find_free_port():
-    """Return a TCP port that nothing listens on."""
-    with closing(socket.socket()) as probe:
-        probe.bind((ADDRESS, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that nothing listens on.
+
+    Ports that the system gives to outgoing connections are left alone.
+    """
+    for port in PORTS:
+        with closing(socket.socket()) as probe:
+            try:
+                probe.bind((ADDRESS, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no free port")
 
 
 class Fleet:
--- a/src/sapphirerock/request/driver.py
+++ b/src/sapphirerock/request/driver.py
@@ -33,6 +33,8 @@
 OPEN_BOUND_S = 1.0
 FRUITLESS_RESUMES = 2
 LATE_RETRY_AFTER_S = 1
+# Time in an upstream's own queue after which another one is looked for.
+QUEUE_BOUND_S = 0.5
 CANCEL_TRIES = 20
 CANCEL_PAUSE_S = 0.5
 # Ends that an engine reports without having finished the generation.
@@ -68,6 +70,7 @@
         "_state",
         "_suspicion",
         "_received_bytes",
+        "_is_moving",
         "_stalled_at",
         "_stalled_since_s",
     )
@@ -82,6 +85,7 @@
         self._attempts = 0
         self._state = None
         self._received_bytes = 0
+        self._is_moving = False
         self._stalled_at = -1
         self._stalled_since_s = 0.0
         request = generation.request
@@ -183,7 +187,7 @@
                 opened = await self._open(state)
                 if opened.is_error():
                     return opened.error
-                loss = await self._relay(state, opened.ok)
+                loss = await self._relay_or_move(state, opened.ok)
             if loss is None:
                 ran_s = runtime.clock.monotonic() - started_s
             return loss
@@ -249,6 +253,39 @@
         upstreams.mark_down(state.name)
         return Loss("broken", state.name)
 
+    async def _relay_or_move(self, state, stream):
+        """Relay, but leave an upstream's queue when another one has a free slot.
+
+        Reports lag, so a call may be sent to an upstream that somebody else has
+        just filled. Nothing is lost by leaving before the first token.
+        """
+        watch = self._runtime.tasks.spawn(self._watch_queue(state, stream))
+        try:
+            loss = await self._relay(state, stream)
+        finally:
+            watch.cancel()
+        if loss is not None and self._is_moving:
+            self._is_moving = False
+            self._runtime.tasks.spawn(
+                state.client.cancel(self._generation.generation_id)
+            )
+            return Loss("queued", state.name)
+        return loss
+
+    async def _watch_queue(self, state, stream):
+        """Close the stream once the generation could start elsewhere."""
+        while True:
+            await self._runtime.clock.sleep(QUEUE_BOUND_S)
+            if self._generation.tokens:
+                return
+            self._choice.excluded.add(state.name)
+            other = self._runtime.dispatcher.choose(self._choice, needs_slot=True)
+            self._choice.excluded.discard(state.name)
+            if other is not None and state.free_slots < other.free_slots:
+                self._is_moving = True
+                stream.close()
+                return
+
     async def _relay(self, state, stream):
         """Take events until the end; return the loss, or None."""
         fruitless = 0
@@ -264,6 +301,8 @@
                     return None
                 continue
             self._close(stream)
+            if self._is_moving:
+                return Loss("queued", state.name)
             failure = UpstreamBroken(state.name, "tokens do not follow")
             if event.is_error():
                 failure = event.error
--- a/src/sapphirerock/request/loss.py
+++ b/src/sapphirerock/request/loss.py
@@ -11,10 +11,12 @@
 
     Parameters
     ----------
-    cause : {"crash", "restart", "silence", "refused", "broken", "reserved"}
+    cause : {"crash", "restart", "silence", "refused", "broken", "reserved",
+        "queued"}
         What was seen: the process is gone, or has another incarnation, or
         does not answer, or did not take the work, or only the connection was
-        lost; "reserved" means that another suspect runs there.
+        lost; "reserved" means that another suspect runs there, "queued" that
+        another upstream has a free slot.
     upstream : str
         Where the attempt ran.
     incarnation : str
