Close streams of a ring that has changed

Streams that were dialled while a zone's ring was smaller were kept for ever. Change: what this end dialled and does not choose any more closes when idle.

--- a/src/sapphirerock/connection/peer.py
+++ b/src/sapphirerock/connection/peer.py
@@ -38,10 +38,18 @@
         What the peer said of itself.
     receive : callable
         Takes this stream, the correlation and each message that is no reply.
+
+    Attributes
+    ----------
+    is_dialled : bool
+        Whether this end opened the connection.
+    on_demand : bool
+        Whether it may close when it is idle.
     """
 
     __slots__ = (
         "hello",
+        "is_dialled",
         "on_demand",
         "last_heard_s",
         "last_used_s",
@@ -56,6 +64,7 @@
 
     def __init__(self, reader, writer, hello, receive, unpacker):
         self.hello = hello
+        self.is_dialled = False
         self.on_demand = False
         self.last_heard_s = 0.0
         self.last_used_s = 0.0
--- a/src/sapphirerock/process/peers.py
+++ b/src/sapphirerock/process/peers.py
@@ -171,7 +171,7 @@
         if stream.host != host:
             stream.close()
             return Error(PeerUnavailable(host, "another host answers"))
-        stream.on_demand = True
+        stream.is_dialled = True
         self._adopt(stream)
         return Ok(stream)
 
@@ -271,11 +271,13 @@
     @Service.task
     async def _keep_neighbours(self):
         while not self.should_stop:
-            for host in self.choose_neighbours():
+            neighbours = self.choose_neighbours()
+            for host in neighbours:
                 if host not in self.streams:
                     self.add_future(self.reach(host))
-                else:
-                    self.streams[host].on_demand = False
+            for host, stream in self.streams.items():
+                # What was dialled for a ring that has changed may close when idle.
+                stream.on_demand = stream.is_dialled and host not in neighbours
             await self._clock.sleep(HEARTBEAT_S)
 
     def choose_neighbours(self):
