Split the attempt out of the driver; one way to make sessions

Routers and placers made sessions each in their own way. Change: request/attempt.py, connection/sessions.py.

--- a/src/sapphirerock/connection/plain.py
+++ b/src/sapphirerock/connection/plain.py
@@ -15,9 +15,9 @@
     UpstreamSilent,
     UpstreamUnreachable,
 )
+from sapphirerock.connection.sessions import CONNECT_BOUND_S
 from sapphirerock.process.tracing import write_context
 
-CONNECT_BOUND_S = 0.5
 FORWARDED_HEADERS = ("Content-Type", "Accept", "Idempotency-Key")
 
 
--- a/src/sapphirerock/process/placer.py
+++ b/src/sapphirerock/process/placer.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass
 
 import orjson
-from aiohttp import ClientSession, ClientTimeout, TCPConnector
 from loguru import logger
 from mode import Service
 
 from sapphirerock.connection.engine import EngineClient
 from sapphirerock.connection.platform import PlatformClient
+from sapphirerock.connection.sessions import make_session
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.metrics import Metrics
 from sapphirerock.process.rendezvous import rank_candidates
@@ -195,10 +195,7 @@
 
     async def on_start(self):
         """Open connections."""
-        self._session = ClientSession(
-            connector=TCPConnector(local_addr=(self.settings.address.address, 0)),
-            timeout=ClientTimeout(total=ORDER_BOUND_S),
-        )
+        self._session = make_session(self.settings.address.address)
         self._platform = PlatformClient(
             self._session, self.settings.platform_url, Metrics()
         )
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
+from aiohttp import web
 from loguru import logger
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -18,6 +18,7 @@
     JournalRecordMessage,
 )
 from sapphirerock.connection.platform import PlatformClient
+from sapphirerock.connection.sessions import make_session
 from sapphirerock.process.admin import Admin
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.dispatcher import Dispatcher
@@ -45,7 +46,6 @@
 DRAIN_POLL_S = 0.05
 # Callers' balancers need a moment to see that this host is not ready any more.
 DRAIN_GRACE_S = 0.2
-UPSTREAM_CONNECT_BOUND_S = 0.5
 
 
 class RouterService(Service):
@@ -91,16 +91,8 @@
         logger.info("router {} started", self.settings.address.host)
 
     def _make_session(self, force_close=False):
-        """Return a session that calls from this host's own address."""
-        connector = TCPConnector(
-            limit=0,
-            local_addr=(self.settings.address.address, 0),
-            force_close=force_close,
-        )
-        session = ClientSession(
-            connector=connector,
-            timeout=ClientTimeout(sock_connect=UPSTREAM_CONNECT_BOUND_S),
-        )
+        """Return a session that is closed with the process."""
+        session = make_session(self.settings.address.address, force_close)
         self._sessions.append(session)
         return session
 
--- a/src/sapphirerock/request/driver.py
+++ b/src/sapphirerock/request/driver.py
@@ -1,21 +1,12 @@
 """Drive one generation: attempts on engines until every token is there."""
 
-import uuid
-from array import array
-
 from expression import Error, Ok
 from opentelemetry.trace import SpanKind
 
-from sapphirerock.connection.engine import EngineRequest
-from sapphirerock.connection.errors import (
-    UpstreamBroken,
-    UpstreamRefused,
-)
-from sapphirerock.connection.eventstream import DoneEvent
 from sapphirerock.process.dispatcher import ChoiceRequest
-from sapphirerock.process.journal import TOKEN_TYPE
 from sapphirerock.process.quarantine import make_fingerprint
-from sapphirerock.request.loss import Loss, classify_failure
+from sapphirerock.request.attempt import Attempt
+from sapphirerock.request.loss import Loss
 from sapphirerock.request.problem import (
     GENERATION_LOST,
     OVERLOADED,
@@ -29,16 +20,9 @@
 AFFINITY_CHARS = 256
 RECOVERY_BOUND_S = 60.0
 RECOVERY_PAUSE_S = 0.02
-RECOVERY_PRIORITY = 9
-OPEN_BOUND_S = 1.0
-FRUITLESS_RESUMES = 2
 LATE_RETRY_AFTER_S = 1
-# Time in an upstream's own queue after which another one is looked for.
-QUEUE_BOUND_S = 0.5
 CANCEL_TRIES = 20
 CANCEL_PAUSE_S = 0.5
-# Ends that an engine reports without having finished the generation.
-ABORTED_REASONS = ("cancelled", "aborted", "error")
 
 
 class GenerationDriver:
@@ -66,11 +50,8 @@
         "_priority",
         "_deadline_s",
         "_choice",
-        "_attempts",
         "_state",
         "_suspicion",
-        "_received_bytes",
-        "_is_moving",
         "_stalled_at",
         "_stalled_since_s",
     )
@@ -82,10 +63,7 @@
         self._policy = POLICIES[service.recovery]
         self._priority = max(generation.request.priority, route.priority)
         self._deadline_s = deadline_s
-        self._attempts = 0
         self._state = None
-        self._received_bytes = 0
-        self._is_moving = False
         self._stalled_at = -1
         self._stalled_since_s = 0.0
         request = generation.request
@@ -176,215 +154,30 @@
         """Run the generation on an upstream; return the loss, or None at the end."""
         runtime = self._runtime
         started_s = runtime.clock.monotonic()
+        attempt = Attempt(
+            runtime,
+            self._generation,
+            self._policy,
+            self._priority,
+            self._choice,
+            state,
+            is_first=self._state is None,
+        )
         self._state = state
-        self._attempts += 1
         ran_s = None
         self._suspicion.announce(state, running=True)
         try:
             if not await self._suspicion.reserve(state):
                 return Loss("reserved", state.name)
             with runtime.tracer.start_as_current_span("engine", kind=SpanKind.CLIENT):
-                opened = await self._open(state)
-                if opened.is_error():
-                    return opened.error
-                loss = await self._relay_or_move(state, opened.ok)
+                loss = await attempt.run()
             if loss is None:
                 ran_s = runtime.clock.monotonic() - started_s
             return loss
         finally:
             self._suspicion.announce(state, running=False)
             runtime.upstreams.end_call(state, ran_s)
-            runtime.count_upstream_bytes(state, self._received_bytes)
-            self._received_bytes = 0
-
-    async def _open(self, state):
-        """Open a stream: resume what the former driver left, or start.
-
-        Returns
-        -------
-        expression.Result of EventStream or Loss
-        """
-        generation = self._generation
-        if self._attempts == 1 and generation.upstream == state.name:
-            resumed = await state.client.resume_stream(
-                generation.generation_id,
-                generation.text_end,
-                self._policy.probe_bound_s,
-            )
-            if resumed.is_ok():
-                return resumed
-            if not isinstance(resumed.error, UpstreamRefused):
-                return Error(await self._classify(state, resumed.error))
-        opened = await state.client.open_stream(self._make_request(), OPEN_BOUND_S)
-        if opened.is_error():
-            return Error(self._refuse(state, opened.error))
-        if generation.tokens:
-            self._runtime.metrics.prefilled_again.inc(len(generation.tokens))
-        generation.upstream = state.name
-        generation.incarnation = opened.ok.incarnation
-        return opened
-
-    def _make_request(self):
-        generation = self._generation
-        request = generation.request
-        max_tokens = request.max_tokens
-        if generation.finish_reason:
-            max_tokens = len(generation.tokens)
-        priority = RECOVERY_PRIORITY if generation.tokens else self._priority
-        return EngineRequest(
-            uuid.uuid4().hex,
-            generation.generation_id,
-            request.model,
-            request.prompt,
-            max_tokens,
-            priority,
-            request.seed,
-            generation.tokens,
-            generation.text_end,
-        )
-
-    def _refuse(self, state, failure):
-        """Take note that an upstream did not take the generation."""
-        upstreams = self._runtime.upstreams
-        if isinstance(failure, UpstreamRefused):
-            if failure.leaving:
-                upstreams.mark_leaving(state.name)
-            return Loss("refused", state.name)
-        upstreams.mark_down(state.name)
-        return Loss("broken", state.name)
-
-    async def _relay_or_move(self, state, stream):
-        """Relay, but leave an upstream's queue when another one has a free slot.
-
-        Reports lag, so a call may be sent to an upstream that somebody else has
-        just filled. Nothing is lost by leaving before the first token.
-        """
-        watch = self._runtime.tasks.spawn(self._watch_queue(state, stream))
-        try:
-            loss = await self._relay(state, stream)
-        finally:
-            watch.cancel()
-        if loss is not None and self._is_moving:
-            self._is_moving = False
-            self._runtime.tasks.spawn(
-                state.client.cancel(self._generation.generation_id)
-            )
-            return Loss("queued", state.name)
-        return loss
-
-    async def _watch_queue(self, state, stream):
-        """Close the stream once the generation could start elsewhere."""
-        while True:
-            await self._runtime.clock.sleep(QUEUE_BOUND_S)
-            if self._generation.tokens:
-                return
-            self._choice.excluded.add(state.name)
-            other = self._runtime.dispatcher.choose(self._choice, needs_slot=True)
-            self._choice.excluded.discard(state.name)
-            if other is not None and state.free_slots < other.free_slots:
-                self._is_moving = True
-                stream.close()
-                return
-
-    async def _relay(self, state, stream):
-        """Take events until the end; return the loss, or None."""
-        fruitless = 0
-        while True:
-            silence_s = self._policy.waiting_silence_s
-            if self._generation.segments:
-                silence_s = self._policy.streaming_silence_s
-            event = await stream.read_event(silence_s)
-            if event.is_ok() and self._take_event(event.ok):
-                fruitless = 0
-                if self._generation.is_over:
-                    self._close(stream)
-                    return None
-                continue
-            self._close(stream)
-            if self._is_moving:
-                return Loss("queued", state.name)
-            failure = UpstreamBroken(state.name, "tokens do not follow")
-            if event.is_error():
-                failure = event.error
-            self._note_loss()
-            fruitless += 1
-            resumed = await self._resume(state, failure, fruitless)
-            if resumed.is_error():
-                return resumed.error
-            stream = resumed.ok
-
-    def _close(self, stream):
-        stream.close()
-        self._received_bytes += stream.received_bytes
-
-    def _note_loss(self):
-        if self._generation.lost_at_s is None:
-            self._generation.lost_at_s = self._runtime.clock.monotonic()
-
-    def _take_event(self, event):
-        """Take an event; return whether it follows what came before."""
-        generation = self._generation
-        if isinstance(event, DoneEvent):
-            if event.tokens_total != generation.text_end:
-                return False
-            if event.finish_reason in ABORTED_REASONS:
-                return False
-            self._finish(event.finish_reason)
-            return True
-        if not are_tokens(event.tokens):
-            return False
-        if not generation.accept(event.offset, event.tokens, event.text):
-            self._runtime.metrics.tokens_dropped.inc(len(event.tokens))
-            return event.offset + len(event.tokens) <= generation.text_end
-        self._write_ahead(event)
-        return True
-
-    def _write_ahead(self, event):
-        generation = self._generation
-        metrics = self._runtime.metrics
-        if generation.lost_at_s is not None:
-            now_s = self._runtime.clock.monotonic()
-            metrics.resume_latency.observe(now_s - generation.lost_at_s)
-            generation.lost_at_s = None
-        if generation.text_end <= generation.journaled:
-            generation.release(generation.text_end)
-        else:
-            self._runtime.journal.append(generation, event.offset)
-
-    def _finish(self, reason):
-        generation = self._generation
-        if not generation.finish_reason:
-            generation.finish(reason)
-            self._runtime.journal.append(generation, len(generation.tokens))
-        else:
-            generation.release(len(generation.tokens))
-
-    async def _resume(self, state, failure, fruitless):
-        """Open a new connection to the same upstream.
-
-        Returns
-        -------
-        expression.Result of EventStream or Loss
-        """
-        if not self._policy.resumes or fruitless > FRUITLESS_RESUMES:
-            return Error(await self._classify(state, failure))
-        generation = self._generation
-        resumed = await state.client.resume_stream(
-            generation.generation_id, generation.text_end, self._policy.probe_bound_s
-        )
-        if resumed.is_error():
-            return Error(await self._classify(state, resumed.error))
-        self._runtime.metrics.recoveries.labels("connection").inc()
-        return resumed
-
-    async def _classify(self, state, failure):
-        """Return the loss that a failure amounts to; leave the upstream out."""
-        loss = await classify_failure(
-            state, failure, self._generation.incarnation, self._policy.probe_bound_s
-        )
-        if loss.is_absent:
-            self._runtime.upstreams.mark_down(state.name)
-        return loss
+            runtime.count_upstream_bytes(state, attempt.received_bytes)
 
     async def _recover(self, loss):
         """Return the next upstream after a loss.
@@ -394,7 +187,7 @@
         expression.Result of UpstreamState or Problem
         """
         generation = self._generation
-        self._note_loss()
+        generation.note_loss(self._runtime.clock.monotonic())
         if await self._is_stalled():
             return Error(Problem(UNAVAILABLE, "no upstream can go on", 5))
         self._runtime.metrics.recoveries.labels(loss.cause).inc()
@@ -447,15 +240,6 @@
         return Error(Problem(UNAVAILABLE, "no upstream can go on", 5))
 
 
-def are_tokens(tokens):
-    """Return whether an engine's tokens are numbers that a journal can hold."""
-    try:
-        array(TOKEN_TYPE, tokens)
-    except (TypeError, OverflowError):
-        return False
-    return True
-
-
 def make_late():
     """Return the final answer to a request without a token at its deadline."""
     return Problem(OVERLOADED, "no first token in time", LATE_RETRY_AFTER_S)
--- a/src/sapphirerock/request/generation.py
+++ b/src/sapphirerock/request/generation.py
@@ -156,6 +156,11 @@
             self.problem = problem
             self._wake()
 
+    def note_loss(self, now_s):
+        """Take note that tokens stopped; the first loss before a token counts."""
+        if self.lost_at_s is None:
+            self.lost_at_s = now_s
+
     def can_read_after(self, offset):
         """Return whether readers can go on after an offset, to the token."""
         start = offset + 1
