--- a/features/differential.feature
+++ b/features/differential.feature
@@ -24,3 +24,7 @@
 
   Scenario: Tokens from an engine against one list
     Then over 300 schedules of repeated, late and early events a generation takes each token once
+
+  Scenario: Claims older than a day are pruned by the next write
+    Given a store in memory with no faults
+    Then of 50 claims a day old and 5 new ones in one bucket the new ones stand
--- a/features/errors.feature
+++ b/features/errors.feature
@@ -29,3 +29,8 @@
       | peer_key          | "short"   |
       | availability_zone | ""        |
       | drain_bound_s     | -1        |
+
+  Scenario: A host that does not know the peers' key is no peer
+    Given two hosts that share a key and one that has another
+    Then the two are peers of each other, and the third of nobody
+    And the third still serves a generation
--- a/features/steps/differential_steps.py
+++ b/features/steps/differential_steps.py
@@ -19,7 +19,7 @@
     is_resumable,
     unpack_tokens,
 )
-from sapphirerock.process.ledger import Ledger
+from sapphirerock.process.ledger import RETENTION_S, Ledger
 from sapphirerock.request.generation import Generation
 
 SPLIT_BYTES = 30_000
@@ -269,3 +269,25 @@
         assert read == answer[start:naive]
 
     check()
+
+
+@then(
+    "of {old:d} claims a day old and {new:d} new ones in one bucket the new ones stand"
+)
+def check_pruning(context, old, new):
+    async def run():
+        platform = MemoryPlatform()
+        (ledger,) = make_ledgers(platform, 1)
+        now_s = ledger.clock.now().timestamp()
+        for number in range(old + new):
+            # All keys share their first bits, and so their bucket.
+            key = f"{number:032x}"
+            at_s = now_s - (RETENTION_S + 1 if number < old else 0)
+            entry = LedgerEntry(key, f"attempt-{number}", "body", at_s=at_s)
+            assert (await ledger.submit("stock", entry)).is_ok()
+        standing = platform.collect_entries()
+        assert sorted(standing) == [
+            f"{number:032x}" for number in range(old, old + new)
+        ]
+
+    context.run(run())
--- a/features/steps/error_steps.py
+++ b/features/steps/error_steps.py
@@ -4,8 +4,8 @@
 import subprocess
 
 import orjson
-from behave import then, when
-from tools.localcluster import BIN, hash_key
+from behave import given, then, when
+from tools.localcluster import BIN, declare_basics, hash_key
 
 from sapphirerock.process.gateway import BODY_LIMIT_BYTES
 
@@ -117,3 +117,46 @@
     else:
         assert shown in context.check.stderr
     assert "expected" in context.check.stderr
+
+
+@given("two hosts that share a key and one that has another")
+def start_with_stranger(context):
+    world = context.world
+    cluster = world.cluster
+    place = ("zone-a", "region-a")
+
+    async def run():
+        for host in ("r1", "r2", "r3"):
+            cluster.plan_router(host, *place)
+        cluster.add_platform()
+        cluster.add_engine("e1", *place)
+        await cluster.wait_ready()
+        for host in ("r1", "r2"):
+            cluster.start_router(host)
+        cluster.start_router("r3", peer_key="another key of sixteen")
+        await cluster.wait_ready()
+        await declare_basics(cluster, ["e1"])
+
+    context.run(run())
+
+
+@then("the two are peers of each other, and the third of nobody")
+def check_peers(context):
+    cluster = context.world.cluster
+
+    async def run():
+        found = {}
+        for host in cluster.list_routers():
+            found[host] = (await cluster.read_status(host))["peers"]
+        return found
+
+    assert context.run(run()) == {"r1": ["r2"], "r2": ["r1"], "r3": []}
+
+
+@then("the third still serves a generation")
+def check_stranger_serves(context):
+    async def run():
+        return await context.world.make_caller("r3").generate("alone", 5)
+
+    record = context.run(run())
+    assert record.is_whole, record.problem
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -22,6 +22,8 @@
 PLACES = (("zone-a", "region-a"), ("zone-b", "region-a"), ("zone-c", "region-b"))
 PAUSE_BETWEEN_S = 1.0
 WRITES_PER_S = 300
+SETTLE_S = 3.0
+WATCHES_WINDOW_S = 10.0
 ORDERS_WINDOW_S = 6.0
 CPU_METRIC = "process_cpu_seconds_total"
 MEMORY_METRIC = "process_resident_memory_bytes"
@@ -277,6 +279,30 @@
         yield await bench.run(plan, seed)
 
 
+@register_measurement("watches")
+async def measure_watches(seed):
+    """Count platform calls of 8 router processes in 4 zones at rest."""
+    world = ScenarioWorld("watches")
+    zones = [(f"zone-{number}", "region-a") for number in range(4)]
+    try:
+        await world.start(
+            [(f"r{number + 1}", *zones[number % 4]) for number in range(8)],
+            [(f"e{number + 1}", *zones[number], {}) for number in range(4)],
+        )
+        url = world.cluster.platform_url + "/calls"
+        await asyncio.sleep(SETTLE_S)
+        before = await world.cluster.get_json(url)
+        await asyncio.sleep(WATCHES_WINDOW_S)
+        after = await world.cluster.get_json(url)
+        calls = {
+            kind: round((after[kind] - before.get(kind, 0)) / WATCHES_WINDOW_S, 2)
+            for kind in after
+        }
+        yield {"name": "platform calls a second, 8 routers", "seed": seed, **calls}
+    finally:
+        await world.close(failed=False)
+
+
 @register_measurement("orders")
 async def measure_orders(seed):
     """Count platform writes for an order at a ceiling of 300 writes a second."""
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -103,29 +103,58 @@
     ]
 
 
-def main(arguments):
-    """Print the verdict; return the exit status."""
-    results = run_features(arguments)
-    faults = read_known_faults()
-    passed = failed = 0
+@dataclass(slots=True)
+class Verdict:
+    """What all results come to.
+
+    Parameters
+    ----------
+    notes : list of str
+        One line for each failure and each known fault.
+    """
+
+    passed: int
+    failed: int
+    notes: list
+
+
+def judge(results, faults):
+    """Return the verdict on some results.
+
+    A listed scenario that fails counts neither way; one that passes counts as
+    failed.
+    """
+    verdict = Verdict(0, 0, [])
     for result in results:
         known = next((fault for fault in faults if fault.covers(result)), None)
         good = result.status == "passed"
         if known and not good:
-            print(f"known fault: {result.feature}: {result.name}: {known.seen}")
+            verdict.notes.append(
+                f"known fault: {result.feature}: {result.name}: {known.seen}"
+            )
         elif known:
-            print(f"listed in KNOWN-RED.txt, but passes: {result.name}")
-            failed += 1
+            verdict.notes.append(f"listed in KNOWN-RED.txt, but passes: {result.name}")
+            verdict.failed += 1
         elif good:
-            passed += 1
+            verdict.passed += 1
         else:
-            print(f"failed: {result.feature}: {result.name} ({result.status})")
-            failed += 1
+            verdict.notes.append(
+                f"failed: {result.feature}: {result.name} ({result.status})"
+            )
+            verdict.failed += 1
     if not results:
-        print("no scenario was run")
-        failed = 1
-    print(f"{passed} passed, {failed} failed")
-    return 1 if failed else 0
+        verdict.notes.append("no scenario was run")
+        verdict.failed += 1
+    return verdict
+
+
+def main(arguments):
+    """Print the verdict; return the exit status."""
+    verdict = judge(run_features(arguments), read_known_faults())
+    for note in verdict.notes:
+        print(note)
+    print(f"{verdict.passed} passed, {verdict.failed} failed")
+    return 1 if verdict.failed else 0
 
 
 if __name__ == "__main__":
