--- a/features/orders.feature
+++ b/features/orders.feature
@@ -17,6 +17,7 @@
       | the upstreams are killed                          | one host           | not-run |
       | the nearest upstream is killed                    | one host           | ran     |
       | the upstream is killed while an order runs        | one host           | unknown |
+      | none                                              | a host, then another after the upstreams were killed | ran |
       | the upstreams lose the next answer                | every host in turn | unknown |
       | the upstreams lose the next answer to a PUT       | every host in turn | unknown |
 
@@ -27,6 +28,7 @@
       | the platform is slow                              | every host at once | ran     |
       | the platform is down                              | every host in turn | not-run |
       | the platform answers stale reads                  | every host in turn | ran     |
+      | the platform is slow, then down                   | every host at once | any     |
 
     Examples: Routers
       | fault                                             | through                                  | outcome |
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -14,6 +14,8 @@
 ORDER_PATH = "/v1/services/stock/orders/fleece"
 CALL_BOUND_S = 8.0
 LONG_DOWN_S = 600
+SLOW_BEFORE_DOWN_S = 0.3
+RECORDED_WITHIN_S = 0.5
 
 
 @dataclass(slots=True)
@@ -153,6 +155,17 @@
     await context.world.cluster.inject("platform", "down", seconds=LONG_DOWN_S)
 
 
+@register_fault("the platform is slow, then down")
+async def slow_then_stop_platform(context):
+    await slow_platform(context)
+
+    async def stop():
+        await asyncio.sleep(SLOW_BEFORE_DOWN_S)
+        await stop_platform(context)
+
+    context.later = asyncio.ensure_future(stop())
+
+
 @register_fault("the platform answers stale reads")
 async def make_platform_stale(context):
     await context.world.cluster.inject("platform", "stale", seconds=0.3)
@@ -218,6 +231,15 @@
     await send_order(context, hosts[0])
 
 
+@register_route("a host, then another after the upstreams were killed")
+async def send_after_kill(context):
+    await send_order(context, "r1")
+    # The outcome is recorded with the bucket's next write.
+    await asyncio.sleep(RECORDED_WITHIN_S)
+    await kill_upstreams(context)
+    await send_order(context, "r2")
+
+
 @register_route("a host that is killed while it runs")
 async def send_through_dying(context):
     sending = asyncio.ensure_future(send_order(context, "r1"))
