--- a/features/steps/golden_steps.py
+++ b/features/steps/golden_steps.py
@@ -17,7 +17,8 @@
 HEADERS = ("Content-Type", "Cache-Control", "Sapphirerock-Outcome")
 SALT = 7
 KEY = "recorded"
-# Whether a new journal holder is needed depends on the moment of a loss.
+# Whether the host that takes over finds a holder within its bound, or gives the
+# journal to one later, depends on the machine; only a lost router brings this about.
 UNSTEADY_SPAN = "peer JournalBackfill"
 ENGINE = {"salt": SALT, "token_interval": 0.02}
 PLACES = (("zone-a", "region-a"), ("zone-b", "region-a"))
@@ -68,6 +69,9 @@
 def compare_session(context, name):
     record = context.record
     assert record.is_whole, (record.status, record.problem)
+    spans = read_spans(context.world.cluster.folder)
+    if len(record.hosts) > 1:
+        spans = {span for span in spans if not span.startswith(UNSTEADY_SPAN)}
     session = {
         "connections": [
             {header: headers.get(header) for header in HEADERS}
@@ -80,7 +84,7 @@
             "tokens_total": record.tokens_total,
             "finish_reason": record.finish_reason,
         },
-        "spans": sorted(read_spans(context.world.cluster.folder)),
+        "spans": sorted(spans),
     }
     path = GOLDEN / f"{name}.json"
     if os.environ.get("SAPPHIREROCK_WRITE_GOLDEN"):
@@ -95,8 +99,6 @@
     for path in folder.glob("*.spans"):
         for line in path.read_text().splitlines():
             span = json.loads(line)
-            if span["name"] == UNSTEADY_SPAN:
-                continue
             if span["context"]["trace_id"].removeprefix("0x") == TRACE_ID:
                 spans[span["context"]["span_id"]] = span
     return {f"{span['name']} < {name_parent(span, spans)}" for span in spans.values()}
