--- /dev/null
+++ b/src/sapphirerock/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands: one module each."""
--- a/src/sapphirerock/connection/errors.py
+++ b/src/sapphirerock/connection/errors.py
@@ -80,3 +80,18 @@
     """The other end of a peer stream did not prove who it is."""
 
     reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptInterrupted(ConnectionFailure):
+    """The attempt was given up, for a reason that lies outside of it."""
+
+    upstream: str
+    cause: str
+
+
+@dataclass(slots=True, frozen=True)
+class TimeIsUp(ConnectionFailure):
+    """The call's time ended before the upstream answered."""
+
+    upstream: str
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -71,10 +71,14 @@
         Whether the sender is shutting down.
     settings_horizon : int
         Version of the settings that the sender has in force.
+    views : list of [str, int, int, int]
+        Kind of objects, revision of the last change that the sender knows, their
+        number, and milliseconds since anybody it knows of heard from the store.
     """
 
     leaving: bool
     settings_horizon: int
+    views: list
 
 
 @register_message(4)
@@ -221,6 +225,58 @@
     after: int
 
 
+@register_message(22)
+@dataclass(slots=True)
+class ObjectDelta(Message):
+    """Changes of the store's objects of a kind, complete between two revisions.
+
+    Parameters
+    ----------
+    after, horizon : int
+        Revisions; an `after` of 0 stands for the whole list.
+    changes : list of [str, int, object]
+        Name, revision, content; None for a deletion.
+    """
+
+    kind: str
+    after: int
+    horizon: int
+    changes: list
+
+
+@register_message(23)
+@dataclass(slots=True)
+class ObjectPull(Message):
+    """Ask for the changes of a kind's objects after a revision."""
+
+    kind: str
+    after: int
+
+
+@register_message(24)
+@dataclass(slots=True)
+class HostLoads(Message):
+    """What the sender has under way on engines, for the hubs of its zone.
+
+    Parameters
+    ----------
+    cells : list of [str, int, int, int, int]
+        Engine; unread prompt tokens, runs, memory tokens, copies' tokens. What is
+        not named has not changed.
+    """
+
+    cells: list
+
+
+@register_message(25)
+@dataclass(slots=True)
+class ZoneLoads(Message):
+    """What the hosts of a zone have under way on engines, added up by its hub."""
+
+    availability_zone: str
+    cells: list
+
+
 @register_message(30)
 @dataclass(slots=True)
 class Rumour(Message):
--- a/src/sapphirerock/load/microslopes.py
+++ b/src/sapphirerock/load/microslopes.py
@@ -8,7 +8,7 @@
 from aiohttp import ClientSession
 
 from sapphirerock.connection.engine import EngineClient
-from sapphirerock.connection.messages import LoadDigest, LoadSample, encode_frame
+from sapphirerock.connection.messages import Hello, LoadDigest, LoadSample, encode_frame
 from sapphirerock.load.slopes import (
     ADDRESS,
     SlopeRow,
@@ -17,6 +17,8 @@
     register_measurement,
 )
 from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.hosts import HostTable
+from sapphirerock.process.hostsettings import HostAddress
 from sapphirerock.process.loads import LoadSpread
 from sapphirerock.process.upstreams import UpstreamTable
 from sapphirerock.process.web import WebService
@@ -56,11 +58,23 @@
     return SlopeTable("generations of 200 tokens", ("bytes",), tuple(rows))
 
 
+class SilentStream:
+    """Stands in for a stream within the zone."""
+
+    __slots__ = ("host", "hello")
+
+    def __init__(self, host):
+        self.host = host
+        self.hello = Hello(host, "zone", "region", ADDRESS, 0, 0, 0, b"")
+
+
 class SilentPeers:
     """Stands in for the peer table where no streams are needed."""
 
     def __init__(self):
-        self.zone_neighbours = ["a", "b", "c"]
+        own = HostAddress("own", "zone", "region", ADDRESS, 0, 0)
+        self.hosts = HostTable(own, (), ManualClock())
+        self.streams = {name: SilentStream(name) for name in ("a", "b", "c")}
         self.on_connect = []
 
     def register_handler(self, message_type, handler):
--- /dev/null
+++ b/src/sapphirerock/platform/dialect.py
@@ -0,0 +1,85 @@
+"""The platform's engines: heads of requests to them and of their answers."""
+
+import orjson
+
+from sapphirerock.connection.answer import AnswerHead, EngineLoad
+from sapphirerock.connection.dialects import EngineDialect, register_dialect
+from sapphirerock.platform.ingress import parse_number, select_answer_headers
+from sapphirerock.platform.names import (
+    ATTEMPT_ID,
+    BACKUP,
+    CONTINUE_FROM,
+    DEADLINE,
+    ENGINE_LOAD,
+    EXPECTED_INSTANCE,
+    LAST_EVENT_ID,
+    NOT_EXECUTED,
+    ORGANISATION,
+    REPORT_PATH,
+    SEAL,
+)
+
+MS_PER_S = 1000.0
+STATUS_OTHER_INSTANCE = 421
+EVENT_STREAM = "text/event-stream"
+
+
+@register_dialect("platform")
+class PlatformDialect(EngineDialect):
+    """Engines of the shared platform."""
+
+    __slots__ = ()
+    report_target = REPORT_PATH
+
+    def make_headers(self, call, engine, remaining_s, backup=None, continuation=None):
+        """Return the head of a request."""
+        headers = list(call.headers)
+        headers.append((DEADLINE, str(max(1, int(remaining_s * MS_PER_S)))))
+        headers.append((EXPECTED_INSTANCE, engine.name))
+        if call.organisation is not None:
+            headers.append((ORGANISATION, call.organisation))
+        if backup is not None:
+            headers.append((BACKUP, backup.address))
+        if continuation is None:
+            return headers
+        headers = [item for item in headers if item[0].lower() != LAST_EVENT_ID.lower()]
+        if continuation.last_event_id is not None:
+            headers.append((LAST_EVENT_ID, str(continuation.last_event_id)))
+        if continuation.copy_address:
+            source = f"{continuation.copy_address}/{call.terms.attempt_id}"
+            headers.append((CONTINUE_FROM, source))
+        return headers
+
+    def read_head(self, response):
+        """Decode the head of an answer."""
+        headers = response.headers
+        return AnswerHead(
+            status=response.status,
+            attempt_id=headers.get(ATTEMPT_ID),
+            is_sealed=SEAL in headers,
+            is_stream=response.content_type == EVENT_STREAM,
+            is_encoded="Content-Encoding" in headers,
+            was_not_executed=(
+                NOT_EXECUTED in headers or response.status == STATUS_OTHER_INSTANCE
+            ),
+            load=_read_load(headers.get(ENGINE_LOAD)),
+        )
+
+    def select_answer_headers(self, response):
+        """Return the headers that are not for routers alone."""
+        return select_answer_headers(response.headers)
+
+    def read_start(self, body):
+        """Return the start of the engine that a report names."""
+        try:
+            return int(orjson.loads(body).get("born", 0))
+        except (ValueError, TypeError, AttributeError):
+            return None
+
+
+def _read_load(text):
+    """Decode running, waiting and slots."""
+    numbers = [parse_number(part) for part in (text or "").split(",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    return EngineLoad(*numbers)
--- /dev/null
+++ b/src/sapphirerock/platform/ingress.py
@@ -0,0 +1,123 @@
+"""Heads of callers' requests and of the answers to them."""
+
+from sapphirerock.platform.names import (
+    ATTEMPT_ID,
+    AUTHORIZATION,
+    DEADLINE,
+    ENGINE_ONLY_HEADERS,
+    KEY_SCHEME,
+    LAST_EVENT_ID,
+    MODEL,
+    PROMPT_PARTS,
+    SYSTEM_HEADERS,
+    TOKEN_USAGE,
+)
+from sapphirerock.request.call import CallTerms, Prompt
+
+MS_PER_S = 1000.0
+# Headers that concern a single connection (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+ANSWER_ID = ATTEMPT_ID
+
+
+def decode_terms(headers):
+    """Decode what a request's head says of how it is to be treated.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        The head; names without regard to case.
+
+    Returns
+    -------
+    CallTerms
+        A field that cannot be read counts as absent.
+    """
+    authorization = headers.get(AUTHORIZATION, "")
+    key = None
+    if authorization[: len(KEY_SCHEME)].lower() == KEY_SCHEME.lower():
+        key = authorization[len(KEY_SCHEME) :].strip()
+    patience_ms = parse_number(headers.get(DEADLINE))
+    return CallTerms(
+        attempt_id=headers.get(ATTEMPT_ID, ""),
+        patience_s=None if patience_ms is None else patience_ms / MS_PER_S,
+        key=key,
+        last_event_id=parse_number(headers.get(LAST_EVENT_ID)),
+        prompt=_decode_prompt(headers),
+    )
+
+
+def _decode_prompt(headers):
+    tokens, _, output_tokens = headers.get(TOKEN_USAGE, "").partition(",")
+    parts = []
+    for entry in headers.get(PROMPT_PARTS, "").split(","):
+        name, separator, size = entry.strip().rpartition(":")
+        if separator:
+            parts.append((name, parse_number(size) or 0))
+    return Prompt(
+        model=headers.get(MODEL, ""),
+        tokens=parse_number(tokens) or 0,
+        output_tokens=parse_number(output_tokens) or 0,
+        parts=tuple(parts),
+    )
+
+
+def parse_number(text):
+    """Return a whole number of 0 or more, or None."""
+    text = (text or "").strip()
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def select_request_headers(headers, hides_authorization):
+    """Return the headers that go to an upstream as they came.
+
+    Parameters
+    ----------
+    headers : CIMultiDictProxy
+        The request's head.
+    hides_authorization : bool
+        Whether ``Authorization`` carries a key that upstreams must not see.
+
+    Returns
+    -------
+    tuple of (str, str)
+        Names and values in their order.
+    """
+    dropped = set(CONNECTION_HEADERS | SYSTEM_HEADERS)
+    dropped.update(_list_connection_options(headers))
+    if hides_authorization:
+        dropped.add(AUTHORIZATION.lower())
+    return _select(headers, dropped)
+
+
+def select_answer_headers(headers):
+    """Return the headers of an upstream's answer that go to the caller."""
+    dropped = set(CONNECTION_HEADERS | ENGINE_ONLY_HEADERS)
+    dropped.update(_list_connection_options(headers))
+    return _select(headers, dropped)
+
+
+def _select(headers, dropped):
+    return tuple(
+        (name, value) for name, value in headers.items() if name.lower() not in dropped
+    )
+
+
+def _list_connection_options(headers):
+    """Return the names that ``Connection`` says are of this connection only."""
+    values = headers.getall("Connection", ())
+    return {name.strip().lower() for value in values for name in value.split(",")}
--- /dev/null
+++ b/src/sapphirerock/platform/settingsfile.py
@@ -0,0 +1,99 @@
+"""The settings file that the platform writes for each process."""
+
+import orjson
+from expression import Error, Ok
+
+from sapphirerock.process.hostprofile import (
+    Endpoint,
+    HostProfile,
+    ServiceBounds,
+    StoreAccess,
+    parse_endpoint,
+)
+from sapphirerock.version.faults import SettingsError, SettingsFault
+
+MS_PER_S = 1000.0
+
+
+def read_profile(path):
+    """Read and decode a settings file.
+
+    Returns
+    -------
+    expression.Result of HostProfile or SettingsError
+    """
+    try:
+        with open(path, "rb") as stream:
+            return decode_profile(stream.read())
+    except OSError as error:
+        return Error(SettingsError([SettingsFault("$", repr(error), "a file")]))
+
+
+def decode_profile(content):
+    """Decode the content of a settings file; unknown fields are ignored.
+
+    Parameters
+    ----------
+    content : bytes
+        JSON.
+
+    Returns
+    -------
+    expression.Result of HostProfile or SettingsError
+    """
+    try:
+        return Ok(_decode(orjson.loads(content)))
+    except KeyError as error:
+        return Error(
+            SettingsError([SettingsFault(f"$.{error.args[0]}", "nothing", "a value")])
+        )
+    except (TypeError, ValueError, AttributeError) as error:
+        return Error(SettingsError([SettingsFault("$", repr(error), "host settings")]))
+
+
+def _decode(document):
+    listen = document["listen"]
+    return HostProfile(
+        host=document["node"],
+        availability_zone=document["zone"],
+        region=document["region"],
+        address=document["ip"],
+        callers=parse_endpoint(listen["front"]),
+        readiness=parse_endpoint(listen["ready"]),
+        peers=_choose_peer_endpoint(document, listen),
+        seeds=tuple(parse_endpoint(seed) for seed in document.get("seeds") or ()),
+        store=_decode_store(document["platform"]),
+        bounds=_decode_bounds(document.get("bounds") or {}),
+        regions=dict(document.get("zones") or {}),
+    )
+
+
+def _choose_peer_endpoint(document, listen):
+    """Return the address that seeds name, or the first free port without one."""
+    # Nobody outside calls this address: it is the one that seeds are given for.
+    if "control" in listen:
+        return parse_endpoint(listen["control"])
+    return Endpoint(document["ip"], document["port_range"][0])
+
+
+def _decode_store(entry):
+    return StoreAccess(
+        endpoint=parse_endpoint(entry["address"]),
+        writes_per_s=float(entry["writes_per_s"]),
+        reads_per_s=float(entry["reads_per_s"]),
+        history_s=float(entry["history_s"]),
+        value_bytes=int(entry["value_bytes"]),
+    )
+
+
+def _decode_bounds(entry):
+    default = ServiceBounds()
+    return ServiceBounds(
+        grace_s=float(entry.get("grace_s", default.grace_s)),
+        drain_s=entry.get("drain_ms", default.drain_s * MS_PER_S) / MS_PER_S,
+        contact_s=entry.get("contact_ms", default.contact_s * MS_PER_S) / MS_PER_S,
+        # Named for money, but a budget of repeats.
+        retry_ratio=float(entry.get("budget_ratio", default.retry_ratio)),
+        retry_slack=float(entry.get("budget_slack", default.retry_slack)),
+        retry_window_s=float(entry.get("budget_window_s", default.retry_window_s)),
+    )
--- /dev/null
+++ b/src/sapphirerock/platform/storewire.py
@@ -0,0 +1,102 @@
+"""The store's protocol: paths, queries and bodies."""
+
+from urllib.parse import quote
+
+import orjson
+
+from sapphirerock.connection.storeobjects import (
+    ObjectEvent,
+    ObjectEvents,
+    ObjectPage,
+    StoredObject,
+)
+from sapphirerock.platform.names import OBJECTS_PATH
+
+MS_PER_S = 1000
+
+
+def make_path(kind, name=None):
+    """Return the path of a kind, or of one of its objects."""
+    path = f"{OBJECTS_PATH}/{quote(kind, safe='')}"
+    return path if name is None else f"{path}/{quote(name, safe='')}"
+
+
+def make_list_query(after, allows_stale):
+    """Return the query that lists a kind's objects after a name."""
+    query = {}
+    if after is not None:
+        query["after"] = after
+    if allows_stale:
+        query["allow_stale"] = "1"
+    return query
+
+
+def make_watch_query(revision, wait_s):
+    """Return the query that waits for changes after a revision."""
+    return {"watch": str(revision), "wait_ms": str(int(wait_s * MS_PER_S))}
+
+
+def get_watched_revision(query):
+    """Return the revision that a watch's query names, 0 for other queries."""
+    return int((query or {}).get("watch", 0))
+
+
+def make_condition_query(revision):
+    """Return the query that ties a deletion to a revision."""
+    return {"revision": str(revision)}
+
+
+def encode_object(name, spec, revision=None):
+    """Return the body that creates or replaces an object.
+
+    Parameters
+    ----------
+    revision : int or None
+        Revision that the object must still have.
+    """
+    metadata = {"name": name}
+    if revision is not None:
+        metadata["revision"] = revision
+    return orjson.dumps({"metadata": metadata, "spec": spec})
+
+
+def decode_object(document):
+    """Return the object that a JSON document describes.
+
+    Raises
+    ------
+    KeyError, TypeError
+        It describes none.
+    """
+    metadata = document["metadata"]
+    return StoredObject(
+        metadata["name"], int(metadata["revision"]), document.get("spec")
+    )
+
+
+def read_object(body):
+    """Decode one object."""
+    return decode_object(orjson.loads(body))
+
+
+def read_page(body):
+    """Decode a part of a list."""
+    document = orjson.loads(body)
+    return ObjectPage(
+        tuple(decode_object(item) for item in document["items"]),
+        bool(document["has_more"]),
+        # The store's revision, not a time or a place.
+        int(document["at"]),
+    )
+
+
+def read_events(body):
+    """Decode the answer to a watch."""
+    document = orjson.loads(body)
+    return ObjectEvents(
+        tuple(
+            ObjectEvent(decode_object(event["object"]), bool(event["deleted"]))
+            for event in document["events"]
+        ),
+        int(document["at"]),
+    )
--- /dev/null
+++ b/src/sapphirerock/process/crashwatch.py
@@ -0,0 +1,159 @@
+"""Finds out whether an engine whose connections broke has crashed, and by what."""
+
+import hashlib
+from collections import deque
+
+from loguru import logger
+
+from sapphirerock.connection.errors import UpstreamUnreachable
+from sapphirerock.connection.upstream import probe
+from sapphirerock.decisions.conviction import (
+    CONVICTING_CRASHES,
+    TOGETHER_S,
+    Crash,
+    is_evidence,
+)
+from sapphirerock.process.gossip import CrashNews, EngineDownNews
+from sapphirerock.process.quarantine import make_fingerprint
+from sapphirerock.process.tasks import BackgroundTasks
+
+# Two ways between regions and back, with room for a busy engine.
+PROBE_BOUND_S = 0.3
+CRASHES_REMEMBERED = 256
+
+
+class CrashWatch:
+    """Evidence of crashes from this host's calls and from peers.
+
+    Parameters
+    ----------
+    engines : EngineTable
+        Registered engines.
+    quarantine : Quarantine
+        Evidence against requests.
+    gossip : Gossip
+        Carries crashes to and from peers.
+    session : aiohttp.ClientSession
+        Connections to engines.
+    dialect : EngineDialect
+        How engines are spoken to.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = (
+        "_engines",
+        "_quarantine",
+        "_gossip",
+        "_session",
+        "_dialect",
+        "_clock",
+        "_crashes",
+        "_suspects",
+        "_tasks",
+    )
+
+    def __init__(self, engines, quarantine, gossip, session, dialect, clock):
+        self._engines = engines
+        self._quarantine = quarantine
+        self._gossip = gossip
+        self._session = session
+        self._dialect = dialect
+        self._clock = clock
+        self._crashes = deque(maxlen=CRASHES_REMEMBERED)
+        self._suspects = {}
+        self._tasks = BackgroundTasks()
+        gossip.subscribe(CrashNews, quarantine.apply_news)
+        gossip.subscribe(EngineDownNews, self._take_down)
+
+    def is_convicted(self, call):
+        """Return whether a call crashes the engines that run it."""
+        if not len(self._quarantine):
+            return False
+        crashes = self._quarantine.count_crashes(fingerprint_call(call))
+        return crashes >= CONVICTING_CRASHES
+
+    def investigate(self, state, call):
+        """Find out why the connection of a call to its engine broke."""
+        suspects = self._suspects.get(state)
+        if suspects is not None:
+            suspects.add(fingerprint_call(call))
+            return
+        self._suspects[state] = {fingerprint_call(call)}
+        self._tasks.spawn(self._investigate(state))
+
+    async def _investigate(self, state):
+        try:
+            if await self._has_crashed(state):
+                self.condemn(state, "crashed")
+                await self._collect_evidence(state)
+        finally:
+            del self._suspects[state]
+
+    async def _has_crashed(self, state):
+        """Return whether an engine is not the one any more that it was."""
+        entry = state.entry
+        answer = await probe(
+            self._session,
+            entry.name,
+            entry.address,
+            self._dialect.report_target,
+            PROBE_BOUND_S,
+        )
+        if answer.is_error():
+            failure = answer.error
+            return isinstance(failure, UpstreamUnreachable) and failure.refused
+        born_ms = self._dialect.read_start(answer.ok)
+        return bool(entry.born_ms and born_ms and born_ms != entry.born_ms)
+
+    def condemn(self, state, cause):
+        """Take an engine out, end this host's attempts there and tell peers."""
+        self._end_attempts(state, cause)
+        entry = state.entry
+        self._crashes.append(
+            Crash(entry.name, entry.availability_zone, self._clock.monotonic())
+        )
+        self._gossip.spread(
+            EngineDownNews(entry.name, entry.born_ms, entry.availability_zone, cause)
+        )
+
+    def _end_attempts(self, state, cause):
+        self._engines.mark_down(state, cause)
+        for attempt in list(state.attempts):
+            attempt.interrupt(cause)
+
+    async def _collect_evidence(self, state):
+        """Wait until crashes of the same moment are known, then tell peers."""
+        crash = self._crashes[-1]
+        await self._clock.sleep(TOGETHER_S)
+        suspects = self._suspects[state]
+        convicting = is_evidence(crash, self._crashes)
+        logger.bind(
+            engine=state.name, suspects=len(suspects), is_evidence=convicting
+        ).info("crash examined")
+        if not convicting:
+            return
+        start = str(state.entry.born_ms)
+        for fingerprint in suspects:
+            self._gossip.spread(CrashNews(fingerprint, state.name, start, False))
+
+    def _take_down(self, news):
+        """Take over that a peer found an engine down, unless it speaks to us."""
+        now_s = self._clock.monotonic()
+        self._crashes.append(Crash(news.engine, news.availability_zone, now_s))
+        state = self._engines.get(news.engine)
+        if state is None or state.entry.born_ms != news.born_ms:
+            return
+        if not self._engines.is_usable(state):
+            return
+        if news.cause != "crashed" and now_s - state.heard_at_s < TOGETHER_S:
+            logger.bind(engine=state.name, cause=news.cause).info("peer contradicted")
+            return
+        self._end_attempts(state, news.cause)
+
+
+def fingerprint_call(call):
+    """Return the digest of a call's path, organisation and body."""
+    digest = hashlib.blake2b(call.target.encode("utf-8", "surrogateescape"))
+    digest.update(b"\0" + call.body)
+    return make_fingerprint(call.organisation or "", digest.digest())
--- /dev/null
+++ b/src/sapphirerock/process/edge.py
@@ -0,0 +1,233 @@
+"""The entry host's process on the shared platform: all parts, put together."""
+
+import asyncio
+import random
+import time
+
+from aiohttp import web
+from loguru import logger
+from mode import Service
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from sapphirerock.connection.dialects import DIALECTS
+from sapphirerock.connection.ingress import CallerServer
+from sapphirerock.connection.sessions import make_session
+from sapphirerock.connection.store import StoreClient
+from sapphirerock.connection.upstream import make_upstream_session
+from sapphirerock.decisions.placement import PLACEMENTS
+from sapphirerock.decisions.repeats import RepeatBudget, RepeatTerms
+from sapphirerock.platform import dialect as platform_dialect
+from sapphirerock.platform.configuration import decode_configuration
+from sapphirerock.platform.names import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    ENGINES_KIND,
+    READINESS_PATH,
+    ROUTERS_KIND,
+)
+from sapphirerock.platform.registrations import decode_registration
+from sapphirerock.process.clock import SystemClock
+from sapphirerock.process.crashwatch import CrashWatch
+from sapphirerock.process.edgemetrics import EdgeMetrics
+from sapphirerock.process.edgeruntime import EdgeRuntime
+from sapphirerock.process.enginemonitor import EngineMonitor
+from sapphirerock.process.enginetable import EngineTable
+from sapphirerock.process.feed import ObjectFeed
+from sapphirerock.process.fleet import Fleet
+from sapphirerock.process.gossip import Gossip
+from sapphirerock.process.hosts import HostTable
+from sapphirerock.process.hostsettings import HostAddress, TracingSettings
+from sapphirerock.process.loadsharing import LoadSharing
+from sapphirerock.process.membership import Membership
+from sapphirerock.process.peers import PeerTable
+from sapphirerock.process.quarantine import Quarantine
+from sapphirerock.process.replica import Replica
+from sapphirerock.process.routingstore import RoutingStore
+from sapphirerock.process.tracing import make_tracer
+from sapphirerock.process.web import WebService
+from sapphirerock.request.reception import Reception
+from sapphirerock.version.routing import CallerLimits
+
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+PLACEMENT = "least-prompt-tokens"
+BACKLOG = 1024
+# The platform takes a host out of rotation after two checks a second apart.
+ROTATION_S = 2.3
+# Time before SIGKILL that is kept for closing what is still open.
+CLOSING_S = 0.6
+DRAIN_POLL_S = 0.05
+
+
+class Edge(Service):
+    """One entry host's process.
+
+    Parameters
+    ----------
+    profile : HostProfile
+        This host.
+    clock : Clock or None
+        Source of time; the system's when None.
+    """
+
+    def __init__(self, profile, clock=None, **kwargs):
+        super().__init__(**kwargs)
+        self.profile = profile
+        self.clock = clock or SystemClock()
+        self.metrics = EdgeMetrics()
+        self._sessions = []
+        self._listener = None
+        self._server = None
+
+    async def on_start(self):
+        """Build every part and start those that run by themselves."""
+        profile = self.profile
+        self.tracer = make_tracer(TracingSettings(), profile.host)
+        self._build_knowledge()
+        self._build_calls()
+        for service in (
+            self.peers,
+            self.feed,
+            self.membership,
+            self.loads,
+            self.monitor,
+            self._make_web(profile.readiness, READINESS_PATH, self._answer_ready),
+            self._make_metrics(),
+        ):
+            await self.add_runtime_dependency(service)
+        self._server = CallerServer(self.reception.handle, self._read_limits)
+        callers = profile.callers
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._server, callers.address, callers.port, backlog=BACKLOG
+        )
+        logger.bind(
+            host=profile.host, zone=profile.availability_zone, callers=str(callers)
+        ).info("started")
+
+    def _keep_session(self, session):
+        """Return a session that is closed with the process."""
+        self._sessions.append(session)
+        return session
+
+    def _build_knowledge(self):
+        """Build what learns from the store and from peers."""
+        profile, clock = self.profile, self.clock
+        own = HostAddress(
+            profile.host,
+            profile.availability_zone,
+            profile.region,
+            profile.address,
+            profile.callers.port,
+            profile.peers.port,
+        )
+        self.hosts = HostTable(own, (), clock)
+        incarnation = time.time_ns()
+        # The platform gives its hosts no common secret; their network is its own.
+        self.peers = PeerTable(
+            self.hosts, "", incarnation, clock, self.metrics, tracer=self.tracer
+        )
+        self.gossip = Gossip(self.peers)
+        self.store = StoreClient(
+            self._keep_session(make_session(profile.address, force_close=True)),
+            profile.store.endpoint,
+            self.metrics,
+            self.tracer,
+        )
+        self.routing = RoutingStore(decode_configuration, CONFIGURATION_NAME)
+        self.engines = EngineTable(decode_registration, clock)
+        configuration = Replica(CONFIGURATION_KIND)
+        engines = Replica(ENGINES_KIND)
+        routers = Replica(ROUTERS_KIND)
+        configuration.subscribe(self.routing.apply_changes)
+        engines.subscribe(self.engines.apply_changes)
+        self.feed = ObjectFeed(
+            self.store, [configuration, engines, routers], self.peers, clock
+        )
+        self.loads = LoadSharing(self.engines, self.peers, clock)
+        self.membership = Membership(
+            self.store, routers, self.peers, profile.seeds, incarnation, clock
+        )
+
+    def _build_calls(self):
+        """Build what calls use."""
+        profile, clock, bounds = self.profile, self.clock, self.profile.bounds
+        generator = random.Random(profile.host)
+        session = self._keep_session(make_upstream_session(profile.address))
+        dialect = DIALECTS[platform_dialect.PlatformDialect.name]
+        crashes = CrashWatch(
+            self.engines, Quarantine(clock), self.gossip, session, dialect, clock
+        )
+        self.monitor = EngineMonitor(self.engines, crashes, session, dialect, clock)
+        policy = PLACEMENTS[PLACEMENT](generator)
+        terms = RepeatTerms(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+        )
+        runtime = EdgeRuntime(
+            clock=clock,
+            metrics=self.metrics,
+            tracer=self.tracer,
+            session=session,
+            dialect=dialect,
+            fleet=Fleet(self.engines, self.routing, policy, profile.availability_zone),
+            budget=RepeatBudget(terms, self._count_hosts, clock),
+            crashes=crashes,
+            generator=generator,
+        )
+        self.reception = Reception(runtime, self.routing)
+
+    def _count_hosts(self):
+        return 1 + len(self.hosts.list_live())
+
+    def _read_limits(self):
+        current = self.routing.current
+        return current.limits if current else CallerLimits()
+
+    def _make_web(self, endpoint, path, handler):
+        application = web.Application()
+        application.add_routes([web.get(path, handler)])
+        return WebService(application, endpoint.address, endpoint.port)
+
+    def _make_metrics(self):
+        application = web.Application()
+        application.add_routes([web.get(METRICS_PATH, self._answer_metrics)])
+        return WebService(application, self.profile.address, METRICS_PORT)
+
+    @property
+    def is_ready(self):
+        """Whether this host is to get new connections."""
+        leaving = self.reception.leaving_since_s is not None
+        return self.routing.current is not None and not leaving
+
+    async def _answer_ready(self, request):
+        status = 200 if self.is_ready else 503
+        return web.json_response({"ready": self.is_ready}, status=status)
+
+    async def _answer_metrics(self, request):
+        return web.Response(
+            body=generate_latest(self.metrics.registry),
+            headers={"Content-Type": CONTENT_TYPE_LATEST},
+        )
+
+    async def on_stop(self):
+        """Take no new connections, finish what is under way, then end."""
+        started_s = self.clock.monotonic()
+        deadline_s = started_s + self.profile.bounds.grace_s - CLOSING_S
+        self.reception.leaving_since_s = started_s
+        logger.bind(calls=self.reception.calls).info("stopping")
+        self.peers.announce_leaving()
+        await self.membership.leave()
+        await self.clock.sleep(ROTATION_S)
+        self._listener.close()
+        self._server.close_idle()
+        while self.reception.calls and self.clock.monotonic() < deadline_s:
+            await self.clock.sleep(DRAIN_POLL_S)
+        logger.bind(
+            calls=self.reception.calls,
+            took_s=round(self.clock.monotonic() - started_s, 2),
+        ).info("stopped")
+
+    async def on_shutdown(self):
+        """Close connections to engines and the store."""
+        for session in self._sessions:
+            await session.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/src/sapphirerock/process/edgemetrics.py
@@ -0,0 +1,74 @@
+"""Prometheus metrics of an edge."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+)
+
+LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.5, 4.5, 10.0, 25.0)
+
+
+class EdgeMetrics:
+    """All counters, gauges and histograms of one process."""
+
+    __slots__ = (
+        "registry",
+        "calls",
+        "call_seconds",
+        "first_event_seconds",
+        "pause_seconds",
+        "attempts",
+        "refusals",
+        "platform_calls",
+        "peer_bytes",
+        "peer_links",
+        "engines",
+        "configuration_revision",
+        "quarantined",
+    )
+
+    def __init__(self):
+        registry = self.registry = CollectorRegistry()
+        ProcessCollector(registry=registry)
+
+        def counter(name, text, *labels):
+            return Counter(f"sapphirerock_{name}", text, labels, registry=registry)
+
+        def gauge(name, text):
+            return Gauge(f"sapphirerock_{name}", text, registry=registry)
+
+        def histogram(name, text, *labels):
+            return Histogram(
+                f"sapphirerock_{name}",
+                text,
+                labels,
+                buckets=LATENCY_BUCKETS_S,
+                registry=registry,
+            )
+
+        self.calls = counter("calls", "Answers to callers", "kind", "status")
+        self.call_seconds = histogram("call_seconds", "Time of whole calls", "kind")
+        self.first_event_seconds = histogram(
+            "first_event_seconds", "From a stream's request to its first event"
+        )
+        self.pause_seconds = histogram(
+            "pause_seconds", "Longest pause between events of a stream"
+        )
+        self.attempts = counter("attempts", "Attempts at engines", "ending")
+        self.refusals = counter("refusals", "Calls turned away", "cause")
+        self.platform_calls = counter("platform_calls", "Calls to the store", "kind")
+        self.peer_bytes = counter("peer_bytes", "Bytes to peers", "kind", "reach")
+        self.peer_links = gauge("peer_links", "Open peer streams")
+        self.engines = gauge("engines", "Registered engines")
+        self.configuration_revision = gauge(
+            "configuration_revision", "Revision of the configuration in force"
+        )
+        self.quarantined = gauge("quarantined", "Requests with evidence of crashes")
+
+    def observe_call(self, kind, status, seconds):
+        """Count an answer; status 0 stands for a caller that left."""
+        self.calls.labels(kind, str(status)).inc()
+        self.call_seconds.labels(kind).observe(seconds)
--- /dev/null
+++ b/src/sapphirerock/process/feed.py
@@ -0,0 +1,247 @@
+"""How objects of the store reach every host.
+
+In each availability zone the first live host by rendezvous keeps a watch on the
+store and tells the others, who read the store themselves only when nobody has
+heard from it lately. So calls to the store grow with zones, not with hosts, and
+a host that the store turns away learns from its peers.
+"""
+
+from loguru import logger
+from mode import Service
+
+from sapphirerock.connection.messages import ObjectDelta, ObjectPull
+from sapphirerock.connection.storeobjects import HistoryGone
+from sapphirerock.process.rendezvous import rank_candidates
+from sapphirerock.process.replica import ReplicaChange
+
+WATCHERS_PER_ZONE = 1
+# Bounds how late a watch that went silent is noticed; a watch that waits is one
+# call.
+WATCH_WAIT_S = 2.0
+RETRY_PAUSE_S = 0.3
+# A watch that waits says nothing, so a host is behind only after more than that.
+STARVED_AFTER_S = 3.2
+PULL_PAUSE_S = 0.2
+# Time that the platform gives entries to come back after it was away.
+RETURN_GRACE_S = 2.0
+# Entries lapse after three missed heartbeats; shorter outages end none.
+OUTAGE_S = 1.5
+NEVER_S = -1e9
+
+
+class FeedState:
+    """What a feed knows of its own contact with the store.
+
+    Attributes
+    ----------
+    fresh_at_s : float
+        Monotonic time at which somebody last heard from the store.
+    contact_at_s : float
+        Monotonic time at which this host last did.
+    is_lost : bool
+        Whether this host's last call failed.
+    """
+
+    __slots__ = ("fresh_at_s", "contact_at_s", "is_lost", "pulled_at_s")
+
+    def __init__(self):
+        self.fresh_at_s = NEVER_S
+        self.contact_at_s = NEVER_S
+        self.is_lost = False
+        self.pulled_at_s = {}
+
+
+class ObjectFeed(Service):
+    """Keeps replicas up to date from the store and from peers.
+
+    Parameters
+    ----------
+    store : StoreClient
+        Calls to the store.
+    replicas : list of Replica
+        Kinds to follow.
+    peers : PeerTable
+        Streams to peers.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, store, replicas, peers, clock, **kwargs):
+        super().__init__(**kwargs)
+        self._store = store
+        self._replicas = {replica.kind: replica for replica in replicas}
+        self._states = {kind: FeedState() for kind in self._replicas}
+        self._peers = peers
+        self._clock = clock
+        peers.register_handler(ObjectDelta, self._take_delta)
+        peers.register_handler(ObjectPull, self._answer_pull)
+        peers.on_heartbeat.append(self._compare_views)
+        peers.describe_views = self.describe_views
+
+    async def on_start(self):
+        """Follow each kind."""
+        for replica in self._replicas.values():
+            self.add_future(self._follow(replica))
+
+    def describe_views(self):
+        """Return [kind, newest, size, age in milliseconds] of each replica."""
+        now_s = self._clock.monotonic()
+        return [
+            [
+                kind,
+                replica.newest,
+                len(replica),
+                min(int((now_s - self._states[kind].fresh_at_s) * 1000), 1 << 31),
+            ]
+            for kind, replica in self._replicas.items()
+        ]
+
+    def measure_age_s(self, kind):
+        """Return the time since anybody known heard from the store, in seconds."""
+        return self._clock.monotonic() - self._states[kind].fresh_at_s
+
+    @property
+    def is_watcher(self):
+        """Whether this host is to watch the store for its zone."""
+        hosts = self._peers.hosts
+        names = [address.host for address in hosts.list_zone()]
+        return hosts.own.host in rank_candidates(names, "watch")[:WATCHERS_PER_ZONE]
+
+    async def _follow(self, replica):
+        """Read the list once, then watch while it is this host's turn."""
+        state = self._states[replica.kind]
+        needs_list = True
+        while not self.should_stop:
+            if not needs_list and not self._is_due(state):
+                await self._clock.sleep(RETRY_PAUSE_S)
+                continue
+            if needs_list or replica.horizon == 0:
+                read = await self._read_list(replica, state)
+            else:
+                read = await self._watch(replica, state)
+            needs_list = read.is_error() and isinstance(read.error, HistoryGone)
+            if read.is_error() and not needs_list:
+                self._note_loss(replica.kind, state, read.error)
+                await self._clock.sleep(RETRY_PAUSE_S)
+
+    def _is_due(self, state):
+        if self.is_watcher:
+            return True
+        return self._clock.monotonic() - state.fresh_at_s > STARVED_AFTER_S
+
+    async def _read_list(self, replica, state):
+        read = await self._store.list_all(replica.kind)
+        if read.is_ok():
+            changes = [
+                ReplicaChange(item.name, item.revision, item.spec)
+                for item in read.ok.objects
+            ]
+            self._take_contact(replica, state, 0, read.ok.revision, changes)
+        return read
+
+    async def _watch(self, replica, state):
+        after = replica.horizon
+        read = await self._store.watch(replica.kind, after, WATCH_WAIT_S)
+        if read.is_ok():
+            changes = collapse_events(read.ok)
+            self._take_contact(replica, state, after, read.ok.revision, changes)
+        return read
+
+    def _take_contact(self, replica, state, after, revision, changes):
+        """Take over what the store said."""
+        now_s = self._clock.monotonic()
+        away_s = now_s - state.contact_at_s
+        returned = state.is_lost and state.contact_at_s != NEVER_S
+        if state.is_lost:
+            state.is_lost = False
+            logger.bind(kind=replica.kind, away_s=round(away_s, 2)).info(
+                "store regained"
+            )
+        state.fresh_at_s = state.contact_at_s = now_s
+        if returned and away_s > OUTAGE_S and len(replica):
+            self.add_future(self._confirm(replica, state, after, revision, changes))
+            return
+        self._apply(replica, after, revision, changes, None)
+
+    async def _confirm(self, replica, state, after, revision, changes):
+        """Give entries that lapsed while the store was away time to come back.
+
+        What is there is taken over at once; what is missing only if it is still
+        missing afterwards.
+        """
+        present = [change for change in changes if not change.is_deletion]
+        self._apply(replica, replica.horizon, replica.horizon, present, None)
+        await self._clock.sleep(RETURN_GRACE_S)
+        await self._read_list(replica, state)
+
+    def _note_loss(self, kind, state, failure):
+        if not state.is_lost:
+            state.is_lost = True
+            logger.bind(kind=kind, cause=repr(failure)).warning("store lost")
+
+    def _apply(self, replica, after, horizon, changes, source):
+        """Take over changes and tell peers of those that are new."""
+        taken = replica.apply(after, horizon, changes)
+        if not taken:
+            return
+        # What is passed on are the changes that were new, not a whole list.
+        packed = [pack_change(change) for change in taken]
+        delta = ObjectDelta(replica.kind, after or replica.newest, horizon, packed)
+        self._peers.send_all(delta, "objects", lambda stream: stream is not source)
+
+    def _take_delta(self, stream, message):
+        replica = self._replicas.get(message.kind)
+        if replica is not None:
+            changes = [ReplicaChange(*item) for item in message.changes]
+            self._apply(replica, message.after, message.horizon, changes, stream)
+
+    def _answer_pull(self, stream, message):
+        replica = self._replicas.get(message.kind)
+        if replica is None or not replica.horizon:
+            return
+        after, changes = replica.list_changes(message.after)
+        delta = ObjectDelta(
+            message.kind,
+            after,
+            replica.horizon,
+            [pack_change(item) for item in changes],
+        )
+        self._peers.count_bytes(stream, "objects", stream.send(delta))
+
+    def _compare_views(self, stream, heartbeat):
+        """Ask a peer for what it has and this host lacks."""
+        now_s = self._clock.monotonic()
+        for kind, newest, size, age_ms in heartbeat.views:
+            replica = self._replicas.get(kind)
+            if replica is None:
+                continue
+            state = self._states[kind]
+            state.fresh_at_s = max(state.fresh_at_s, now_s - age_ms / 1000)
+            differs = newest == replica.newest and size != len(replica)
+            if newest <= replica.newest and not differs:
+                continue
+            if now_s - state.pulled_at_s.get(stream.host, NEVER_S) >= PULL_PAUSE_S:
+                state.pulled_at_s[stream.host] = now_s
+                stream.send(ObjectPull(kind, 0 if differs else replica.horizon))
+
+
+def pack_change(change):
+    """Return a change as peers send it."""
+    return [change.name, change.revision, change.spec]
+
+
+def collapse_events(read):
+    """Return the last change of each object that a watch names.
+
+    A deletion takes the revision that the watch reached: the object's own is that
+    of a state before it.
+    """
+    last = {}
+    for event in read.events:
+        last[event.object.name] = event
+    return [
+        ReplicaChange(event.object.name, read.revision, None)
+        if event.is_deleted
+        else ReplicaChange(event.object.name, event.object.revision, event.object.spec)
+        for event in last.values()
+    ]
--- /dev/null
+++ b/src/sapphirerock/process/fleet.py
@@ -0,0 +1,123 @@
+"""The engines as calls meet them: chosen, reported lost, given up."""
+
+from dataclasses import dataclass
+
+from loguru import logger
+
+from sapphirerock.decisions.placement import EngineView, choose_backup, choose_plain
+
+
+@dataclass(slots=True, frozen=True)
+class Placement:
+    """Where a generation is to run.
+
+    Parameters
+    ----------
+    state : EngineState
+        The engine.
+    view : EngineView
+        What was known of it.
+    candidates : int
+        Engines that could be chosen.
+    """
+
+    state: object
+    view: EngineView
+    candidates: int
+
+
+class Fleet:
+    """All engines, for the calls of this host.
+
+    Parameters
+    ----------
+    engines : EngineTable
+        Registered engines.
+    routing : RoutingStore
+        The configuration in force.
+    policy : PlacementPolicy
+        Ranks engines for generations.
+    availability_zone : str
+        Zone of this host.
+    """
+
+    __slots__ = ("engines", "_routing", "_policy", "_zone")
+
+    def __init__(self, engines, routing, policy, availability_zone):
+        self.engines = engines
+        self._routing = routing
+        self._policy = policy
+        self._zone = availability_zone
+
+    def place(self, call, excluded):
+        """Choose an engine for a generation.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            The call.
+        excluded : set of str
+            Engines that it has been sent to.
+
+        Returns
+        -------
+        Placement or None
+        """
+        views = self._list_views(call.service, excluded)
+        view = self._policy.choose(views, call.terms.prompt)
+        if view is None:
+            return None
+        return Placement(self.engines.get(view.name), view, len(views))
+
+    def choose_backup(self, call, state):
+        """Return the engine that is to keep a copy of a run's memory, or None."""
+        terms = self._get_terms(call.service)
+        if terms is None or not terms.has_backups:
+            return None
+        views = self._list_views(call.service, {state.name})
+        view = choose_backup(views, state.entry.availability_zone)
+        return self.engines.get(view.name) if view else None
+
+    def choose_plain(self, service, excluded):
+        """Return the engine for a call that is answered whole, or None."""
+        views = self._list_views(service, excluded)
+        view = choose_plain(views, self._zone)
+        return self.engines.get(view.name) if view else None
+
+    def is_usable(self, state):
+        """Return whether an engine may get work."""
+        return state is not None and self.engines.is_usable(state)
+
+    def _get_terms(self, service):
+        """Return what a service's model engines have in common, or None."""
+        terms = self._routing.current.services.get(service)
+        return terms.engine if terms else None
+
+    def _list_views(self, service, excluded):
+        terms = self._get_terms(service)
+        capacity = terms.memory_tokens if terms else 0
+        return [
+            make_view(state, capacity)
+            for state in self.engines.list_usable(service)
+            if state.name not in excluded
+        ]
+
+    def report_unreachable(self, state, failure):
+        """Take note that an engine could not be connected to."""
+        logger.bind(engine=state.name, cause=repr(failure)).info("engine unreachable")
+        self.engines.mark_down(state, "refused" if failure.refused else "unreachable")
+
+
+def make_view(state, capacity_tokens):
+    """Return what decisions get to know of an engine."""
+    own, others = state.own, state.others
+    return EngineView(
+        name=state.name,
+        availability_zone=state.entry.availability_zone,
+        slots=state.entry.slots,
+        prompt_tokens=own.prompt_tokens + others.prompt_tokens,
+        runs=own.runs + others.runs,
+        memory_tokens=own.memory_tokens + others.memory_tokens,
+        copy_tokens=own.copy_tokens + others.copy_tokens,
+        capacity_tokens=capacity_tokens,
+    )
--- a/src/sapphirerock/process/gossip.py
+++ b/src/sapphirerock/process/gossip.py
@@ -68,6 +68,29 @@
     convicted: bool
 
 
+@register_topic("engine-down")
+@dataclass(slots=True, frozen=True)
+class EngineDownNews:
+    """A host found an engine crashed or silent.
+
+    Parameters
+    ----------
+    engine : str
+        The engine's id.
+    born_ms : int
+        Unix millisecond of its start: a later start is another engine.
+    availability_zone : str
+        Where it was.
+    cause : str
+        How it was found.
+    """
+
+    engine: str
+    born_ms: int
+    availability_zone: str
+    cause: str
+
+
 @register_topic("placement-of-suspect")
 @dataclass(slots=True, frozen=True)
 class SuspectNews:
--- a/src/sapphirerock/process/hosts.py
+++ b/src/sapphirerock/process/hosts.py
@@ -96,6 +96,16 @@
         else:
             known.leaving = False
 
+    def learn_registered(self, address):
+        """Take note of a host that stands in the store."""
+        known = self._hosts.get(address.host)
+        if known is None or known.address != address:
+            self._hosts[address.host] = KnownHost(address, listed=True)
+
+    def forget(self, host):
+        """Drop a host that is registered no more."""
+        self._hosts.pop(host, None)
+
     def mark_leaving(self, host):
         """Take note that a host shuts down."""
         if host in self._hosts:
--- a/src/sapphirerock/process/loads.py
+++ b/src/sapphirerock/process/loads.py
@@ -1,9 +1,8 @@
-"""Loads of upstreams, passed along the ring of an availability zone.
+"""Loads of upstreams, passed from host to host within an availability zone.
 
 Loads change all the time, so they are not flooded one by one. Each host keeps
-the newest sample of each upstream and passes what is new to the few hosts that
-it dials in its zone, several times a second. A sample crosses each of these
-streams once.
+the newest sample of each upstream and passes what is new over its streams within
+the zone, several times a second. A sample crosses each of these streams once.
 """
 
 from mode import Service
@@ -51,13 +50,22 @@
             return
         self._samples[sample.upstream] = sample
         self._upstreams.apply_sample(sample)
-        for host in self._peers.zone_neighbours:
+        for host in self._list_neighbours():
             if host != source:
                 self._waiting.setdefault(host, {})[sample.upstream] = sample
 
+    def _list_neighbours(self):
+        """Return the hosts of the zone that this one has streams to."""
+        zone = self._peers.hosts.own.availability_zone
+        return [
+            stream.host
+            for stream in self._peers.streams.values()
+            if stream.hello.availability_zone == zone
+        ]
+
     def _greet(self, stream):
         """Give a new neighbour everything."""
-        if stream.host in self._peers.zone_neighbours:
+        if stream.host in self._list_neighbours():
             self._waiting[stream.host] = dict(self._samples)
 
     def _take(self, stream, digest):
--- a/src/sapphirerock/process/logs.py
+++ b/src/sapphirerock/process/logs.py
@@ -1,11 +1,22 @@
 """Structured logs: JSON lines for machines or text for people."""
 
+import asyncio
 import logging
+import os
+import select
 import sys
+from collections import deque
 
+import orjson
 from loguru import logger
 
 TEXT_FORMAT = "{time:HH:mm:ss.SSS} {level:<7} {message} {extra}"
+# A pipe that is writable takes at least this much without blocking (POSIX).
+ATOMIC_WRITE_BYTES = 4096
+# Lines that wait for a reader of standard output; more are dropped and counted.
+WAITING_LIMIT_BYTES = 256 << 10
+FLUSH_INTERVAL_S = 0.02
+RETRY_INTERVAL_S = 0.25
 
 
 class LoguruHandler(logging.Handler):
@@ -17,13 +28,112 @@
         logger.opt(exception=record.exc_info).log(level, record.getMessage())
 
 
+class LineSink:
+    """Writes JSON lines to a file descriptor without ever blocking.
+
+    Lines wait in a bounded buffer while nobody reads; what does not fit is dropped,
+    and its number is logged when lines are read again.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go.
+    """
+
+    __slots__ = ("_descriptor", "_lines", "_size", "_dropped", "_poll", "_is_scheduled")
+
+    def __init__(self, descriptor):
+        self._descriptor = descriptor
+        self._lines = deque()
+        self._size = 0
+        self._dropped = 0
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._is_scheduled = False
+
+    def __call__(self, message):
+        """Take a loguru message."""
+        self._take(encode_record(message.record))
+        self._schedule(FLUSH_INTERVAL_S)
+
+    def _take(self, line):
+        if len(line) > ATOMIC_WRITE_BYTES:
+            line = line[: ATOMIC_WRITE_BYTES - 1] + b"\n"
+        if self._size + len(line) > WAITING_LIMIT_BYTES:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        self._size += len(line)
+
+    def _schedule(self, delay_s):
+        if self._is_scheduled:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            self.flush()
+            return
+        self._is_scheduled = True
+        loop.call_later(delay_s, self._flush_scheduled)
+
+    def _flush_scheduled(self):
+        self._is_scheduled = False
+        self.flush()
+        if self._lines:
+            self._schedule(RETRY_INTERVAL_S)
+
+    def flush(self):
+        """Write what can be written at once."""
+        while self._lines and self._poll.poll(0):
+            batch, size = [], 0
+            while self._lines and size + len(self._lines[0]) <= ATOMIC_WRITE_BYTES:
+                batch.append(self._lines.popleft())
+                size += len(batch[-1])
+            self._size -= size
+            try:
+                os.write(self._descriptor, b"".join(batch))
+            except OSError:
+                # Nobody will ever read: there is no place left to say so.
+                self._lines.clear()
+                self._size = 0
+        if self._dropped and not self._lines:
+            dropped, self._dropped = self._dropped, 0
+            logger.bind(lines=dropped).warning("log lines dropped")
+
+
+def encode_record(record):
+    """Return a loguru record as one line of JSON."""
+    fields = {
+        "time": record["time"].timestamp(),
+        "level": record["level"].name,
+        "event": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        fields["exception"] = repr(record["exception"].value)
+        fields["traceback"] = format_traceback(record["exception"].traceback)
+    return orjson.dumps(fields, default=str) + b"\n"
+
+
+def format_traceback(traceback):
+    """Return the files and lines of a traceback, the innermost last."""
+    places = []
+    while traceback is not None:
+        code = traceback.tb_frame.f_code
+        file = os.path.basename(code.co_filename)
+        places.append(f"{file}:{traceback.tb_lineno} {code.co_name}")
+        traceback = traceback.tb_next
+    return places
+
+
 def configure_logs(style="text", level="INFO"):
-    """Send every log line to standard error.
+    """Send every log line to the process's output.
 
     Parameters
     ----------
     style : {"text", "json"}
-        One JSON object a line, or readable text.
+        One JSON object a line on standard output, or readable text on standard
+        error.
     level : str
         Lowest level that is written.
     """
@@ -31,7 +141,7 @@
     # Tracebacks without the values of variables: those may hold keys.
     options = {"level": level, "backtrace": False, "diagnose": False}
     if style == "json":
-        logger.add(sys.stderr, serialize=True, **options)
+        logger.add(LineSink(sys.stdout.fileno()), format="{message}", **options)
     else:
         logger.add(sys.stderr, format=TEXT_FORMAT, **options)
     logging.basicConfig(handlers=[LoguruHandler()], level=logging.WARNING, force=True)
--- a/src/sapphirerock/process/peers.py
+++ b/src/sapphirerock/process/peers.py
@@ -17,8 +17,8 @@
 HEARTBEAT_S = 0.5
 SILENCE_BOUND_S = 2.0
 DIAL_BOUND_S = 0.5
-ZONE_DEGREE = 3
-BRIDGES_PER_ZONE = 2
+# One may be lost without a step of news getting lost with it.
+HUBS_PER_ZONE = 2
 IDLE_CLOSE_S = 30.0
 
 
@@ -61,8 +61,10 @@
         self.incarnation = incarnation
         self.leaving = False
         self.streams = {}
-        self.zone_neighbours = []
+        self.zone_hubs = []
+        self._hubs = {}
         self.read_horizon = lambda: 0
+        self.describe_views = list
         self.on_heartbeat = []
         self.on_connect = []
         self._key = key.encode()
@@ -149,21 +151,40 @@
             reach = "zone"
         self._metrics.peer_bytes.labels(kind, reach).inc(size)
 
+    async def dial_seed(self, endpoint):
+        """Connect to whichever host listens at an address.
+
+        Returns
+        -------
+        expression.Result of PeerStream or PeerUnavailable
+        """
+        try:
+            opened = await self._connect(endpoint.address, endpoint.port)
+        except (TimeoutError, OSError) as error:
+            return Error(PeerUnavailable(str(endpoint), repr(error)))
+        if opened.is_error():
+            return Error(PeerUnavailable(str(endpoint), opened.error.reason))
+        stream = opened.ok
+        stream.is_dialled = True
+        self._adopt(stream)
+        return Ok(stream)
+
+    async def _connect(self, address, port):
+        async with asyncio.timeout(DIAL_BOUND_S):
+            reader, writer = await asyncio.open_connection(
+                address, port, local_addr=(self.hosts.own.address, 0)
+            )
+        return await self._shake_hands(reader, writer)
+
     async def _dial(self, address):
         host = address.host
         try:
-            async with asyncio.timeout(DIAL_BOUND_S):
-                reader, writer = await asyncio.open_connection(
-                    address.address,
-                    address.peer_port,
-                    local_addr=(self.hosts.own.address, 0),
-                )
+            opened = await self._connect(address.address, address.peer_port)
         except (TimeoutError, OSError) as error:
             self.hosts.mark_dead(host)
             return Error(PeerUnavailable(host, repr(error)))
         finally:
             self._dials.pop(host, None)
-        opened = await self._shake_hands(reader, writer)
         if opened.is_error():
             self.hosts.mark_dead(host)
             return Error(PeerUnavailable(host, opened.error.reason))
@@ -241,7 +262,7 @@
                 stream.close()
 
     def _beat(self, stream):
-        message = Heartbeat(self.leaving, self.read_horizon())
+        message = Heartbeat(self.leaving, self.read_horizon(), self.describe_views())
         size = stream.send(message)
         self.count_bytes(stream, "heartbeat", size)
 
@@ -283,34 +304,28 @@
     def choose_neighbours(self):
         """Return the hosts that this one keeps streams to.
 
-        A few in its own availability zone; and, where this host is one of the
-        zone's bridges, one in each other zone.
+        Each host reaches the hubs of its availability zone, and each hub those of
+        the other zones, so that news cross any number of hosts in three steps.
         """
         own = self.hosts.own
-        zones = {}
+        zones = {own.availability_zone: [own.host]}
         for address in self.hosts.list_live():
             zones.setdefault(address.availability_zone, []).append(address.host)
-        mates = zones.pop(own.availability_zone, [])
-        self.zone_neighbours = pick_ring_neighbours(mates, own.host)
-        neighbours = list(self.zone_neighbours)
-        bridges = rank_candidates([*mates, own.host], "bridge")[:BRIDGES_PER_ZONE]
-        if own.host in bridges:
-            position = bridges.index(own.host)
-            for names in zones.values():
-                ranked = rank_candidates(names, "bridge")[:BRIDGES_PER_ZONE]
-                neighbours.append(ranked[position % len(ranked)])
-        return neighbours
-
-
-def pick_ring_neighbours(mates, own):
-    """Return the hosts that one dials on the ring of a zone's names.
-
-    Their distances on the ring are powers of the degree-th root of its size, so
-    that news cross a zone of any size in few steps.
-    """
-    ring = sorted([*mates, own])
-    position = ring.index(own)
-    base = max(2.0, len(ring) ** (1 / ZONE_DEGREE))
-    distances = [round(base**power) for power in range(ZONE_DEGREE)]
-    chosen = {ring[(position + step) % len(ring)] for step in distances}
-    return sorted(chosen - {own})
+        self._hubs = {
+            zone: rank_candidates(names, "hub")[:HUBS_PER_ZONE]
+            for zone, names in zones.items()
+        }
+        self.zone_hubs = self._hubs[own.availability_zone]
+        neighbours = set(self.zone_hubs)
+        if own.host in self.zone_hubs:
+            for hubs in self._hubs.values():
+                neighbours.update(hubs)
+        return sorted(neighbours - {own.host})
+
+    def is_hub(self, host):
+        """Return whether a host passes news on for its zone."""
+        return any(host in hubs for hubs in self._hubs.values())
+
+    def is_first_hub(self, host):
+        """Return whether a host is the first hub of its zone."""
+        return any(hubs[:1] == [host] for hubs in self._hubs.values())
--- /dev/null
+++ b/src/sapphirerock/request/plaincall.py
@@ -0,0 +1,130 @@
+"""A call that is answered whole: sent, and repeated where its kind allows it."""
+
+from enum import Enum
+
+from loguru import logger
+
+from sapphirerock.connection.errors import TimeIsUp, UpstreamUnreachable
+from sapphirerock.decisions.refusal import choose_retry_after
+from sapphirerock.request.problem import (
+    TIMED_OUT,
+    UNAVAILABLE,
+    UPSTREAM_FAILED,
+    Problem,
+)
+from sapphirerock.request.upstreamattempt import UpstreamAttempt
+
+SERVER_ERROR = 500
+# Engines asked one after the other that did not run the call.
+MAX_SENDS = 6
+
+
+class Outcome(Enum):
+    """What came of sending a call to one engine."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    FAILED = "failed"
+    TIME_IS_UP = "time is up"
+
+
+class PlainCall:
+    """One call of a route that does not stream.
+
+    Parameters
+    ----------
+    runtime : EdgeRuntime
+        What lives as long as the process.
+    call : RoutedCall
+        The call.
+    responder : Responder
+        Where the answer goes.
+    """
+
+    __slots__ = ("_runtime", "_call", "_responder", "_tried", "_ran", "_answer", "_log")
+
+    def __init__(self, runtime, call, responder):
+        self._runtime = runtime
+        self._call = call
+        self._responder = responder
+        self._tried = set()
+        self._ran = 0
+        self._answer = None
+        self._log = logger.bind(request=call.terms.attempt_id, route=call.route.name)
+
+    async def run(self):
+        """Answer the call."""
+        service = self._call.service
+        self._runtime.budget.add_call(service)
+        while True:
+            state = self._runtime.fleet.choose_plain(service, self._tried)
+            if state is None:
+                await self._give_up("no engine left")
+                return
+            self._tried.add(state.name)
+            outcome = await self._send(state)
+            if outcome is Outcome.ANSWERED:
+                await self._responder.pass_on(self._answer)
+                return
+            if outcome is Outcome.TIME_IS_UP:
+                problem = Problem(TIMED_OUT, "no answer within the route's time")
+                await self._responder.refuse(problem)
+                return
+            if not self._may_send_again(outcome):
+                await self._give_up(outcome.value)
+                return
+
+    def _may_send_again(self, outcome):
+        if outcome is Outcome.FAILED:
+            self._ran += 1
+            if not self._call.route.may_repeat:
+                return False
+            if self._ran >= self._call.route.max_attempts:
+                return False
+        if len(self._tried) >= MAX_SENDS or self._runtime.crashes.is_convicted(
+            self._call
+        ):
+            return False
+        return self._runtime.budget.take(self._call.service)
+
+    async def _give_up(self, cause):
+        self._log.bind(cause=cause, ran=self._ran, sends=len(self._tried)).info(
+            "given up"
+        )
+        if self._answer is not None and self._ran:
+            await self._responder.pass_on(self._answer)
+        elif self._ran:
+            problem = Problem(UPSTREAM_FAILED, "the upstream gave no whole answer")
+            await self._responder.refuse(problem)
+        else:
+            retry_after_s = choose_retry_after(None, self._runtime.generator)
+            problem = Problem(UNAVAILABLE, "no engine took the call", retry_after_s)
+            await self._responder.refuse(problem)
+
+    async def _send(self, state):
+        """Send the call to an engine; keep its answer."""
+        with UpstreamAttempt(self._runtime, self._call, state) as attempt:
+            read = await attempt.open()
+            if read.is_ok():
+                read = await attempt.read_all()
+        if read.is_error():
+            return self._classify(state, read.error)
+        answer = read.ok
+        if answer.head.was_not_executed:
+            self._log.bind(engine=state.name, status=answer.head.status).info("not run")
+            return Outcome.NOT_RUN
+        self._answer = answer
+        if answer.head.status >= SERVER_ERROR and self._call.route.may_repeat:
+            self._log.bind(engine=state.name, status=answer.head.status).info("failed")
+            return Outcome.FAILED
+        return Outcome.ANSWERED
+
+    def _classify(self, state, failure):
+        self._log.bind(engine=state.name, cause=repr(failure)).info("attempt failed")
+        if isinstance(failure, TimeIsUp):
+            return Outcome.TIME_IS_UP
+        if isinstance(failure, UpstreamUnreachable):
+            self._runtime.fleet.report_unreachable(state, failure)
+            return Outcome.NOT_RUN
+        self._runtime.crashes.investigate(state, self._call)
+        return Outcome.FAILED
--- a/src/sapphirerock/request/problem.py
+++ b/src/sapphirerock/request/problem.py
@@ -31,13 +31,13 @@
         What went wrong.
     detail : str
         What is particular to this request.
-    retry_after_s : int or None
+    retry_after_s : float or None
         When to come back, in seconds; None where that would not help.
     """
 
     kind: ProblemKind
     detail: str
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
     @property
     def status(self):
@@ -99,6 +99,10 @@
     "platform-unavailable", 503, "The platform does not answer"
 )
 LEAVING = ProblemKind("leaving", 503, "This host takes no new work")
+NO_CONFIGURATION = ProblemKind(
+    "no-configuration", 503, "This host knows no configuration yet"
+)
+TIMED_OUT = ProblemKind("timed-out", 504, "The call took too long", outcome=UNKNOWN)
 UPSTREAM_FAILED = ProblemKind(
     "upstream-failed", 502, "The upstream gave no answer", outcome=UNKNOWN
 )
--- /dev/null
+++ b/src/sapphirerock/request/reception.py
@@ -0,0 +1,143 @@
+"""From a caller's request to a routed call, or to a refusal."""
+
+from expression import Error, Ok
+from loguru import logger
+from opentelemetry.trace import SpanKind
+
+from sapphirerock.connection.ingress import read_request_body
+from sapphirerock.connection.responder import Responder
+from sapphirerock.platform.ingress import decode_terms, select_request_headers
+from sapphirerock.process.tracing import read_context
+from sapphirerock.request.call import RoutedCall
+from sapphirerock.request.plaincall import PlainCall
+from sapphirerock.request.problem import (
+    CRASHES_ENGINES,
+    NO_CONFIGURATION,
+    NOT_FOUND,
+    TOO_LARGE,
+    UNAUTHORISED,
+    Problem,
+)
+from sapphirerock.request.streamcall import StreamCall
+from sapphirerock.version.routing import RouteKind
+
+# The store or a peer answers within this where any of them can be reached.
+START_RETRY_AFTER_S = 1.0
+# Another host takes the call at once; a little spread for those that come together.
+LEAVING_RETRY_AFTER_S = 0.1
+# A call that crashes engines is not looked at again for this long.
+CONVICTED_RETRY_AFTER_S = 600.0
+
+
+class Reception:
+    """Answers the requests of callers.
+
+    Parameters
+    ----------
+    runtime : EdgeRuntime
+        What lives as long as the process.
+    routing : RoutingStore
+        The configuration in force.
+
+    Attributes
+    ----------
+    calls : int
+        Requests that are being answered.
+    leaving_since_s : float or None
+        Monotonic time from which on the host is leaving.
+    """
+
+    __slots__ = ("calls", "leaving_since_s", "_runtime", "_routing")
+
+    def __init__(self, runtime, routing):
+        self.calls = 0
+        self.leaving_since_s = None
+        self._runtime = runtime
+        self._routing = routing
+
+    async def handle(self, request):
+        """Answer one request; the library calls this."""
+        responder = Responder(request, closes=self.leaving_since_s is not None)
+        runtime = self._runtime
+        arrived_s = runtime.clock.monotonic()
+        kind = "none"
+        self.calls += 1
+        try:
+            with runtime.tracer.start_as_current_span(
+                "caller", context=read_context(request.headers), kind=SpanKind.SERVER
+            ):
+                received = await self._receive(request, arrived_s)
+                if received.is_error():
+                    await responder.refuse(received.error)
+                else:
+                    kind = received.ok.route.kind.value
+                    await self._answer(received.ok, responder)
+        finally:
+            self.calls -= 1
+            elapsed_s = runtime.clock.monotonic() - arrived_s
+            runtime.metrics.observe_call(kind, responder.status, elapsed_s)
+        return responder.response
+
+    async def _receive(self, request, arrived_s):
+        """Read a request whole and find its route.
+
+        Returns
+        -------
+        expression.Result of RoutedCall or Problem
+        """
+        version = self._routing.current
+        if version is None:
+            return Error(Problem(NO_CONFIGURATION, "starting", START_RETRY_AFTER_S))
+        path = request.raw_path.partition("?")[0]
+        route = version.find_route(request.headers.get("Host", ""), path)
+        terms = decode_terms(request.headers)
+        if route is None:
+            return self._refuse(terms, version, Problem(NOT_FOUND, "no route"))
+        caller = version.callers.get(terms.key)
+        if version.needs_keys and not route.is_public and caller is None:
+            return self._refuse(terms, version, Problem(UNAUTHORISED, "unknown key"))
+        body = await read_request_body(request, version.limits.body_bytes)
+        if body is None:
+            return self._refuse(terms, version, Problem(TOO_LARGE, "body too large"))
+        patience_s = route.timeout_s if terms.patience_s is None else terms.patience_s
+        priority = caller.priority if caller else None
+        return Ok(
+            RoutedCall(
+                method=request.method,
+                target=request.raw_path,
+                headers=select_request_headers(request.headers, version.needs_keys),
+                body=body,
+                terms=terms,
+                route=route,
+                service=self._choose_service(route),
+                organisation=caller.organisation if caller else None,
+                priority=route.priority if priority is None else priority,
+                deadline_s=arrived_s + patience_s,
+                limit_s=arrived_s + min(patience_s, route.timeout_s),
+            )
+        )
+
+    def _refuse(self, terms, version, problem):
+        logger.bind(
+            request=terms.attempt_id, status=problem.status, revision=version.revision
+        ).info("refused")
+        return Error(problem)
+
+    def _choose_service(self, route):
+        """Return one of the services that a route's calls are split among."""
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [share.weight for share in shares]
+        return self._runtime.generator.choices(shares, weights)[0].service
+
+    async def _answer(self, call, responder):
+        if self._runtime.crashes.is_convicted(call):
+            logger.bind(request=call.terms.attempt_id).warning("crashes engines")
+            detail = "it crashed every engine that ran it"
+            problem = Problem(CRASHES_ENGINES, detail, CONVICTED_RETRY_AFTER_S)
+            await responder.refuse(problem)
+            return
+        is_stream = call.route.kind is RouteKind.STREAMING
+        answer = StreamCall if is_stream else PlainCall
+        await answer(self._runtime, call, responder).run()
--- /dev/null
+++ b/src/sapphirerock/request/streamcall.py
@@ -0,0 +1,309 @@
+"""A streamed call: relayed event by event, and gone on with at another engine."""
+
+from dataclasses import dataclass
+
+from loguru import logger
+
+from sapphirerock.connection.errors import (
+    AttemptInterrupted,
+    TimeIsUp,
+    UpstreamUnreachable,
+)
+from sapphirerock.connection.events import EventOversized, EventSplitter
+from sapphirerock.decisions.continuation import Ending, Step, StreamView, choose_step
+from sapphirerock.decisions.refusal import choose_retry_after
+from sapphirerock.request.problem import (
+    TIMED_OUT,
+    UNAVAILABLE,
+    UPSTREAM_FAILED,
+    Problem,
+)
+from sapphirerock.request.upstreamattempt import UpstreamAttempt
+
+SERVER_ERROR = 500
+
+
+@dataclass(slots=True, frozen=True)
+class Continuation:
+    """Where an attempt goes on from.
+
+    Parameters
+    ----------
+    last_event_id : int or None
+        Event after which the stream goes on.
+    copy_address : str
+        Address of the engine that holds a copy of the run's memory; empty where
+        the prompt is to be read anew.
+    """
+
+    last_event_id: int | None
+    copy_address: str = ""
+
+
+@dataclass(slots=True)
+class StreamProgress:
+    """What the caller has got so far.
+
+    Parameters
+    ----------
+    last_id : int or None
+        Id of the last event that the caller has.
+    events : int
+        Events passed on.
+    first_at_s, last_at_s : float or None
+        Monotonic times of the first and the last of them.
+    longest_pause_s : float
+        Longest time between two of them, in seconds.
+    """
+
+    last_id: int | None
+    events: int = 0
+    first_at_s: float | None = None
+    last_at_s: float | None = None
+    longest_pause_s: float = 0.0
+
+    def note_events(self, count, now_s):
+        """Count events that were passed on."""
+        if self.last_at_s is None:
+            self.first_at_s = now_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_at_s)
+        self.last_at_s = now_s
+        self.events += count
+
+
+class StreamCall:
+    """One call of a streaming route.
+
+    Parameters
+    ----------
+    runtime : EdgeRuntime
+        What lives as long as the process.
+    call : RoutedCall
+        The call.
+    responder : Responder
+        Where events go.
+    """
+
+    __slots__ = (
+        "_runtime",
+        "_call",
+        "_responder",
+        "_progress",
+        "_copy_holder",
+        "_tried",
+        "_sends",
+        "_losses",
+        "_failures",
+        "_started_s",
+        "_log",
+    )
+
+    def __init__(self, runtime, call, responder):
+        self._runtime = runtime
+        self._call = call
+        self._responder = responder
+        self._progress = StreamProgress(call.terms.last_event_id)
+        self._copy_holder = None
+        self._tried = set()
+        self._sends = 0
+        self._losses = 0
+        self._failures = 0
+        self._started_s = runtime.clock.monotonic()
+        self._log = logger.bind(request=call.terms.attempt_id, route=call.route.name)
+
+    async def run(self):
+        """Relay the stream to its end."""
+        self._runtime.budget.add_call(self._call.service)
+        step = Step.SEND_AGAIN
+        try:
+            while step is not Step.GIVE_UP:
+                ending = await self._attempt_next(step)
+                if ending in (Ending.COMPLETE, Ending.PASSED_ON):
+                    return
+                step = self._choose_step(ending)
+            await self._give_up(ending)
+        finally:
+            self._log_end()
+
+    def _log_end(self):
+        progress, started_s = self._progress, self._started_s
+        first_s = None
+        if progress.first_at_s is not None:
+            first_s = round(progress.first_at_s - started_s, 3)
+        self._log.bind(
+            events=progress.events,
+            last_id=progress.last_id,
+            first_s=first_s,
+            longest_pause_s=round(progress.longest_pause_s, 3),
+            total_s=round(self._runtime.clock.monotonic() - started_s, 3),
+            sends=self._sends,
+            status=self._responder.status,
+        ).info("stream ended")
+
+    async def _attempt_next(self, step):
+        """Make one attempt and return its ending."""
+        if step is Step.CONTINUE_COPY:
+            holder, self._copy_holder = self._copy_holder, None
+            return await self._attempt(holder, holder.entry.address, None)
+        placement = self._runtime.fleet.place(self._call, self._tried)
+        if placement is None:
+            return Ending.NO_ENGINE
+        return await self._attempt(placement.state, "", placement)
+
+    async def _attempt(self, state, copy_address, placement):
+        backup = self._runtime.fleet.choose_backup(self._call, state)
+        self._sends += 1
+        prompt = self._call.terms.prompt
+        self._log_placement(state, backup, copy_address, placement)
+        attempt = UpstreamAttempt(
+            self._runtime,
+            self._call,
+            state,
+            0 if copy_address else prompt.tokens,
+            prompt.memory_tokens,
+            backup,
+        )
+        continuation = None
+        if self._responder.has_begun or copy_address:
+            continuation = Continuation(self._progress.last_id, copy_address)
+        with attempt:
+            ending = await self._relay(attempt, continuation)
+        if ending not in (Ending.COMPLETE, Ending.PASSED_ON):
+            self._tried.add(state.name)
+            self._copy_holder = backup if self._responder.has_begun else None
+        return ending
+
+    def _log_placement(self, state, backup, copy_address, placement):
+        fields = {"engine": state.name, "backup": backup.name if backup else None}
+        if copy_address:
+            fields["copy"] = copy_address
+        if self._progress.last_id is not None:
+            fields["after"] = self._progress.last_id
+        if placement is not None:
+            view = placement.view
+            fields["candidates"] = placement.candidates
+            fields["prompt_tokens"] = view.prompt_tokens
+            fields["runs"] = view.runs
+            fields["free_tokens"] = view.free_tokens
+        self._log.bind(**fields).info("placed")
+
+    async def _relay(self, attempt, continuation):
+        """Send the call and pass on what comes; return how it ended."""
+        opened = await attempt.open(continuation)
+        if opened.is_error():
+            return self._classify(attempt, opened.error)
+        if not opened.ok.is_success or not opened.ok.is_stream:
+            return await self._take_whole(attempt)
+        splitter = EventSplitter()
+        while True:
+            read = await attempt.read_chunk()
+            if read.is_error():
+                return self._classify(attempt, read.error)
+            if not read.ok:
+                return self._end(attempt, splitter)
+            try:
+                events = splitter.feed(read.ok)
+            except EventOversized as error:
+                self._log.bind(cause=str(error)).warning("no stream of events")
+                return Ending.FAILED
+            if events:
+                attempt.note_prompt_read()
+                await self._pass_on(attempt, events)
+
+    async def _pass_on(self, attempt, events):
+        """Send events that the caller does not have yet."""
+        fresh = []
+        for event in events:
+            if event.number is not None:
+                last_id = self._progress.last_id
+                if last_id is not None and event.number <= last_id:
+                    continue
+                self._progress.last_id = event.number
+            fresh.append(event.content)
+        if not fresh:
+            return
+        if not self._responder.has_begun:
+            await self._responder.begin_stream(
+                attempt.head.status, attempt.select_headers()
+            )
+        await self._responder.send(b"".join(fresh))
+        self._progress.note_events(len(fresh), self._runtime.clock.monotonic())
+
+    def _end(self, attempt, splitter):
+        """Return how a stream ended whose connection says that it is whole."""
+        if splitter.has_rest or not self._responder.has_begun:
+            self._log.bind(engine=attempt.state.name).info("ended within an event")
+            return Ending.LOST
+        return Ending.COMPLETE
+
+    async def _take_whole(self, attempt):
+        """Take an answer that is no stream: an error, or a refusal."""
+        read = await attempt.read_all()
+        if read.is_error():
+            return self._classify(attempt, read.error)
+        head = read.ok.head
+        self._log.bind(
+            engine=attempt.state.name, status=head.status, ran=not head.was_not_executed
+        ).info("no stream")
+        if head.was_not_executed:
+            return Ending.NOT_RUN
+        if self._responder.has_begun:
+            return Ending.FAILED
+        if head.status >= SERVER_ERROR and self._call.route.may_repeat:
+            return Ending.FAILED
+        await self._responder.pass_on(read.ok)
+        return Ending.PASSED_ON
+
+    def _classify(self, attempt, failure):
+        self._log.bind(engine=attempt.state.name, cause=repr(failure)).info(
+            "attempt failed"
+        )
+        if isinstance(failure, TimeIsUp):
+            return Ending.TIME_IS_UP
+        if isinstance(failure, UpstreamUnreachable):
+            self._runtime.fleet.report_unreachable(attempt.state, failure)
+            return Ending.NOT_RUN
+        if not isinstance(failure, AttemptInterrupted):
+            self._runtime.crashes.investigate(attempt.state, self._call)
+        return Ending.LOST
+
+    def _choose_step(self, ending):
+        """Return what follows; a repeat must also be within the budget."""
+        self._losses += ending is Ending.LOST
+        self._failures += ending is Ending.FAILED
+        route = self._call.route
+        choice = choose_step(
+            StreamView(
+                ending=ending,
+                has_copy=self._runtime.fleet.is_usable(self._copy_holder),
+                may_repeat=route.may_repeat,
+                sends=self._sends,
+                losses=self._losses,
+                failures=self._failures,
+                max_attempts=route.max_attempts,
+                is_convicted=self._runtime.crashes.is_convicted(self._call),
+            )
+        )
+        step, reason = choice.step, choice.reason
+        if step is not Step.GIVE_UP and not self._runtime.budget.take(
+            self._call.service, continues=ending is Ending.LOST
+        ):
+            step, reason = Step.GIVE_UP, "budget of repeats used up"
+        self._log.bind(ending=ending.value, step=step.value, reason=reason).info(
+            "attempt ended"
+        )
+        return step
+
+    async def _give_up(self, ending):
+        if self._responder.has_begun:
+            self._responder.abort()
+            return
+        if ending is Ending.TIME_IS_UP:
+            problem = Problem(TIMED_OUT, "no answer within the route's time")
+        elif self._losses or self._failures:
+            problem = Problem(UPSTREAM_FAILED, "no engine finished the call")
+        else:
+            retry_after_s = choose_retry_after(None, self._runtime.generator)
+            problem = Problem(UNAVAILABLE, "no engine took the call", retry_after_s)
+        await self._responder.refuse(problem)
