Take over from watchers that the store turns away

Ages of contacts were relayed from peer to peer, each relay made them look newer, and nobody took over for five seconds. A host now tells its own contact only, a hub that of its zone's other hosts, a lost contact is told at once, and the next host of the zone takes over. A watch that does not show what a peer has learned is ended as silent.

--- a/src/sapphirerock/process/feed.py
+++ b/src/sapphirerock/process/feed.py
@@ -1,16 +1,19 @@
 """How objects of the store reach every host.
 
-In each availability zone the first live host by rendezvous keeps a watch on the
-store and tells the others, who read the store themselves only when nobody has
-heard from it lately. So calls to the store grow with zones, not with hosts, and
+In each availability zone the first hub keeps a watch on the store and tells the
+others, who read the store themselves, one after the other, only while nobody in the
+zone is in contact with it. So calls to the store grow with zones, not with hosts, and
 a host that the store turns away learns from its peers.
 """
 
+import asyncio
+
+from expression import Error
 from loguru import logger
 from mode import Service
 
 from sapphirerock.connection.messages import ObjectDelta, ObjectPull
-from sapphirerock.connection.storeobjects import HistoryGone
+from sapphirerock.connection.storeobjects import HistoryGone, StoreUnavailable
 from sapphirerock.process.rendezvous import rank_candidates
 from sapphirerock.process.replica import ReplicaChange
 
@@ -19,36 +22,49 @@
 # call.
 WATCH_WAIT_S = 2.0
 RETRY_PAUSE_S = 0.3
-# A watch that waits says nothing, so a host is behind only after more than that.
-STARVED_AFTER_S = 3.2
+# A watch that waits says nothing, so a contact counts for more than that.
+CONTACT_LIFE_S = 3.2
+# Hosts take over from a zone's watcher one after the other.
+TAKEOVER_STEP_S = 0.4
+# A peer's change that an own watch has not shown by now means that it is silent.
+WATCH_LAG_S = 0.4
 PULL_PAUSE_S = 0.2
 # Time that the platform gives entries to come back after it was away.
 RETURN_GRACE_S = 2.0
 # Entries lapse after three missed heartbeats; shorter outages end none.
 OUTAGE_S = 1.5
 NEVER_S = -1e9
+NO_CONTACT_MS = 1 << 30
 
 
 class FeedState:
-    """What a feed knows of its own contact with the store.
+    """What a feed knows of contacts with the store.
 
     Attributes
     ----------
-    fresh_at_s : float
-        Monotonic time at which somebody last heard from the store.
     contact_at_s : float
-        Monotonic time at which this host last did.
+        Monotonic time at which this host last heard from the store.
     is_lost : bool
         Whether this host's last call failed.
+    peers : dict of str to float
+        Monotonic time of the last contact that each peer tells of.
+    watch : asyncio.Task or None
+        The call that waits for changes.
     """
 
-    __slots__ = ("fresh_at_s", "contact_at_s", "is_lost", "pulled_at_s")
+    __slots__ = ("contact_at_s", "is_lost", "peers", "pulled_at_s", "watch")
 
     def __init__(self):
-        self.fresh_at_s = NEVER_S
         self.contact_at_s = NEVER_S
         self.is_lost = False
+        self.peers = {}
         self.pulled_at_s = {}
+        self.watch = None
+
+    @property
+    def own_contact_s(self):
+        """Time of this host's last contact, `NEVER_S` once it is lost."""
+        return NEVER_S if self.is_lost else self.contact_at_s
 
 
 class ObjectFeed(Service):
@@ -84,50 +100,76 @@
             self.add_future(self._follow(replica))
 
     def describe_views(self):
-        """Return [kind, newest, size, age in milliseconds] of each replica."""
+        """Return [kind, newest, size, age in milliseconds] of each replica.
+
+        The age is that of a contact with the store: this host's own, or, from a
+        hub, that of a host of its zone. What hubs say is not passed on, so that no
+        contact is made to look newer by going round.
+        """
         now_s = self._clock.monotonic()
         return [
             [
                 kind,
                 replica.newest,
                 len(replica),
-                min(int((now_s - self._states[kind].fresh_at_s) * 1000), 1 << 31),
+                min(int((now_s - self._find_contact(kind)) * 1000), NO_CONTACT_MS),
             ]
             for kind, replica in self._replicas.items()
         ]
 
+    def _find_contact(self, kind):
+        state = self._states[kind]
+        contact_s = state.own_contact_s
+        if not self._peers.is_hub(self._peers.hosts.own.host):
+            return contact_s
+        for host in self._list_members():
+            contact_s = max(contact_s, state.peers.get(host, NEVER_S))
+        return contact_s
+
+    def _list_members(self):
+        """Return the peers of the own zone that are no hubs."""
+        zone = self._peers.hosts.own.availability_zone
+        return [
+            host
+            for host, stream in self._peers.streams.items()
+            if stream.hello.availability_zone == zone and not self._peers.is_hub(host)
+        ]
+
     def measure_age_s(self, kind):
-        """Return the time since anybody known heard from the store, in seconds."""
-        return self._clock.monotonic() - self._states[kind].fresh_at_s
+        """Return the time since a contact with the store is known of, in seconds."""
+        state = self._states[kind]
+        contacts = [state.peers.get(host, NEVER_S) for host in self._peers.streams]
+        return self._clock.monotonic() - max([state.own_contact_s, *contacts])
 
-    @property
-    def is_watcher(self):
-        """Whether this host is to watch the store for its zone."""
+    def _find_rank(self):
+        """Return this host's place in the order in which its zone watches."""
         hosts = self._peers.hosts
         names = [address.host for address in hosts.list_zone()]
-        return hosts.own.host in rank_candidates(names, "watch")[:WATCHERS_PER_ZONE]
+        return rank_candidates(names, "hub").index(hosts.own.host)
 
     async def _follow(self, replica):
         """Read the list once, then watch while it is this host's turn."""
         state = self._states[replica.kind]
         needs_list = True
         while not self.should_stop:
-            if not needs_list and not self._is_due(state):
+            if not needs_list and not self._is_due(replica.kind):
                 await self._clock.sleep(RETRY_PAUSE_S)
                 continue
             if needs_list or replica.horizon == 0:
                 read = await self._read_list(replica, state)
             else:
-                read = await self._watch(replica, state)
+                read = await self._watch_until_silent(replica, state)
             needs_list = read.is_error() and isinstance(read.error, HistoryGone)
             if read.is_error() and not needs_list:
                 self._note_loss(replica.kind, state, read.error)
                 await self._clock.sleep(RETRY_PAUSE_S)
 
-    def _is_due(self, state):
-        if self.is_watcher:
+    def _is_due(self, kind):
+        rank = self._find_rank()
+        if rank < WATCHERS_PER_ZONE:
             return True
-        return self._clock.monotonic() - state.fresh_at_s > STARVED_AFTER_S
+        starved_s = self.measure_age_s(kind) - CONTACT_LIFE_S
+        return starved_s > (rank - WATCHERS_PER_ZONE) * TAKEOVER_STEP_S
 
     async def _read_list(self, replica, state):
         read = await self._store.list_all(replica.kind)
@@ -139,6 +181,18 @@
             self._take_contact(replica, state, 0, read.ok.revision, changes)
         return read
 
+    async def _watch_until_silent(self, replica, state):
+        """Watch, unless peers show that the watch has gone silent."""
+        state.watch = asyncio.ensure_future(self._watch(replica, state))
+        try:
+            await asyncio.wait([state.watch])
+            if state.watch.cancelled():
+                return Error(StoreUnavailable("the watch is silent"))
+            return state.watch.result()
+        finally:
+            state.watch.cancel()
+            state.watch = None
+
     async def _watch(self, replica, state):
         after = replica.horizon
         read = await self._store.watch(replica.kind, after, WATCH_WAIT_S)
@@ -157,7 +211,7 @@
             logger.bind(kind=replica.kind, away_s=round(away_s, 2)).info(
                 "store regained"
             )
-        state.fresh_at_s = state.contact_at_s = now_s
+        state.contact_at_s = now_s
         if returned and away_s > OUTAGE_S and len(replica):
             self.add_future(self._confirm(replica, state, after, revision, changes))
             return
@@ -178,22 +232,46 @@
         if not state.is_lost:
             state.is_lost = True
             logger.bind(kind=kind, cause=repr(failure)).warning("store lost")
+            self._peers.beat_all()
 
     def _apply(self, replica, after, horizon, changes, source):
-        """Take over changes and tell peers of those that are new."""
+        """Take over changes and tell peers of those that are new.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
+        """
         taken = replica.apply(after, horizon, changes)
         if not taken:
-            return
+            return False
         # What is passed on are the changes that were new, not a whole list.
         packed = [pack_change(change) for change in taken]
         delta = ObjectDelta(replica.kind, after or replica.newest, horizon, packed)
         self._peers.send_all(delta, "objects", lambda stream: stream is not source)
+        return True
 
     def _take_delta(self, stream, message):
         replica = self._replicas.get(message.kind)
         if replica is not None:
             changes = [ReplicaChange(*item) for item in message.changes]
-            self._apply(replica, message.after, message.horizon, changes, stream)
+            if self._apply(replica, message.after, message.horizon, changes, stream):
+                self._check_watch(replica, message.horizon)
+
+    def _check_watch(self, replica, revision):
+        """End a watch that has not shown what a peer learned from its own."""
+        watch = self._states[replica.kind].watch
+        if watch is None:
+            return
+
+        def compare():
+            if not watch.done():
+                logger.bind(kind=replica.kind, revision=revision).warning(
+                    "watch is silent"
+                )
+                watch.cancel()
+
+        asyncio.get_running_loop().call_later(WATCH_LAG_S, compare)
 
     def _answer_pull(self, stream, message):
         replica = self._replicas.get(message.kind)
@@ -216,7 +294,8 @@
             if replica is None:
                 continue
             state = self._states[kind]
-            state.fresh_at_s = max(state.fresh_at_s, now_s - age_ms / 1000)
+            lost = age_ms >= NO_CONTACT_MS
+            state.peers[stream.host] = NEVER_S if lost else now_s - age_ms / 1000
             differs = newest == replica.newest and size != len(replica)
             if newest <= replica.newest and not differs:
                 continue
--- a/src/sapphirerock/process/peers.py
+++ b/src/sapphirerock/process/peers.py
@@ -100,6 +100,10 @@
     def announce_leaving(self):
         """Tell every peer that this host takes no new work."""
         self.leaving = True
+        self.beat_all()
+
+    def beat_all(self):
+        """Tell every peer at once what a heartbeat would."""
         for stream in list(self.streams.values()):
             self._beat(stream)
 
