Copy a run again when its backup is lost; refuse what a leaving host can't end

A third of the runs lose their backup when a zone of engines fails; when their own engine failed seconds later their prompt was read anew and the stream paused for seconds. A run without a backup is now copied to another engine and the copy kept up to date. Engines that answer for another id are taken out for good, and told to peers.

--- a/src/sapphirerock/connection/answer.py
+++ b/src/sapphirerock/connection/answer.py
@@ -30,6 +30,8 @@
         Whether the body is not the engine's own bytes.
     was_not_executed : bool
         Whether the engine says that the call has not run.
+    is_other_engine : bool
+        Whether the engine at the address is not the one that was called.
     load : EngineLoad or None
         The engine's load.
     """
@@ -40,6 +42,7 @@
     is_stream: bool
     is_encoded: bool
     was_not_executed: bool
+    is_other_engine: bool
     load: EngineLoad | None
 
     @property
@@ -76,3 +79,23 @@
     head: AnswerHead
     headers: tuple
     body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class RunCopy:
+    """A copy of a run's memory.
+
+    Parameters
+    ----------
+    holder : EngineEntry
+        Engine that has the copy.
+    source : EngineEntry
+        Engine that the run was on.
+    handle : str
+        The source's name of the copy; empty for a backup that it keeps up to date
+        by itself.
+    """
+
+    holder: object
+    source: object
+    handle: str = ""
--- a/src/sapphirerock/connection/dialects.py
+++ b/src/sapphirerock/connection/dialects.py
@@ -57,6 +57,26 @@
         """Return the headers of an answer that go to the caller."""
         raise NotImplementedError
 
+    def make_copy_request(self, attempt_id, target):
+        """Return the request that copies a run's memory to another engine.
+
+        Parameters
+        ----------
+        attempt_id : str
+            The run.
+        target : EngineEntry
+            Where the copy goes.
+
+        Returns
+        -------
+        OutboundRequest
+        """
+        raise NotImplementedError
+
+    def read_copy(self, source, target, body):
+        """Return the `RunCopy` that an answer to a copy request describes, or None."""
+        raise NotImplementedError
+
     def read_start(self, body):
         """Return the start of the engine that a report names, or None.
 
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -151,20 +151,23 @@
         return Error(UpstreamBroken(upstream, repr(error)))
 
 
-async def probe(session, upstream, address, target, bound_s):
-    """Ask an upstream for a page on a new connection.
+async def exchange(session, upstream, address, request, bound_s):
+    """Send a small request of the router's own and read the whole answer.
 
     Returns
     -------
-    expression.Result of bytes or ConnectionFailure
-        The body, whatever the status.
+    expression.Result of (int, bytes) or ConnectionFailure
+        Status and body.
     """
     try:
-        async with session.get(
-            URL(f"http://{address}{target}", encoded=True),
+        async with session.request(
+            request.method,
+            URL(f"http://{address}{request.target}", encoded=True),
+            headers=CIMultiDict(request.headers),
+            data=request.body or None,
             timeout=ClientTimeout(total=bound_s),
         ) as response:
-            return Ok(await response.read())
+            return Ok((response.status, await response.read()))
     except ClientConnectorError as error:
         refused = isinstance(error.os_error, ConnectionRefusedError)
         return Error(UpstreamUnreachable(upstream, refused))
@@ -172,3 +175,16 @@
         return Error(UpstreamSilent(upstream, bound_s, is_new_connection=True))
     except (ClientError, OSError) as error:
         return Error(UpstreamBroken(upstream, repr(error)))
+
+
+async def probe(session, upstream, address, target, bound_s):
+    """Ask an upstream for a page on a new connection.
+
+    Returns
+    -------
+    expression.Result of bytes or ConnectionFailure
+        The body, whatever the status.
+    """
+    request = OutboundRequest("GET", target, [], b"")
+    answer = await exchange(session, upstream, address, request, bound_s)
+    return answer.map(lambda found: found[1])
--- a/src/sapphirerock/platform/dialect.py
+++ b/src/sapphirerock/platform/dialect.py
@@ -2,8 +2,9 @@
 
 import orjson
 
-from sapphirerock.connection.answer import AnswerHead, EngineLoad
+from sapphirerock.connection.answer import AnswerHead, EngineLoad, RunCopy
 from sapphirerock.connection.dialects import EngineDialect, register_dialect
+from sapphirerock.connection.upstream import OutboundRequest
 from sapphirerock.platform.ingress import parse_number, select_answer_headers
 from sapphirerock.platform.names import (
     ATTEMPT_ID,
@@ -13,6 +14,7 @@
     ENGINE_LOAD,
     EXPECTED_INSTANCE,
     LAST_EVENT_ID,
+    MOVE_PATH,
     NOT_EXECUTED,
     ORGANISATION,
     REPORT_PATH,
@@ -45,9 +47,13 @@
         headers = [item for item in headers if item[0].lower() != LAST_EVENT_ID.lower()]
         if continuation.last_event_id is not None:
             headers.append((LAST_EVENT_ID, str(continuation.last_event_id)))
-        if continuation.copy_address:
-            source = f"{continuation.copy_address}/{call.terms.attempt_id}"
-            headers.append((CONTINUE_FROM, source))
+        copy = continuation.copy
+        if copy is not None:
+            # A backup is named by its holder and the run, a copy that was asked for
+            # by the engine that made it and a number.
+            name = copy.handle or call.terms.attempt_id
+            source = copy.source.address if copy.handle else copy.holder.address
+            headers.append((CONTINUE_FROM, f"{source}/{name}"))
         return headers
 
     def read_head(self, response):
@@ -62,6 +68,7 @@
             was_not_executed=(
                 NOT_EXECUTED in headers or response.status == STATUS_OTHER_INSTANCE
             ),
+            is_other_engine=response.status == STATUS_OTHER_INSTANCE,
             load=_read_load(headers.get(ENGINE_LOAD)),
         )
 
@@ -69,6 +76,20 @@
         """Return the headers that are not for routers alone."""
         return select_answer_headers(response.headers)
 
+    def make_copy_request(self, attempt_id, target):
+        """Return the request that copies a run while it goes on."""
+        body = orjson.dumps({"id": attempt_id, "target": target.address})
+        headers = [("Content-Type", "application/json")]
+        return OutboundRequest("POST", MOVE_PATH, headers, body)
+
+    def read_copy(self, source, target, body):
+        """Decode the answer to a copy request."""
+        try:
+            handle = orjson.loads(body)["handle"]
+        except (ValueError, TypeError, KeyError):
+            return None
+        return RunCopy(holder=target, source=source, handle=str(handle))
+
     def read_start(self, body):
         """Return the start of the engine that a report names."""
         try:
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -4,6 +4,7 @@
 
 READINESS_PATH = "/sapphirerock/readiness"
 REPORT_PATH = "/sapphirerock/report"
+MOVE_PATH = "/sapphirerock/kv-move"
 OBJECTS_PATH = "/sapphirerock/objects"
 
 CONFIGURATION_KIND = "config"
--- a/src/sapphirerock/process/crashwatch.py
+++ b/src/sapphirerock/process/crashwatch.py
@@ -20,6 +20,7 @@
 # Two ways between regions and back, with room for a busy engine.
 PROBE_BOUND_S = 0.3
 CRASHES_REMEMBERED = 256
+REPLACED = "replaced"
 
 
 class CrashWatch:
@@ -117,6 +118,17 @@
             EngineDownNews(entry.name, entry.born_ms, entry.availability_zone, cause)
         )
 
+    def report_replaced(self, state):
+        """Take out an engine whose address another one has, and tell peers."""
+        if not state.is_gone:
+            entry = state.entry
+            self._engines.mark_replaced(state)
+            self._gossip.spread(
+                EngineDownNews(
+                    entry.name, entry.born_ms, entry.availability_zone, REPLACED
+                )
+            )
+
     def _end_attempts(self, state, cause):
         self._engines.mark_down(state, cause)
         for attempt in list(state.attempts):
@@ -140,8 +152,12 @@
     def _take_down(self, news):
         """Take over that a peer found an engine down, unless it speaks to us."""
         now_s = self._clock.monotonic()
-        self._crashes.append(Crash(news.engine, news.availability_zone, now_s))
         state = self._engines.get(news.engine)
+        if news.cause == REPLACED:
+            if state is not None and state.entry.born_ms == news.born_ms:
+                self._engines.mark_replaced(state)
+            return
+        self._crashes.append(Crash(news.engine, news.availability_zone, now_s))
         if state is None or state.entry.born_ms != news.born_ms:
             return
         if not self._engines.is_usable(state):
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -14,6 +14,7 @@
 from sapphirerock.connection.sessions import make_session
 from sapphirerock.connection.store import StoreClient
 from sapphirerock.connection.upstream import make_upstream_session
+from sapphirerock.decisions.leaving import StreamLength
 from sapphirerock.decisions.placement import PLACEMENTS
 from sapphirerock.decisions.repeats import RepeatBudget, RepeatTerms
 from sapphirerock.platform import dialect as platform_dialect
@@ -172,6 +173,7 @@
             budget=RepeatBudget(terms, self._count_hosts, clock),
             crashes=crashes,
             generator=generator,
+            stream_length=StreamLength(),
         )
         self.reception = Reception(runtime, self.routing)
 
@@ -195,8 +197,7 @@
     @property
     def is_ready(self):
         """Whether this host is to get new connections."""
-        leaving = self.reception.leaving_since_s is not None
-        return self.routing.current is not None and not leaving
+        return self.routing.current is not None and not self.reception.is_leaving
 
     async def _answer_ready(self, request):
         status = 200 if self.is_ready else 503
@@ -211,15 +212,15 @@
     async def on_stop(self):
         """Take no new connections, finish what is under way, then end."""
         started_s = self.clock.monotonic()
-        deadline_s = started_s + self.profile.bounds.grace_s - CLOSING_S
-        self.reception.leaving_since_s = started_s
+        allowed_s = self.profile.bounds.grace_s - CLOSING_S
+        self.reception.start_leaving(allowed_s)
         logger.bind(calls=self.reception.calls).info("stopping")
         self.peers.announce_leaving()
         await self.membership.leave()
         await self.clock.sleep(ROTATION_S)
         self._listener.close()
         self._server.close_idle()
-        while self.reception.calls and self.clock.monotonic() < deadline_s:
+        while self.reception.calls and self.clock.monotonic() < started_s + allowed_s:
             await self.clock.sleep(DRAIN_POLL_S)
         logger.bind(
             calls=self.reception.calls,
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -27,6 +27,8 @@
         Finds out which calls crash engines.
     generator : random.Random
         Spreads what must not come as a wave.
+    stream_length : StreamLength
+        Typical time of a stream.
     """
 
     clock: object
@@ -38,3 +40,4 @@
     budget: object
     crashes: object
     generator: object
+    stream_length: object
--- a/src/sapphirerock/process/enginetable.py
+++ b/src/sapphirerock/process/enginetable.py
@@ -74,7 +74,7 @@
     failures : int
         Times in a row that it was found down.
     is_gone : bool
-        Whether its registration has ended.
+        Whether its registration has ended, or another engine has its address.
     is_probed : bool
         Whether it is being asked whether it is still there.
     """
@@ -139,6 +139,10 @@
             known.entry = entry
             return
         self._remove(entry.name)
+        for state in self._states.values():
+            # An address has one engine; an entry that is older has not lapsed yet.
+            if state.entry.address == entry.address:
+                state.is_gone = True
         self._states[entry.name] = EngineState(entry)
 
     def _remove(self, name):
@@ -168,6 +172,14 @@
             return False
         return state.down_until_s <= self._clock.monotonic()
 
+    def mark_replaced(self, state):
+        """Take out an engine for good: another one answers at its address."""
+        if not state.is_gone:
+            logger.bind(engine=state.name, address=state.entry.address).warning(
+                "engine replaced"
+            )
+            state.is_gone = True
+
     def mark_down(self, state, cause):
         """Give an engine no work for a while."""
         now_s = self._clock.monotonic()
--- a/src/sapphirerock/process/fleet.py
+++ b/src/sapphirerock/process/fleet.py
@@ -78,6 +78,10 @@
         view = choose_backup(views, state.entry.availability_zone)
         return self.engines.get(view.name) if view else None
 
+    def get_copy_life_s(self, service):
+        """Return how long an engine keeps a copy of a run, in seconds."""
+        return self._get_terms(service).copy_life_s
+
     def choose_plain(self, service, excluded):
         """Return the engine for a call that is answered whole, or None."""
         views = self._list_views(service, excluded)
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -110,6 +110,8 @@
         if read.is_error():
             return self._classify(state, read.error)
         answer = read.ok
+        if answer.head.is_other_engine:
+            self._runtime.crashes.report_replaced(state)
         if answer.head.was_not_executed:
             self._log.bind(engine=state.name, status=answer.head.status).info("not run")
             return Outcome.NOT_RUN
--- a/src/sapphirerock/request/reception.py
+++ b/src/sapphirerock/request/reception.py
@@ -6,12 +6,14 @@
 
 from sapphirerock.connection.ingress import read_request_body
 from sapphirerock.connection.responder import Responder
+from sapphirerock.decisions.leaving import LeavingView
 from sapphirerock.platform.ingress import decode_terms, select_request_headers
 from sapphirerock.process.tracing import read_context
 from sapphirerock.request.call import RoutedCall
 from sapphirerock.request.plaincall import PlainCall
 from sapphirerock.request.problem import (
     CRASHES_ENGINES,
+    LEAVING,
     NO_CONFIGURATION,
     NOT_FOUND,
     TOO_LARGE,
@@ -43,21 +45,30 @@
     ----------
     calls : int
         Requests that are being answered.
-    leaving_since_s : float or None
-        Monotonic time from which on the host is leaving.
     """
 
-    __slots__ = ("calls", "leaving_since_s", "_runtime", "_routing")
+    __slots__ = ("calls", "_leaving_since_s", "_allowed_s", "_runtime", "_routing")
 
     def __init__(self, runtime, routing):
         self.calls = 0
-        self.leaving_since_s = None
+        self._leaving_since_s = None
+        self._allowed_s = 0.0
         self._runtime = runtime
         self._routing = routing
 
+    @property
+    def is_leaving(self):
+        """Whether the host has been told to stop."""
+        return self._leaving_since_s is not None
+
+    def start_leaving(self, allowed_s):
+        """Take only calls that can be expected to end within some seconds."""
+        self._leaving_since_s = self._runtime.clock.monotonic()
+        self._allowed_s = allowed_s
+
     async def handle(self, request):
         """Answer one request; the library calls this."""
-        responder = Responder(request, closes=self.leaving_since_s is not None)
+        responder = Responder(request, closes=self.is_leaving)
         runtime = self._runtime
         arrived_s = runtime.clock.monotonic()
         kind = "none"
@@ -93,6 +104,10 @@
         terms = decode_terms(request.headers)
         if route is None:
             return self._refuse(terms, version, Problem(NOT_FOUND, "no route"))
+        if not self._takes(route, arrived_s):
+            detail = "another host takes the call"
+            problem = Problem(LEAVING, detail, LEAVING_RETRY_AFTER_S)
+            return self._refuse(terms, version, problem)
         caller = version.callers.get(terms.key)
         if version.needs_keys and not route.is_public and caller is None:
             return self._refuse(terms, version, Problem(UNAUTHORISED, "unknown key"))
@@ -117,6 +132,15 @@
             )
         )
 
+    def _takes(self, route, now_s):
+        """Return whether a call that comes now can be answered in time."""
+        if not self.is_leaving:
+            return True
+        view = LeavingView(now_s - self._leaving_since_s, self._allowed_s)
+        if route.kind is RouteKind.STREAMING:
+            return view.takes(self._runtime.stream_length.seconds)
+        return view.takes(route.timeout_s)
+
     def _refuse(self, terms, version, problem):
         logger.bind(
             request=terms.attempt_id, status=problem.status, revision=version.revision
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -1,5 +1,6 @@
 """A streamed call: relayed event by event, and gone on with at another engine."""
 
+import asyncio
 from dataclasses import dataclass
 
 from loguru import logger
@@ -18,6 +19,7 @@
     UPSTREAM_FAILED,
     Problem,
 )
+from sapphirerock.request.runcopies import RunCopies
 from sapphirerock.request.upstreamattempt import UpstreamAttempt
 
 SERVER_ERROR = 500
@@ -31,13 +33,12 @@
     ----------
     last_event_id : int or None
         Event after which the stream goes on.
-    copy_address : str
-        Address of the engine that holds a copy of the run's memory; empty where
-        the prompt is to be read anew.
+    copy : RunCopy or None
+        Copy of the run's memory; None where the prompt is to be read anew.
     """
 
     last_event_id: int | None
-    copy_address: str = ""
+    copy: object = None
 
 
 @dataclass(slots=True)
@@ -90,7 +91,7 @@
         "_call",
         "_responder",
         "_progress",
-        "_copy_holder",
+        "_copy",
         "_tried",
         "_sends",
         "_losses",
@@ -104,7 +105,7 @@
         self._call = call
         self._responder = responder
         self._progress = StreamProgress(call.terms.last_event_id)
-        self._copy_holder = None
+        self._copy = None
         self._tried = set()
         self._sends = 0
         self._losses = 0
@@ -119,6 +120,9 @@
         try:
             while step is not Step.GIVE_UP:
                 ending = await self._attempt_next(step)
+                if ending is Ending.COMPLETE:
+                    elapsed_s = self._runtime.clock.monotonic() - self._started_s
+                    self._runtime.stream_length.note_end(elapsed_s)
                 if ending in (Ending.COMPLETE, Ending.PASSED_ON):
                     return
                 step = self._choose_step(ending)
@@ -143,41 +147,49 @@
 
     async def _attempt_next(self, step):
         """Make one attempt and return its ending."""
+        fleet, copy = self._runtime.fleet, self._copy
+        self._copy = None
         if step is Step.CONTINUE_COPY:
-            holder, self._copy_holder = self._copy_holder, None
-            return await self._attempt(holder, holder.entry.address, None)
-        placement = self._runtime.fleet.place(self._call, self._tried)
+            return await self._attempt(fleet.engines.get(copy.holder.name), copy, None)
+        placement = fleet.place(self._call, self._tried)
         if placement is None:
             return Ending.NO_ENGINE
-        return await self._attempt(placement.state, "", placement)
+        return await self._attempt(placement.state, None, placement)
 
-    async def _attempt(self, state, copy_address, placement):
+    async def _attempt(self, state, copy, placement):
         backup = self._runtime.fleet.choose_backup(self._call, state)
         self._sends += 1
         prompt = self._call.terms.prompt
-        self._log_placement(state, backup, copy_address, placement)
+        self._log_placement(state, backup, copy, placement)
         attempt = UpstreamAttempt(
             self._runtime,
             self._call,
             state,
-            0 if copy_address else prompt.tokens,
+            prompt.tokens if copy is None else 0,
             prompt.memory_tokens,
             backup,
         )
         continuation = None
-        if self._responder.has_begun or copy_address:
-            continuation = Continuation(self._progress.last_id, copy_address)
+        if self._responder.has_begun or copy is not None:
+            continuation = Continuation(self._progress.last_id, copy)
+        copies = RunCopies(self._runtime, self._call, attempt)
         with attempt:
-            ending = await self._relay(attempt, continuation)
+            keeping = asyncio.ensure_future(copies.keep()) if backup else None
+            try:
+                ending = await self._relay(attempt, continuation)
+            finally:
+                if keeping is not None:
+                    keeping.cancel()
         if ending not in (Ending.COMPLETE, Ending.PASSED_ON):
             self._tried.add(state.name)
-            self._copy_holder = backup if self._responder.has_begun else None
+            if self._responder.has_begun:
+                self._copy = copies.get_usable()
         return ending
 
-    def _log_placement(self, state, backup, copy_address, placement):
+    def _log_placement(self, state, backup, copy, placement):
         fields = {"engine": state.name, "backup": backup.name if backup else None}
-        if copy_address:
-            fields["copy"] = copy_address
+        if copy is not None:
+            fields["copy_of"] = copy.source.name
         if self._progress.last_id is not None:
             fields["after"] = self._progress.last_id
         if placement is not None:
@@ -246,6 +258,8 @@
         self._log.bind(
             engine=attempt.state.name, status=head.status, ran=not head.was_not_executed
         ).info("no stream")
+        if head.is_other_engine:
+            self._runtime.crashes.report_replaced(attempt.state)
         if head.was_not_executed:
             return Ending.NOT_RUN
         if self._responder.has_begun:
@@ -276,7 +290,7 @@
         choice = choose_step(
             StreamView(
                 ending=ending,
-                has_copy=self._runtime.fleet.is_usable(self._copy_holder),
+                has_copy=self._copy is not None,
                 may_repeat=route.may_repeat,
                 sends=self._sends,
                 losses=self._losses,
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -73,8 +73,7 @@
         state.own.prompt_tokens += self._prompt_tokens
         state.own.runs += 1
         state.own.memory_tokens += self._memory_tokens
-        if self.backup is not None:
-            self.backup.own.copy_tokens += self._memory_tokens
+        self._count_copy(1)
         return self
 
     def __exit__(self, *exception):
@@ -83,11 +82,21 @@
         self.note_prompt_read()
         state.own.runs -= 1
         state.own.memory_tokens -= self._memory_tokens
-        if self.backup is not None:
-            self.backup.own.copy_tokens -= self._memory_tokens
+        self._count_copy(-1)
         if self._response is not None:
             self._response.close()
 
+    def _count_copy(self, sign):
+        """Count the copy of the run's memory as load of the engine that has it."""
+        if self.backup is not None:
+            self.backup.own.copy_tokens += sign * self._memory_tokens
+
+    def replace_backup(self, backup):
+        """Count the copy at another engine from now on."""
+        self._count_copy(-1)
+        self.backup = backup
+        self._count_copy(1)
+
     def note_prompt_read(self):
         """Count the prompt as read: the engine has begun to answer."""
         self.state.own.prompt_tokens -= self._prompt_tokens
