--- a/features/steps/differential_steps.py
+++ b/features/steps/differential_steps.py
@@ -11,15 +11,20 @@
 from tools.memoryplatform import MemoryPlatform
 
 from sapphirerock.connection.messages import JournalAppend, JournalOpen
-from sapphirerock.process.bucket import DONE, RELEASED, LedgerEntry, make_entry_key
 from sapphirerock.process.clock import ManualClock
-from sapphirerock.process.journal import (
+from sapphirerock.process.journals.store import (
     TOKEN_TYPE,
     JournalStore,
     is_resumable,
     unpack_tokens,
 )
-from sapphirerock.process.ledger import RETENTION_S, Ledger
+from sapphirerock.process.orders.bucket import (
+    DONE,
+    RELEASED,
+    LedgerEntry,
+    make_entry_key,
+)
+from sapphirerock.process.orders.ledger import RETENTION_S, Ledger
 from sapphirerock.request.generation import Generation
 
 SPLIT_BYTES = 30_000
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -9,7 +9,7 @@
 from tools.memoryplatform import MemoryPlatform
 
 from sapphirerock.process.clock import ManualClock
-from sapphirerock.process.placer import LEASE_S, LeaseKeeper
+from sapphirerock.process.orders.placer import LEASE_S, LeaseKeeper
 
 ZONES = (("zone-a", "region-a"), ("zone-b", "region-a"))
 LOADS_PER_MINUTE = 60
--- a/src/sapphirerock/process/controlcli.py
+++ b/src/sapphirerock/commands/control.py
@@ -10,8 +10,8 @@
 import orjson
 
 from sapphirerock import __version__
-from sapphirerock.process.control import ControlClient
-from sapphirerock.process.settingstree import read_tree, validate_tree
+from sapphirerock.commands.controlclient import ControlClient
+from sapphirerock.process.settings.tree import read_tree, validate_tree
 
 IN_FORCE_BOUND_S = 4.0
 KEY_BYTES = 24
--- a/src/sapphirerock/commands/edge.py
+++ b/src/sapphirerock/commands/edge.py
@@ -4,11 +4,11 @@
 
 import click
 
+from sapphirerock.commands.worker import run_service
 from sapphirerock.platform.names import SETTINGS_VARIABLE
 from sapphirerock.platform.settingsfile import read_profile
 from sapphirerock.process.edge import Edge
-from sapphirerock.process.logs import configure_logs
-from sapphirerock.process.worker import run_service
+from sapphirerock.process.telemetry.logs import configure_logs
 
 
 @click.command()
--- a/src/sapphirerock/process/placercli.py
+++ b/src/sapphirerock/commands/placer.py
@@ -5,10 +5,10 @@
 import click
 
 from sapphirerock import __version__
-from sapphirerock.process.hostsettings import read_host_settings
-from sapphirerock.process.logs import configure_logs
-from sapphirerock.process.placer import PlacerService
-from sapphirerock.process.worker import run_service
+from sapphirerock.commands.worker import run_service
+from sapphirerock.process.orders.placer import PlacerService
+from sapphirerock.process.settings.hostsettings import read_host_settings
+from sapphirerock.process.telemetry.logs import configure_logs
 
 
 @click.command()
--- a/src/sapphirerock/connection/engine.py
+++ b/src/sapphirerock/connection/engine.py
@@ -14,7 +14,7 @@
     UpstreamUnreachable,
 )
 from sapphirerock.connection.eventstream import EventStream
-from sapphirerock.process.tracing import write_context
+from sapphirerock.process.telemetry.tracing import write_context
 
 CALL_TIMEOUT_S = 1.0
 EVENT_LIMIT_BYTES = 1 << 18
--- a/src/sapphirerock/connection/plain.py
+++ b/src/sapphirerock/connection/plain.py
@@ -16,7 +16,7 @@
     UpstreamUnreachable,
 )
 from sapphirerock.connection.sessions import CONNECT_BOUND_S
-from sapphirerock.process.tracing import write_context
+from sapphirerock.process.telemetry.tracing import write_context
 
 FORWARDED_HEADERS = ("Content-Type", "Accept", "Idempotency-Key")
 
--- a/src/sapphirerock/load/capacity.py
+++ b/src/sapphirerock/load/capacity.py
@@ -9,14 +9,14 @@
 
 import orjson
 
-from sapphirerock.process.peers import ZONE_DEGREE
-from sapphirerock.process.placer import (
+from sapphirerock.process.engines.watchers import POLL_INTERVAL_S
+from sapphirerock.process.orders.placer import (
     CANDIDATE_INTERVAL_S,
     CANDIDATES_PER_ZONE,
     RENEW_INTERVAL_S,
 )
-from sapphirerock.process.spread import WATCHERS_PER_ZONE
-from sapphirerock.process.watchers import POLL_INTERVAL_S
+from sapphirerock.process.peers.table import ZONE_DEGREE
+from sapphirerock.process.replicas.spread import WATCHERS_PER_ZONE
 
 CONTROL_CPU_PERCENT = 2.0
 CONTROL_MEMORY_BYTES = 32e6
--- a/src/sapphirerock/load/cli.py
+++ b/src/sapphirerock/load/cli.py
@@ -15,7 +15,7 @@
 from sapphirerock.load.experiment import read_plan, run_plan
 from sapphirerock.load.report import format_report
 from sapphirerock.load.slopes import MEASUREMENTS, format_slopes
-from sapphirerock.process.logs import configure_logs
+from sapphirerock.process.telemetry.logs import configure_logs
 
 CALL_TIMEOUT_S = 10.0
 
--- a/src/sapphirerock/load/microslopes.py
+++ b/src/sapphirerock/load/microslopes.py
@@ -17,10 +17,10 @@
     register_measurement,
 )
 from sapphirerock.process.clock import ManualClock
-from sapphirerock.process.hosts import HostTable
-from sapphirerock.process.hostsettings import HostAddress
-from sapphirerock.process.loads import LoadSpread
-from sapphirerock.process.upstreams import UpstreamTable
+from sapphirerock.process.engines.upstreams import UpstreamTable
+from sapphirerock.process.peers.hosts import HostTable
+from sapphirerock.process.peers.loads import LoadSpread
+from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.web import WebService
 from sapphirerock.request.generation import Generation
 from sapphirerock.standin.batch import EngineModel
--- a/src/sapphirerock/load/slopes.py
+++ b/src/sapphirerock/load/slopes.py
@@ -12,9 +12,9 @@
 
 import orjson
 
-from sapphirerock.process.hostsettings import HostAddress, HostSettings
 from sapphirerock.process.router import RouterService
-from sapphirerock.process.settings import Envelope, SettingsStore
+from sapphirerock.process.settings.hostsettings import HostAddress, HostSettings
+from sapphirerock.process.settings.store import Envelope, SettingsStore
 from sapphirerock.process.web import WebService
 from sapphirerock.standin.platform import PlatformStandin
 
--- a/src/sapphirerock/platform/registrations.py
+++ b/src/sapphirerock/platform/registrations.py
@@ -2,7 +2,7 @@
 
 from expression import Error, Ok
 
-from sapphirerock.process.hostprofile import parse_endpoint
+from sapphirerock.process.settings.hostprofile import parse_endpoint
 from sapphirerock.version.engineentry import EngineEntry
 from sapphirerock.version.faults import SettingsError, SettingsFault
 
--- a/src/sapphirerock/platform/settingsfile.py
+++ b/src/sapphirerock/platform/settingsfile.py
@@ -3,7 +3,7 @@
 import orjson
 from expression import Error, Ok
 
-from sapphirerock.process.hostprofile import (
+from sapphirerock.process.settings.hostprofile import (
     Endpoint,
     HostProfile,
     ServiceBounds,
--- a/src/sapphirerock/process/admin.py
+++ b/src/sapphirerock/process/admin.py
@@ -10,8 +10,8 @@
 from sapphirerock import __version__
 from sapphirerock.connection.caller import make_problem_response
 from sapphirerock.process.gateway import BEARER, read_body
-from sapphirerock.process.settings import SETTINGS_PREFIX
-from sapphirerock.process.settingswriter import SettingsChange
+from sapphirerock.process.settings.store import SETTINGS_PREFIX
+from sapphirerock.process.settings.writer import SettingsChange
 from sapphirerock.request.problem import (
     FORBIDDEN,
     MALFORMED,
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -16,6 +16,7 @@
 from sapphirerock.connection.upstream import make_upstream_session
 from sapphirerock.decisions.leaving import StreamLength
 from sapphirerock.decisions.placement import PLACEMENTS
+from sapphirerock.decisions.quarantine import Quarantine
 from sapphirerock.decisions.repeats import RepeatBudget, RepeatTerms
 from sapphirerock.platform import dialect as platform_dialect
 from sapphirerock.platform.configuration import decode_configuration
@@ -28,23 +29,22 @@
 )
 from sapphirerock.platform.registrations import decode_registration
 from sapphirerock.process.clock import SystemClock
-from sapphirerock.process.crashwatch import CrashWatch
-from sapphirerock.process.edgemetrics import EdgeMetrics
 from sapphirerock.process.edgeruntime import EdgeRuntime
-from sapphirerock.process.enginemonitor import EngineMonitor
-from sapphirerock.process.enginetable import EngineTable
-from sapphirerock.process.feed import ObjectFeed
-from sapphirerock.process.fleet import Fleet
-from sapphirerock.process.gossip import Gossip
-from sapphirerock.process.hosts import HostTable
-from sapphirerock.process.hostsettings import HostAddress, TracingSettings
-from sapphirerock.process.loadsharing import LoadSharing
-from sapphirerock.process.membership import Membership
-from sapphirerock.process.peers import PeerTable
-from sapphirerock.process.quarantine import Quarantine
-from sapphirerock.process.replica import Replica
-from sapphirerock.process.routingstore import RoutingStore
-from sapphirerock.process.tracing import make_tracer
+from sapphirerock.process.engines.crashwatch import CrashWatch
+from sapphirerock.process.engines.fleet import Fleet
+from sapphirerock.process.engines.monitor import EngineMonitor
+from sapphirerock.process.engines.table import EngineTable
+from sapphirerock.process.peers.gossip import Gossip
+from sapphirerock.process.peers.hosts import HostTable
+from sapphirerock.process.peers.loadsharing import LoadSharing
+from sapphirerock.process.peers.membership import Membership
+from sapphirerock.process.peers.table import PeerTable
+from sapphirerock.process.replicas.feed import ObjectFeed
+from sapphirerock.process.replicas.replica import Replica
+from sapphirerock.process.settings.hostsettings import HostAddress, TracingSettings
+from sapphirerock.process.settings.routing import RoutingStore
+from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
+from sapphirerock.process.telemetry.tracing import make_tracer
 from sapphirerock.process.web import WebService
 from sapphirerock.request.reception import Reception
 from sapphirerock.version.routing import CallerLimits
--- /dev/null
+++ b/src/sapphirerock/process/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Engines and upstreams: registered, watched, chosen."""
--- a/src/sapphirerock/process/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -13,8 +13,8 @@
     Crash,
     is_evidence,
 )
-from sapphirerock.process.gossip import CrashNews, EngineDownNews
-from sapphirerock.process.quarantine import make_fingerprint
+from sapphirerock.decisions.quarantine import make_fingerprint
+from sapphirerock.process.peers.gossip import CrashNews, EngineDownNews
 from sapphirerock.process.tasks import BackgroundTasks
 
 # Two ways between regions and back, with room for a busy engine.
--- a/src/sapphirerock/process/dispatcher.py
+++ b/src/sapphirerock/process/engines/dispatcher.py
@@ -6,8 +6,8 @@
 from expression import Error, Ok
 from mode import Service
 
-from sapphirerock.process.balancer import BALANCERS
-from sapphirerock.process.fairqueue import FairQueue, Ticket
+from sapphirerock.decisions.balancer import BALANCERS
+from sapphirerock.decisions.fairqueue import FairQueue, Ticket
 from sapphirerock.request.problem import OVERLOADED, UNAVAILABLE, Problem
 from sapphirerock.request.recovery import POLICIES
 
--- a/src/sapphirerock/process/upstreams.py
+++ b/src/sapphirerock/process/engines/upstreams.py
@@ -5,7 +5,7 @@
 
 from sapphirerock.connection.engine import EngineClient
 from sapphirerock.connection.messages import LoadSample
-from sapphirerock.process.gossip import UpstreamNews
+from sapphirerock.process.peers.gossip import UpstreamNews
 
 SUSPECTED_FOR_S = 2.0
 MAX_SAMPLE_AGE_S = 10.0
--- a/src/sapphirerock/process/gateway.py
+++ b/src/sapphirerock/process/gateway.py
@@ -13,8 +13,8 @@
     stream_generation,
 )
 from sapphirerock.connection.plain import PlainRequest, select_headers
-from sapphirerock.process.generations import AttachRequest
-from sapphirerock.process.tracing import read_context
+from sapphirerock.process.journals.generations import AttachRequest
+from sapphirerock.process.telemetry.tracing import read_context
 from sapphirerock.request.check import CheckCall
 from sapphirerock.request.completion import parse_completion, parse_position
 from sapphirerock.request.order import OrderCall, choose_outcome
--- /dev/null
+++ b/src/sapphirerock/process/journals/__init__.py
@@ -0,0 +1,1 @@
+"""Tokens of generations, written ahead to peers."""
--- a/src/sapphirerock/process/appends.py
+++ b/src/sapphirerock/process/journals/appends.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from sapphirerock.connection.messages import JournalBackfill
-from sapphirerock.process.journal import TOKEN_TYPE
+from sapphirerock.process.journals.store import TOKEN_TYPE
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/process/generations.py
+++ b/src/sapphirerock/process/journals/generations.py
@@ -7,13 +7,13 @@
 from expression import Error, Ok
 from mode import Service
 
-from sapphirerock.process.journal import (
+from sapphirerock.process.journals.client import make_superseded
+from sapphirerock.process.journals.store import (
     TOKEN_TYPE,
     JournalRecord,
     is_resumable,
     unpack_tokens,
 )
-from sapphirerock.process.journaling import make_superseded
 from sapphirerock.request.driver import GenerationDriver
 from sapphirerock.request.generation import Generation
 from sapphirerock.request.problem import GENERATION_LOST, KEY_REUSED, Problem
--- /dev/null
+++ b/src/sapphirerock/process/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of orders, and orders to engines."""
--- a/src/sapphirerock/process/ledger.py
+++ b/src/sapphirerock/process/orders/ledger.py
@@ -14,7 +14,7 @@
 
 from sapphirerock.connection.errors import PlatformConflict, PlatformUnavailable
 from sapphirerock.connection.messages import ClaimReply, ClaimRequest, Refusal
-from sapphirerock.process.bucket import (
+from sapphirerock.process.orders.bucket import (
     CLAIMED,
     Bucket,
     LedgerEntry,
@@ -24,7 +24,7 @@
     format_bits,
     prune_entries,
 )
-from sapphirerock.process.rendezvous import pick_candidate
+from sapphirerock.process.peers.rendezvous import pick_candidate
 from sapphirerock.process.tasks import BackgroundTasks
 
 BUCKET_BITS = 6
--- a/src/sapphirerock/process/placer.py
+++ b/src/sapphirerock/process/orders/placer.py
@@ -17,9 +17,9 @@
 from sapphirerock.connection.platform import PlatformClient
 from sapphirerock.connection.sessions import make_session
 from sapphirerock.process.clock import SystemClock
-from sapphirerock.process.metrics import Metrics
-from sapphirerock.process.rendezvous import rank_candidates
-from sapphirerock.process.settings import SETTINGS_PREFIX, SettingsStore
+from sapphirerock.process.peers.rendezvous import rank_candidates
+from sapphirerock.process.settings.store import SETTINGS_PREFIX, SettingsStore
+from sapphirerock.process.telemetry.metrics import Metrics
 
 LEASE_PATH = "leases/placer"
 LEASE_S = 3.0
--- a/src/sapphirerock/process/hosts.py
+++ b/src/sapphirerock/process/peers/hosts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sapphirerock.process.hostsettings import HostAddress
+from sapphirerock.process.settings.hostsettings import HostAddress
 
 DEAD_FOR_S = 3.0
 
--- a/src/sapphirerock/process/loadsharing.py
+++ b/src/sapphirerock/process/peers/loadsharing.py
@@ -11,7 +11,7 @@
 from mode import Service
 
 from sapphirerock.connection.messages import HostLoads, ZoneLoads
-from sapphirerock.process.enginetable import EngineLoadCell
+from sapphirerock.process.engines.table import EngineLoadCell
 
 # Well under the time that an engine takes to read a prompt.
 TELL_INTERVAL_S = 0.1
--- a/src/sapphirerock/process/membership.py
+++ b/src/sapphirerock/process/peers/membership.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from sapphirerock.connection.storeobjects import ObjectMissing, StoreConflict
-from sapphirerock.process.hostsettings import HostAddress
+from sapphirerock.process.settings.hostsettings import HostAddress
 
 RETRY_PAUSE_S = 1.0
 # A store that answers within a call's bound; a host that leaves does not wait more.
--- a/src/sapphirerock/process/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -14,8 +14,8 @@
 
 from sapphirerock.connection.messages import ObjectDelta, ObjectPull
 from sapphirerock.connection.storeobjects import HistoryGone, StoreUnavailable
-from sapphirerock.process.rendezvous import rank_candidates
-from sapphirerock.process.replica import ReplicaChange
+from sapphirerock.process.peers.rendezvous import rank_candidates
+from sapphirerock.process.replicas.replica import ReplicaChange
 
 WATCHERS_PER_ZONE = 1
 # Bounds how late a watch that went silent is noticed; a watch that waits is one
--- a/src/sapphirerock/process/spread.py
+++ b/src/sapphirerock/process/replicas/spread.py
@@ -11,9 +11,9 @@
 
 from sapphirerock.connection.messages import SettingsDelta, SettingsPull
 from sapphirerock.connection.platform import HostEntry, HostList
-from sapphirerock.process.gossip import HostsNews
-from sapphirerock.process.rendezvous import rank_candidates
-from sapphirerock.process.settings import SETTINGS_PREFIX
+from sapphirerock.process.peers.gossip import HostsNews
+from sapphirerock.process.peers.rendezvous import rank_candidates
+from sapphirerock.process.settings.store import SETTINGS_PREFIX
 
 WATCHERS_PER_ZONE = 2
 WATCH_WAIT_S = 2.0
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -19,28 +19,28 @@
 )
 from sapphirerock.connection.platform import PlatformClient
 from sapphirerock.connection.sessions import make_session
+from sapphirerock.decisions.quarantine import Quarantine
 from sapphirerock.process.admin import Admin
 from sapphirerock.process.clock import SystemClock
-from sapphirerock.process.dispatcher import Dispatcher
+from sapphirerock.process.engines.dispatcher import Dispatcher
+from sapphirerock.process.engines.upstreams import UpstreamTable
+from sapphirerock.process.engines.watchers import UpstreamWatch
 from sapphirerock.process.gateway import BODY_LIMIT_BYTES, Gateway
-from sapphirerock.process.generations import GenerationTable
-from sapphirerock.process.gossip import CrashNews, Gossip, SuspectNews
-from sapphirerock.process.hosts import HostTable
-from sapphirerock.process.journal import JournalStore
-from sapphirerock.process.journaling import JournalClient
-from sapphirerock.process.ledger import Ledger
-from sapphirerock.process.limits import LimitTable
-from sapphirerock.process.loads import LoadSpread
-from sapphirerock.process.metrics import Metrics
-from sapphirerock.process.peers import PeerTable
-from sapphirerock.process.quarantine import Quarantine
+from sapphirerock.process.journals.client import JournalClient
+from sapphirerock.process.journals.generations import GenerationTable
+from sapphirerock.process.journals.store import JournalStore
+from sapphirerock.process.orders.ledger import Ledger
+from sapphirerock.process.peers.gossip import CrashNews, Gossip, SuspectNews
+from sapphirerock.process.peers.hosts import HostTable
+from sapphirerock.process.peers.limits import LimitTable
+from sapphirerock.process.peers.loads import LoadSpread
+from sapphirerock.process.peers.table import PeerTable
+from sapphirerock.process.replicas.spread import SettingsSpread
 from sapphirerock.process.runtime import Runtime
-from sapphirerock.process.settings import SettingsStore
-from sapphirerock.process.settingswriter import SettingsWriter
-from sapphirerock.process.spread import SettingsSpread
-from sapphirerock.process.tracing import make_tracer
-from sapphirerock.process.upstreams import UpstreamTable
-from sapphirerock.process.watchers import UpstreamWatch
+from sapphirerock.process.settings.store import SettingsStore
+from sapphirerock.process.settings.writer import SettingsWriter
+from sapphirerock.process.telemetry.metrics import Metrics
+from sapphirerock.process.telemetry.tracing import make_tracer
 from sapphirerock.process.web import WebService
 
 DRAIN_POLL_S = 0.05
--- a/src/sapphirerock/process/runtime.py
+++ b/src/sapphirerock/process/runtime.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from sapphirerock.process.budget import RetryBudget
-from sapphirerock.process.gossip import CrashNews, SuspectNews
+from sapphirerock.process.peers.gossip import CrashNews, SuspectNews
 from sapphirerock.process.tasks import BackgroundTasks
 
 # By the distance of an upstream.
--- /dev/null
+++ b/src/sapphirerock/process/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the host and of its operators."""
--- a/src/sapphirerock/process/settingswriter.py
+++ b/src/sapphirerock/process/settings/writer.py
@@ -5,7 +5,7 @@
 from expression import Error, Ok
 
 from sapphirerock.connection.errors import PlatformConflict
-from sapphirerock.process.settings import Envelope, decode_envelope
+from sapphirerock.process.settings.store import Envelope, decode_envelope
 from sapphirerock.request.problem import (
     CONFLICT,
     PLATFORM_UNAVAILABLE,
--- /dev/null
+++ b/src/sapphirerock/process/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- a/src/sapphirerock/request/attempt.py
+++ b/src/sapphirerock/request/attempt.py
@@ -8,7 +8,7 @@
 from sapphirerock.connection.engine import EngineRequest
 from sapphirerock.connection.errors import UpstreamBroken, UpstreamRefused
 from sapphirerock.connection.eventstream import DoneEvent
-from sapphirerock.process.journal import TOKEN_TYPE
+from sapphirerock.process.journals.store import TOKEN_TYPE
 from sapphirerock.request.loss import Loss, classify_failure
 
 RECOVERY_PRIORITY = 9
--- a/src/sapphirerock/request/check.py
+++ b/src/sapphirerock/request/check.py
@@ -5,7 +5,7 @@
 from opentelemetry.trace import SpanKind
 
 from sapphirerock.connection.plain import send_plain
-from sapphirerock.process.dispatcher import ChoiceRequest
+from sapphirerock.process.engines.dispatcher import ChoiceRequest
 from sapphirerock.request.problem import UNAVAILABLE, UPSTREAM_FAILED, Problem
 
 RETRY_AFTER_S = 1
--- a/src/sapphirerock/request/driver.py
+++ b/src/sapphirerock/request/driver.py
@@ -3,8 +3,8 @@
 from expression import Error, Ok
 from opentelemetry.trace import SpanKind
 
-from sapphirerock.process.dispatcher import ChoiceRequest
-from sapphirerock.process.quarantine import make_fingerprint
+from sapphirerock.decisions.quarantine import make_fingerprint
+from sapphirerock.process.engines.dispatcher import ChoiceRequest
 from sapphirerock.request.attempt import Attempt
 from sapphirerock.request.loss import Loss
 from sapphirerock.request.problem import (
--- a/src/sapphirerock/request/generation.py
+++ b/src/sapphirerock/request/generation.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from sapphirerock.process.journal import is_resumable
+from sapphirerock.process.journals.store import is_resumable
 from sapphirerock.request.completion import EventPosition
 
 
--- a/src/sapphirerock/request/order.py
+++ b/src/sapphirerock/request/order.py
@@ -10,14 +10,14 @@
 from sapphirerock.connection.errors import UpstreamUnreachable
 from sapphirerock.connection.plain import PlainAnswer, send_plain
 from sapphirerock.connection.singleuse import SingleUse
-from sapphirerock.process.bucket import (
+from sapphirerock.process.orders.bucket import (
     CLAIMED,
     DONE,
     RELEASED,
     LedgerEntry,
     make_entry_key,
 )
-from sapphirerock.process.ledger import STORED_BODY_BYTES
+from sapphirerock.process.orders.ledger import STORED_BODY_BYTES
 from sapphirerock.request.problem import (
     IN_PROGRESS,
     KEY_REUSED,
--- a/src/sapphirerock/request/reception.py
+++ b/src/sapphirerock/request/reception.py
@@ -8,7 +8,7 @@
 from sapphirerock.connection.responder import Responder
 from sapphirerock.decisions.leaving import LeavingView
 from sapphirerock.platform.ingress import decode_terms, select_request_headers
-from sapphirerock.process.tracing import read_context
+from sapphirerock.process.telemetry.tracing import read_context
 from sapphirerock.request.call import RoutedCall
 from sapphirerock.request.plaincall import PlainCall
 from sapphirerock.request.problem import (
--- a/src/sapphirerock/request/suspicion.py
+++ b/src/sapphirerock/request/suspicion.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from sapphirerock.process.quarantine import EVIDENCE_LIFE_S
+from sapphirerock.decisions.quarantine import EVIDENCE_LIFE_S
 from sapphirerock.request.problem import CRASHES_ENGINES, Problem
 
 # News of where a suspect runs need a moment to reach the other hosts.
--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -4,9 +4,9 @@
 import orjson
 
 from sapphirerock import __version__
-from sapphirerock.process.logs import configure_logs
+from sapphirerock.commands.worker import run_service
+from sapphirerock.process.telemetry.logs import configure_logs
 from sapphirerock.process.web import WebService
-from sapphirerock.process.worker import run_service
 from sapphirerock.standin.batch import EngineModel
 from sapphirerock.standin.engine import EngineService, EngineStandin
 from sapphirerock.standin.link import LinkService, LinkStandin, parse_forward
--- a/tools/memoryplatform.py
+++ b/tools/memoryplatform.py
@@ -6,7 +6,7 @@
 
 from sapphirerock.connection.errors import PlatformConflict, PlatformUnavailable
 from sapphirerock.connection.platform import StoredValue
-from sapphirerock.process.bucket import decode_bucket
+from sapphirerock.process.orders.bucket import decode_bucket
 
 VALUE_LIMIT_BYTES = 1 << 20
 
