--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -5,6 +5,8 @@
 
 from behave import given, then, when
 
+from sapphirerock.platform.names import ENGINES_KIND
+
 ZONES = (("zone-a", "region-a"), ("zone-b", "region-a"))
 MARKER = "POISON"
 SLOW_ENGINE = {"token_interval": 0.03}
@@ -164,19 +166,13 @@
 async def mark_in_list(context):
     cluster = context.world.cluster
     entry = {
-        "host": context.leaving,
-        "availability_zone": ZONES[0][0],
-        "region": ZONES[0][1],
-        "address": "127.0.0.1",
-        "caller_port": 1,
-        "peer_port": 1,
-        "role": "engine",
-        "leaving": True,
+        "service": "quote",
+        "address": cluster.urls[context.leaving].removeprefix("http://"),
+        "zone": ZONES[0][0],
+        "slots": 1,
+        "state": "draining",
     }
-    async with context.world.session.put(
-        cluster.urls["platform"] + "/hosts", json=[*cluster.hosts, entry]
-    ) as answer:
-        assert answer.status == 200
+    await cluster.put_object(ENGINES_KIND, context.leaving, entry)
 
 
 @register_word("its own word")
--- a/features/steps/error_steps.py
+++ b/features/steps/error_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from tools.localcluster import BIN, declare_basics, hash_key
 
+from sapphirerock.platform.names import SETTINGS_KIND
 from sapphirerock.process.gateway import BODY_LIMIT_BYTES
 
 BODY = {"model": "quote", "prompt": "p", "max_tokens": 2}
@@ -70,12 +71,11 @@
 @then("settings that are malformed in the platform never take effect")
 def check_settings_ignored(context):
     world = context.world
-    path = "objects/settings/team/services/quote"
-    url = f"{world.cluster.platform_url}/{path}"
 
     async def damage():
-        async with world.session.put(url, data=b'{"document": 1}') as answer:
-            assert answer.status == 200
+        await world.cluster.put_object(
+            SETTINGS_KIND, "settings/team/services/quote", {"document": 1}
+        )
 
         async def is_refused():
             status = await world.cluster.read_status("r1")
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -69,15 +69,12 @@
     ----------
     leaving : bool
         Whether the sender is shutting down.
-    settings_horizon : int
-        Version of the settings that the sender has in force.
     views : list of [str, int, int, int]
         Kind of objects, revision of the last change that the sender knows, their
         number, and milliseconds since anybody it knows of heard from the store.
     """
 
     leaving: bool
-    settings_horizon: int
     views: list
 
 
@@ -199,32 +196,6 @@
     generation_ids: list
 
 
-@register_message(20)
-@dataclass(slots=True)
-class SettingsDelta(Message):
-    """Settings after one version up to another, complete between them.
-
-    Parameters
-    ----------
-    after, horizon : int
-        Versions; whoever has all up to `after` has all up to `horizon` then.
-    objects : list of [str, int, bytes or None]
-        Path, version, value; None for a deletion.
-    """
-
-    after: int
-    horizon: int
-    objects: list
-
-
-@register_message(21)
-@dataclass(slots=True)
-class SettingsPull(Message):
-    """Ask for all settings after a version."""
-
-    after: int
-
-
 @register_message(22)
 @dataclass(slots=True)
 class ObjectDelta(Message):
@@ -233,15 +204,18 @@
     Parameters
     ----------
     after, horizon : int
-        Revisions; an `after` of 0 stands for the whole list.
+        Revisions; an `after` of 0 stands for a part of the whole list.
     changes : list of [str, int, object]
         Name, revision, content; None for a deletion.
+    all_names : list of str or None
+        With the last part of the whole list, the names of all objects.
     """
 
     kind: str
     after: int
     horizon: int
     changes: list
+    all_names: list | None
 
 
 @register_message(23)
--- a/src/sapphirerock/connection/store.py
+++ b/src/sapphirerock/connection/store.py
@@ -31,7 +31,7 @@
     ----------
     session : aiohttp.ClientSession
         Connections to use, each for one call: one that was kept may be silent.
-    endpoint : Endpoint
+    url : str
         Address of the store.
     metrics : Metrics
         Where calls are counted.
@@ -43,11 +43,9 @@
 
     __slots__ = ("_session", "_url", "_metrics", "_tracer", "_timeout_s")
 
-    def __init__(
-        self, session, endpoint, metrics, tracer=None, timeout_s=CALL_TIMEOUT_S
-    ):
+    def __init__(self, session, url, metrics, tracer=None, timeout_s=CALL_TIMEOUT_S):
         self._session = session
-        self._url = f"http://{endpoint}"
+        self._url = url
         self._metrics = metrics
         self._tracer = tracer or NoOpTracer()
         self._timeout_s = timeout_s
--- a/src/sapphirerock/load/capacity.py
+++ b/src/sapphirerock/load/capacity.py
@@ -16,7 +16,7 @@
     RENEW_INTERVAL_S,
 )
 from sapphirerock.process.peers.table import ZONE_DEGREE
-from sapphirerock.process.replicas.spread import WATCHERS_PER_ZONE
+from sapphirerock.process.replicas.feed import WATCHERS_PER_ZONE
 
 CONTROL_CPU_PERCENT = 2.0
 CONTROL_MEMORY_BYTES = 32e6
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -10,8 +10,12 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 ENGINES_KIND = "servers"
-# A kind of our own: where the routers listen for each other.
+# Kinds of our own: where the routers listen for each other, the operators'
+# settings, claims of orders, and leases.
 ROUTERS_KIND = "sapphirerock-routers"
+SETTINGS_KIND = "sapphirerock-settings"
+CLAIMS_KIND = "sapphirerock-claims"
+LEASES_KIND = "sapphirerock-leases"
 
 ATTEMPT_ID = "Sapphirerock-Attempt-Id"
 DEADLINE = "Sapphirerock-Deadline-Ms"
--- a/src/sapphirerock/platform/storewire.py
+++ b/src/sapphirerock/platform/storewire.py
@@ -1,5 +1,6 @@
 """The store's protocol: paths, queries and bodies."""
 
+from dataclasses import dataclass
 from urllib.parse import quote
 
 import orjson
@@ -60,6 +61,96 @@
     return orjson.dumps({"metadata": metadata, "spec": spec})
 
 
+@dataclass(slots=True, frozen=True)
+class ListQuery:
+    """What a list or a watch asks for.
+
+    Parameters
+    ----------
+    after : str or None
+        Name that the list begins after.
+    allows_stale : bool
+        Whether the answer may be seconds old.
+    watched : int or None
+        Revision after which changes are waited for; None for a list.
+    wait_s : float
+        How long, in seconds.
+    """
+
+    after: str | None
+    allows_stale: bool
+    watched: int | None
+    wait_s: float
+
+
+def read_list_query(query):
+    """Decode the query of a list or a watch."""
+    return ListQuery(
+        query.get("after"),
+        query.get("allow_stale") == "1",
+        int(query["watch"]) if "watch" in query else None,
+        int(query.get("wait_ms", 0)) / MS_PER_S,
+    )
+
+
+def get_condition(query):
+    """Return the revision that a query ties a write to, or None."""
+    return int(query["revision"]) if "revision" in query else None
+
+
+def decode_request(body):
+    """Return the object of a write; its revision is 0 where none is asked for."""
+    document = orjson.loads(body)
+    metadata = document["metadata"]
+    return StoredObject(
+        metadata["name"], int(metadata.get("revision", 0)), document.get("spec")
+    )
+
+
+def dump_object(item):
+    """Return an object as the store shows it."""
+    return {
+        "metadata": {
+            "name": item.name,
+            "revision": item.revision,
+            "created": item.revision,
+            "finalizers": [],
+            "deleting": False,
+        },
+        "spec": item.spec,
+        "status": None,
+    }
+
+
+def encode_stored(item):
+    """Return the body that shows an object."""
+    return orjson.dumps(dump_object(item))
+
+
+def encode_page(page):
+    """Return the body of a part of a list."""
+    return orjson.dumps(
+        {
+            "items": [dump_object(item) for item in page.objects],
+            "has_more": page.has_more,
+            "at": page.revision,
+        }
+    )
+
+
+def encode_events(events):
+    """Return the body of the answer to a watch."""
+    return orjson.dumps(
+        {
+            "events": [
+                {"object": dump_object(event.object), "deleted": event.is_deleted}
+                for event in events.events
+            ],
+            "at": events.revision,
+        }
+    )
+
+
 def decode_object(document):
     """Return the object that a JSON document describes.
 
--- a/src/sapphirerock/process/admin.py
+++ b/src/sapphirerock/process/admin.py
@@ -9,6 +9,7 @@
 
 from sapphirerock import __version__
 from sapphirerock.connection.caller import make_problem_response
+from sapphirerock.platform.names import SETTINGS_KIND
 from sapphirerock.process.gateway import BEARER, read_body
 from sapphirerock.process.settings.store import SETTINGS_PREFIX
 from sapphirerock.process.settings.writer import SettingsChange
@@ -110,7 +111,7 @@
         written = await self._writer.write(change)
         if written.is_error():
             return make_problem_response(written.error)
-        await self._router.spread.fetch()
+        await self._router.feed.fetch(SETTINGS_KIND)
         return web.json_response(
             {"version": written.ok.version, "change_id": written.ok.change},
             headers={"ETag": str(written.ok.version)},
@@ -163,7 +164,7 @@
             "settings_horizon": runtime.settings.horizon,
             "settings": runtime.settings.list_versions(),
             "settings_refused": runtime.settings.faults,
-            "is_watcher": router.spread.is_watcher,
+            "is_watcher": router.feed.is_watcher,
             "peers": sorted(router.peers.streams),
             "hosts": [address.host for address in router.peers.hosts.list_live()],
             "host_urls": [
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -130,7 +130,7 @@
         self.gossip = Gossip(self.peers)
         self.store = StoreClient(
             self._keep_session(make_session(profile.address, force_close=True)),
-            profile.store.endpoint,
+            f"http://{profile.store.endpoint}",
             self.metrics,
             self.tracer,
         )
--- a/src/sapphirerock/process/orders/ledger.py
+++ b/src/sapphirerock/process/orders/ledger.py
@@ -204,7 +204,7 @@
 
     Parameters
     ----------
-    platform : PlatformClient
+    platform : VersionedValues
         Where the buckets are.
     peers : PeerTable
         Streams to the owners of buckets.
--- a/src/sapphirerock/process/orders/placer.py
+++ b/src/sapphirerock/process/orders/placer.py
@@ -14,11 +14,16 @@
 from mode import Service
 
 from sapphirerock.connection.engine import EngineClient
-from sapphirerock.connection.platform import PlatformClient
 from sapphirerock.connection.sessions import make_session
+from sapphirerock.connection.store import StoreClient
+from sapphirerock.connection.storeobjects import HistoryGone
+from sapphirerock.connection.values import VersionedValues
+from sapphirerock.platform.names import LEASES_KIND, ROUTERS_KIND, SETTINGS_KIND
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.peers.rendezvous import rank_candidates
-from sapphirerock.process.settings.store import SETTINGS_PREFIX, SettingsStore
+from sapphirerock.process.replicas.feed import collapse_events
+from sapphirerock.process.replicas.replica import Replica, ReplicaChange
+from sapphirerock.process.settings.store import SettingsStore
 from sapphirerock.process.telemetry.metrics import Metrics
 
 LEASE_PATH = "leases/placer"
@@ -60,7 +65,7 @@
 
     Parameters
     ----------
-    platform : PlatformClient
+    platform : VersionedValues
         Where the lease is.
     holder : str
         Name of this process.
@@ -186,6 +191,8 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         self.store = SettingsStore()
+        self._replica = Replica(SETTINGS_KIND, packs=True)
+        self._replica.subscribe(self.store.apply_changes)
         self._session = None
         self._platform = None
         self._keeper = None
@@ -196,15 +203,20 @@
     async def on_start(self):
         """Open connections."""
         self._session = make_session(self.settings.address.address)
-        self._platform = PlatformClient(
-            self._session, self.settings.platform_url, Metrics()
+        self._store_session = make_session(
+            self.settings.address.address, force_close=True
+        )
+        self._platform = StoreClient(
+            self._store_session, self.settings.platform_url, Metrics()
         )
         name = f"{self.settings.address.host}-{random.getrandbits(32):08x}"
-        self._keeper = LeaseKeeper(self._platform, name, self.clock)
+        leases = VersionedValues(self._platform, LEASES_KIND)
+        self._keeper = LeaseKeeper(leases, name, self.clock)
 
     async def on_shutdown(self):
         """Close connections."""
         await self._session.close()
+        await self._store_session.close()
 
     @Service.task
     async def _keep_lease(self):
@@ -227,14 +239,12 @@
         now_s = self.clock.monotonic()
         if now_s < self._list_read_at_s + CANDIDATE_INTERVAL_S:
             return self._listed_candidate
-        read = await self._platform.list_hosts()
+        read = await self._platform.list_all(ROUTERS_KIND)
         if read.is_ok():
             self._list_read_at_s = now_s
             zone = self.settings.address.availability_zone
             names = [
-                entry.host
-                for entry in read.ok.entries
-                if entry.availability_zone == zone and not entry.leaving
+                item.name for item in read.ok.objects if decode_zone(item.spec) == zone
             ]
             candidates = rank_candidates(names, LEASE_PATH)[:CANDIDATES_PER_ZONE]
             self._listed_candidate = self.settings.address.host in candidates
@@ -249,14 +259,23 @@
             await self.clock.sleep(ORDER_PAUSE_S)
 
     async def _read_settings(self):
-        after = self.store.horizon
-        read = await self._platform.watch(SETTINGS_PREFIX, after, 0)
+        """Bring the settings up to date; keep them where the store is away."""
+        replica = self._replica
+        if replica.horizon:
+            after = replica.horizon
+            read = await self._platform.watch(SETTINGS_KIND, after, 0.0)
+            if read.is_ok():
+                replica.apply(after, read.ok.revision, collapse_events(read.ok))
+            if read.is_ok() or not isinstance(read.error, HistoryGone):
+                return
+        read = await self._platform.list_all(SETTINGS_KIND)
         if read.is_ok():
             changes = [
-                (item.path, item.version, None if item.deleted else item.value.encode())
-                for item in read.ok.changes
+                ReplicaChange(item.name, item.revision, item.spec)
+                for item in read.ok.objects
             ]
-            self.store.apply(after, read.ok.horizon, changes)
+            names = [change.name for change in changes]
+            replica.apply(0, read.ok.revision, changes, names)
 
     async def _place_once(self):
         """Send each engine at most one order."""
@@ -300,6 +319,11 @@
         return held_s > placed.order_delay_bound_s + ORDER_BOUND_S
 
 
+def decode_zone(spec):
+    """Return the availability zone in a host's entry; empty where it is none."""
+    return spec.get("availability_zone", "") if isinstance(spec, dict) else ""
+
+
 def choose_order(wanted, loaded):
     """Return (kind, target) of the next order, or None when all is as declared."""
     for model in wanted:
--- a/src/sapphirerock/process/peers/gossip.py
+++ b/src/sapphirerock/process/peers/gossip.py
@@ -101,15 +101,6 @@
     running: bool
 
 
-@register_topic("hosts")
-@dataclass(slots=True, frozen=True)
-class HostsNews:
-    """The platform's list of hosts at a version."""
-
-    version: int
-    entries: list
-
-
 @register_topic("demand")
 @dataclass(slots=True, frozen=True)
 class DemandNews:
--- a/src/sapphirerock/process/peers/hosts.py
+++ b/src/sapphirerock/process/peers/hosts.py
@@ -19,14 +19,11 @@
         Whether it is shutting down.
     dead_until_s : float
         Monotonic time until which it is taken for dead.
-    listed : bool
-        Whether the platform's list names it.
     """
 
     address: HostAddress
     leaving: bool = False
     dead_until_s: float = 0.0
-    listed: bool = False
 
 
 class HostTable:
@@ -42,52 +39,15 @@
         Source of time.
     """
 
-    __slots__ = ("own", "list_version", "_hosts", "_seeds", "_clock")
+    __slots__ = ("own", "_hosts", "_seeds", "_clock")
 
     def __init__(self, own, seeds, clock):
         self.own = own
-        self.list_version = 0
         self._clock = clock
         self._seeds = {peer.host for peer in seeds}
         self._hosts = {peer.host: KnownHost(peer) for peer in seeds}
         self._hosts.pop(own.host, None)
 
-    def apply_list(self, host_list):
-        """Take over the platform's list if it is newer; return whether it was."""
-        if host_list.version <= self.list_version:
-            return False
-        self.list_version = host_list.version
-        for known in self._hosts.values():
-            known.listed = False
-        for entry in host_list.entries:
-            if entry.role == "router" and entry.host != self.own.host:
-                self._apply_entry(entry)
-        self._forget_unlisted(bool(host_list.entries))
-        return True
-
-    def _apply_entry(self, entry):
-        address = HostAddress(
-            entry.host,
-            entry.availability_zone,
-            entry.region,
-            entry.address,
-            entry.caller_port,
-            entry.peer_port,
-        )
-        known = self._hosts.setdefault(entry.host, KnownHost(address))
-        known.listed = True
-        known.leaving = known.leaving or entry.leaving
-        if known.address != address:
-            self._hosts[entry.host] = KnownHost(address, entry.leaving, listed=True)
-
-    def _forget_unlisted(self, has_entries):
-        if has_entries:
-            self._hosts = {
-                name: known
-                for name, known in self._hosts.items()
-                if known.listed or name in self._seeds
-            }
-
     def learn(self, address):
         """Take note of a host that introduced itself."""
         known = self._hosts.get(address.host)
@@ -100,11 +60,12 @@
         """Take note of a host that stands in the store."""
         known = self._hosts.get(address.host)
         if known is None or known.address != address:
-            self._hosts[address.host] = KnownHost(address, listed=True)
+            self._hosts[address.host] = KnownHost(address)
 
     def forget(self, host):
-        """Drop a host that is registered no more."""
-        self._hosts.pop(host, None)
+        """Drop a host that is registered no more, unless the settings name it."""
+        if host not in self._seeds:
+            self._hosts.pop(host, None)
 
     def mark_leaving(self, host):
         """Take note that a host shuts down."""
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -63,7 +63,6 @@
         self.streams = {}
         self.zone_hubs = []
         self._hubs = {}
-        self.read_horizon = lambda: 0
         self.describe_views = list
         self.on_heartbeat = []
         self.on_connect = []
@@ -266,7 +265,7 @@
                 stream.close()
 
     def _beat(self, stream):
-        message = Heartbeat(self.leaving, self.read_horizon(), self.describe_views())
+        message = Heartbeat(self.leaving, self.describe_views())
         size = stream.send(message)
         self.count_bytes(stream, "heartbeat", size)
 
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+import orjson
 from expression import Error
 from loguru import logger
 from mode import Service
@@ -29,6 +30,8 @@
 # A peer's change that an own watch has not shown by now means that it is silent.
 WATCH_LAG_S = 0.4
 PULL_PAUSE_S = 0.2
+# A message that a link of 5 Mbit/s carries within a second.
+DELTA_LIMIT_BYTES = 512 << 10
 # Time that the platform gives entries to come back after it was away.
 RETURN_GRACE_S = 2.0
 # Entries lapse after three missed heartbeats; shorter outages end none.
@@ -46,17 +49,27 @@
         Monotonic time at which this host last heard from the store.
     is_lost : bool
         Whether this host's last call failed.
+    is_synchronised : bool
+        Whether the store or a peer has told all that there is.
     peers : dict of str to float
         Monotonic time of the last contact that each peer tells of.
     watch : asyncio.Task or None
         The call that waits for changes.
     """
 
-    __slots__ = ("contact_at_s", "is_lost", "peers", "pulled_at_s", "watch")
+    __slots__ = (
+        "contact_at_s",
+        "is_lost",
+        "is_synchronised",
+        "peers",
+        "pulled_at_s",
+        "watch",
+    )
 
     def __init__(self):
         self.contact_at_s = NEVER_S
         self.is_lost = False
+        self.is_synchronised = False
         self.peers = {}
         self.pulled_at_s = {}
         self.watch = None
@@ -141,6 +154,24 @@
         contacts = [state.peers.get(host, NEVER_S) for host in self._peers.streams]
         return self._clock.monotonic() - max([state.own_contact_s, *contacts])
 
+    @property
+    def is_watcher(self):
+        """Whether this host is to watch the store for its zone."""
+        return self._find_rank() < WATCHERS_PER_ZONE
+
+    def is_synchronised(self, kind):
+        """Return whether all that there is of a kind has been heard once."""
+        return self._states[kind].is_synchronised
+
+    async def fetch(self, kind):
+        """Read what changed in the store; return whether it answered."""
+        replica, state = self._replicas[kind], self._states[kind]
+        if replica.horizon:
+            read = await self._watch(replica, state, 0.0)
+            if read.is_ok():
+                return True
+        return (await self._read_list(replica, state)).is_ok()
+
     def _find_rank(self):
         """Return this host's place in the order in which its zone watches."""
         hosts = self._peers.hosts
@@ -178,7 +209,8 @@
                 ReplicaChange(item.name, item.revision, item.spec)
                 for item in read.ok.objects
             ]
-            self._take_contact(replica, state, 0, read.ok.revision, changes)
+            names = [change.name for change in changes]
+            self._take_contact(replica, state, 0, read.ok.revision, changes, names)
         return read
 
     async def _watch_until_silent(self, replica, state):
@@ -193,15 +225,15 @@
             state.watch.cancel()
             state.watch = None
 
-    async def _watch(self, replica, state):
+    async def _watch(self, replica, state, wait_s=WATCH_WAIT_S):
         after = replica.horizon
-        read = await self._store.watch(replica.kind, after, WATCH_WAIT_S)
+        read = await self._store.watch(replica.kind, after, wait_s)
         if read.is_ok():
             changes = collapse_events(read.ok)
             self._take_contact(replica, state, after, read.ok.revision, changes)
         return read
 
-    def _take_contact(self, replica, state, after, revision, changes):
+    def _take_contact(self, replica, state, after, revision, changes, names=None):
         """Take over what the store said."""
         now_s = self._clock.monotonic()
         away_s = now_s - state.contact_at_s
@@ -215,7 +247,7 @@
         if returned and away_s > OUTAGE_S and len(replica):
             self.add_future(self._confirm(replica, state, after, revision, changes))
             return
-        self._apply(replica, after, revision, changes, None)
+        self._apply(replica, after, revision, changes, None, names)
 
     async def _confirm(self, replica, state, after, revision, changes):
         """Give entries that lapsed while the store was away time to come back.
@@ -234,7 +266,7 @@
             logger.bind(kind=kind, cause=repr(failure)).warning("store lost")
             self._peers.beat_all()
 
-    def _apply(self, replica, after, horizon, changes, source):
+    def _apply(self, replica, after, horizon, changes, source, names=None):
         """Take over changes and tell peers of those that are new.
 
         Returns
@@ -242,12 +274,15 @@
         bool
             Whether there were any.
         """
-        taken = replica.apply(after, horizon, changes)
+        state = self._states[replica.kind]
+        state.is_synchronised |= after > 0 or names is not None
+        taken = replica.apply(after, horizon, changes, names)
         if not taken:
             return False
         # What is passed on are the changes that were new, not a whole list.
         packed = [pack_change(change) for change in taken]
-        delta = ObjectDelta(replica.kind, after or replica.newest, horizon, packed)
+        horizon = min(horizon, replica.horizon)
+        delta = ObjectDelta(replica.kind, replica.newest, horizon, packed, None)
         self._peers.send_all(delta, "objects", lambda stream: stream is not source)
         return True
 
@@ -255,7 +290,14 @@
         replica = self._replicas.get(message.kind)
         if replica is not None:
             changes = [ReplicaChange(*item) for item in message.changes]
-            if self._apply(replica, message.after, message.horizon, changes, stream):
+            if self._apply(
+                replica,
+                message.after,
+                message.horizon,
+                changes,
+                stream,
+                message.all_names,
+            ):
                 self._check_watch(replica, message.horizon)
 
     def _check_watch(self, replica, revision):
@@ -278,13 +320,17 @@
         if replica is None or not replica.horizon:
             return
         after, changes = replica.list_changes(message.after)
-        delta = ObjectDelta(
-            message.kind,
-            after,
-            replica.horizon,
-            [pack_change(item) for item in changes],
-        )
-        self._peers.count_bytes(stream, "objects", stream.send(delta))
+        parts = split_changes(changes)
+        for number, part in enumerate(parts, 1):
+            is_last = number == len(parts)
+            if after == 0:
+                names = replica.list_names() if is_last else None
+                delta = ObjectDelta(replica.kind, 0, replica.horizon, part, names)
+            else:
+                horizon = replica.horizon if is_last else part[-1][1]
+                delta = ObjectDelta(replica.kind, after, horizon, part, None)
+                after = horizon
+            self._peers.count_bytes(stream, "objects", stream.send(delta))
 
     def _compare_views(self, stream, heartbeat):
         """Ask a peer for what it has and this host lacks."""
@@ -296,6 +342,8 @@
             state = self._states[kind]
             lost = age_ms >= NO_CONTACT_MS
             state.peers[stream.host] = NEVER_S if lost else now_s - age_ms / 1000
+            same = (newest, size) == (replica.newest, len(replica))
+            state.is_synchronised |= same and not lost
             differs = newest == replica.newest and size != len(replica)
             if newest <= replica.newest and not differs:
                 continue
@@ -309,6 +357,19 @@
     return [change.name, change.revision, change.spec]
 
 
+def split_changes(changes):
+    """Return changes as peers send them, in parts of bounded size; at least one."""
+    parts, size = [[]], 0
+    for change in changes:
+        packed = pack_change(change)
+        size += len(orjson.dumps(packed))
+        if size > DELTA_LIMIT_BYTES and parts[-1]:
+            parts.append([])
+            size = 0
+        parts[-1].append(packed)
+    return parts
+
+
 def collapse_events(read):
     """Return the last change of each object that a watch names.
 
--- a/src/sapphirerock/process/replicas/replica.py
+++ b/src/sapphirerock/process/replicas/replica.py
@@ -1,10 +1,14 @@
 """Objects of the store as far as this host knows them."""
 
+import zlib
 from dataclasses import dataclass
 
+import orjson
+
 # Deletions are remembered for peers that missed them; whoever lacks older ones
 # gets everything.
 DELETIONS_KEPT = 512
+COMPRESSION_LEVEL = 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -41,6 +45,8 @@
     ----------
     kind : str
         Kind of the objects.
+    packs : bool
+        Whether contents are kept compressed, for kinds that grow large.
 
     Attributes
     ----------
@@ -56,16 +62,18 @@
         "kind",
         "horizon",
         "newest",
+        "_packs",
         "_live",
         "_deleted",
         "_complete_from",
         "_listeners",
     )
 
-    def __init__(self, kind):
+    def __init__(self, kind, packs=False):
         self.kind = kind
         self.horizon = 0
         self.newest = 0
+        self._packs = packs
         self._live = {}
         self._deleted = {}
         self._complete_from = 0
@@ -80,22 +88,42 @@
 
     def get(self, name):
         """Return an object's last change, or None where it does not exist."""
-        return self._live.get(name)
+        known = self._live.get(name)
+        return self._unpack(known) if known is not None else None
 
     def list_live(self):
         """Return the last change of all objects that exist."""
-        return list(self._live.values())
+        return [self._unpack(known) for known in self._live.values()]
+
+    def list_names(self):
+        """Return the names of all objects that exist."""
+        return list(self._live)
+
+    def _pack(self, change):
+        if not self._packs:
+            return change
+        packed = zlib.compress(orjson.dumps(change.spec), COMPRESSION_LEVEL)
+        return ReplicaChange(change.name, change.revision, packed)
 
-    def apply(self, after, horizon, changes):
+    def _unpack(self, change):
+        if not self._packs or change.is_deletion:
+            return change
+        spec = orjson.loads(zlib.decompress(change.spec))
+        return ReplicaChange(change.name, change.revision, spec)
+
+    def apply(self, after, horizon, changes, names=None):
         """Take over changes from the store or a peer.
 
         Parameters
         ----------
         after, horizon : int
             The changes are complete between these revisions; `after` 0 stands
-            for the whole list, and what it lacks is gone.
+            for the whole list.
         changes : iterable of ReplicaChange
             Changes in any order.
+        names : collection of str or None
+            With the last part of the whole list, the names of all objects: those
+            that it lacks are gone.
 
         Returns
         -------
@@ -104,12 +132,13 @@
         """
         changes = list(changes)
         is_whole = after == 0 and horizon >= self.horizon
-        if is_whole:
-            changes += self._find_absent(horizon, changes)
+        if is_whole and names is not None:
+            changes += self._find_absent(horizon, names)
         # What is not known though nothing is missing has been deleted since.
         floor = 0 if is_whole else self.horizon
         taken = [change for change in changes if self._take(change, floor)]
-        if after <= self.horizon < horizon:
+        is_complete = after > 0 or names is not None
+        if is_complete and after <= self.horizon < horizon:
             self.horizon = horizon
         if taken:
             self.newest = max(self.newest, *(change.revision for change in taken))
@@ -117,9 +146,9 @@
                 listener(taken)
         return taken
 
-    def _find_absent(self, horizon, changes):
+    def _find_absent(self, horizon, names):
         """Return the deletion of each object that a whole list does not name."""
-        names = {change.name for change in changes}
+        names = set(names)
         return [
             ReplicaChange(known.name, horizon, None)
             for known in self._live.values()
@@ -136,7 +165,7 @@
             self._forget_deletions()
         else:
             self._deleted.pop(change.name, None)
-            self._live[change.name] = change
+            self._live[change.name] = self._pack(change)
         return True
 
     def _forget_deletions(self):
@@ -150,9 +179,12 @@
         Returns
         -------
         tuple of (int, list of ReplicaChange)
-            The revision that the changes are complete from, 0 for everything.
+            The revision that the changes are complete from, 0 for everything; in
+            the order of their revisions.
         """
         if after < self._complete_from or after == 0:
-            return 0, self.list_live()
-        known = [*self._live.values(), *self._deleted.values()]
-        return after, [change for change in known if change.revision > after]
+            after, known = 0, self._live.values()
+        else:
+            known = [*self._live.values(), *self._deleted.values()]
+        changes = [self._unpack(item) for item in known if item.revision > after]
+        return after, sorted(changes, key=lambda change: change.revision)
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -17,9 +17,17 @@
     JournalOpen,
     JournalRecordMessage,
 )
-from sapphirerock.connection.platform import PlatformClient
 from sapphirerock.connection.sessions import make_session
+from sapphirerock.connection.store import StoreClient
+from sapphirerock.connection.values import VersionedValues
 from sapphirerock.decisions.quarantine import Quarantine
+from sapphirerock.platform.names import (
+    CLAIMS_KIND,
+    ENGINES_KIND,
+    ROUTERS_KIND,
+    SETTINGS_KIND,
+)
+from sapphirerock.platform.registrations import decode_registration
 from sapphirerock.process.admin import Admin
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.engines.dispatcher import Dispatcher
@@ -34,8 +42,10 @@
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.limits import LimitTable
 from sapphirerock.process.peers.loads import LoadSpread
+from sapphirerock.process.peers.membership import Membership
 from sapphirerock.process.peers.table import PeerTable
-from sapphirerock.process.replicas.spread import SettingsSpread
+from sapphirerock.process.replicas.feed import ObjectFeed
+from sapphirerock.process.replicas.replica import Replica
 from sapphirerock.process.runtime import Runtime
 from sapphirerock.process.settings.store import SettingsStore
 from sapphirerock.process.settings.writer import SettingsWriter
@@ -74,7 +84,8 @@
         self._register_handlers()
         for service in (
             self.peers,
-            self.spread,
+            self.feed,
+            self.membership,
             self.loads,
             self.watch,
             self.runtime.dispatcher,
@@ -112,12 +123,23 @@
             self.tracer,
         )
         self.gossip = Gossip(self.peers)
-        self.platform = PlatformClient(
-            self._make_session(), settings.platform_url, self.metrics, self.tracer
+        self.platform = StoreClient(
+            self._make_session(force_close=True),
+            settings.platform_url,
+            self.metrics,
+            self.tracer,
         )
         self.store = SettingsStore()
-        self.spread = SettingsSpread(
-            self.store, self.platform, self.peers, self.gossip, clock
+        stored = Replica(SETTINGS_KIND, packs=True)
+        stored.subscribe(self.store.apply_changes)
+        engines = Replica(ENGINES_KIND)
+        engines.subscribe(self._apply_registrations)
+        routers = Replica(ROUTERS_KIND)
+        self.feed = ObjectFeed(
+            self.platform, [stored, engines, routers], self.peers, clock
+        )
+        self.membership = Membership(
+            self.platform, routers, self.peers, (), incarnation, clock
         )
         self.limits = LimitTable(self.peers, self.gossip, clock)
 
@@ -148,7 +170,9 @@
             journal=JournalClient(
                 self.peers, self.journal_store, clock, self.metrics, settings.journal
             ),
-            ledger=Ledger(self.platform, self.peers, clock),
+            ledger=Ledger(
+                VersionedValues(self.platform, CLAIMS_KIND), self.peers, clock
+            ),
         )
         self.generations = GenerationTable(self.runtime)
         self.gateway = Gateway(self.runtime, self.generations, self.limits)
@@ -166,17 +190,19 @@
         self.gossip.subscribe(SuspectNews, self.runtime.apply_suspect)
         self.peers.on_connect.append(self._tell_crashes)
         self.store.subscribe(self._apply_snapshot)
-        self.spread.subscribe_hosts(self._apply_hosts)
 
     def _apply_snapshot(self, snapshot):
         self.runtime.upstreams.apply_snapshot(snapshot)
         self.metrics.settings_horizon.set(snapshot.horizon)
 
-    def _apply_hosts(self, host_list):
-        """Take over upstreams that the platform's list marks as leaving."""
-        for entry in host_list.entries:
-            if entry.role != "router" and entry.leaving:
-                self.runtime.upstreams.mark_leaving(entry.host)
+    def _apply_registrations(self, changes):
+        """Take over upstreams that registered as leaving."""
+        for change in changes:
+            if change.is_deletion:
+                continue
+            decoded = decode_registration(change.name, change.spec)
+            if decoded.is_ok() and decoded.ok.is_leaving:
+                self.runtime.upstreams.mark_leaving(change.name)
 
     def _tell_crashes(self, stream):
         for crash in self.runtime.quarantine.list_crashes():
@@ -200,7 +226,9 @@
     def _make_application(self):
         application = web.Application(client_max_size=BODY_LIMIT_BYTES)
         self.gateway.add_routes(application)
-        writer = SettingsWriter(self.platform, self.store, self.clock)
+        writer = SettingsWriter(
+            VersionedValues(self.platform, SETTINGS_KIND), self.store, self.clock
+        )
         admin = Admin(self, writer, self.settings.root_operator_sha256)
         admin.add_routes(application)
         application.add_routes(
@@ -216,7 +244,8 @@
         return web.json_response({"alive": True})
 
     async def _answer_ready(self, request):
-        ready = self.spread.is_synchronised and not self.gateway.leaving
+        synchronised = self.feed.is_synchronised(SETTINGS_KIND)
+        ready = synchronised and not self.gateway.leaving
         return web.json_response({"ready": ready}, status=200 if ready else 503)
 
     async def _answer_metrics(self, request):
@@ -229,6 +258,7 @@
         """Take no new work, finish every stream, then stop."""
         self.gateway.leaving = True
         self.peers.announce_leaving()
+        await self.membership.leave()
         deadline_s = self.clock.monotonic() + self.settings.drain_bound_s
         await self.clock.sleep(DRAIN_GRACE_S)
         while self.gateway.calls and self.clock.monotonic() < deadline_s:
--- a/src/sapphirerock/process/settings/store.py
+++ b/src/sapphirerock/process/settings/store.py
@@ -1,6 +1,5 @@
 """The settings in force on this host: the highest version of each object."""
 
-import zlib
 from dataclasses import dataclass
 
 import orjson
@@ -17,7 +16,6 @@
 from sapphirerock.version.snapshot import SnapshotBuilder
 
 SETTINGS_PREFIX = "settings/"
-COMPRESSION_LEVEL = 1
 CHANGES_REMEMBERED = 32
 
 
@@ -81,20 +79,6 @@
     return decode_envelope(value).bind(lambda found: decode_settings(found.document))
 
 
-@dataclass(slots=True)
-class StoredSettings:
-    """One object at its highest version.
-
-    Parameters
-    ----------
-    packed : bytes or None
-        The compressed value; None for a deletion.
-    """
-
-    version: int
-    packed: bytes | None
-
-
 @dataclass(slots=True, frozen=True)
 class OrganisationGroup:
     """The organisations of one settings object."""
@@ -116,7 +100,7 @@
         "horizon",
         "snapshot",
         "faults",
-        "_stored",
+        "_versions",
         "_in_force",
         "_groups",
         "_builder",
@@ -126,7 +110,7 @@
     def __init__(self):
         self.horizon = 0
         self.faults = {}
-        self._stored = {}
+        self._versions = {}
         self._in_force = {}
         self._groups = {}
         self._builder = SnapshotBuilder()
@@ -139,12 +123,24 @@
 
     def get_version(self, path):
         """Return the version of an object, 0 if there is none."""
-        stored = self._stored.get(path)
-        return stored.version if stored else 0
+        return self._versions.get(path, 0)
 
     def list_versions(self):
         """Return the version of every object by path."""
-        return {path: stored.version for path, stored in self._stored.items()}
+        return dict(self._versions)
+
+    def apply_changes(self, changes):
+        """Take over changes of a replica."""
+        objects = [
+            (
+                change.name,
+                change.revision,
+                None if change.is_deletion else orjson.dumps(change.spec),
+            )
+            for change in changes
+        ]
+        newest = max(change.revision for change in changes)
+        self.apply(self.horizon, newest, objects)
 
     def apply(self, after, horizon, objects):
         """Take over objects from the platform or a peer.
@@ -174,8 +170,7 @@
         return changed
 
     def _put(self, path, version, value):
-        packed = None if value is None else zlib.compress(value, COMPRESSION_LEVEL)
-        self._stored[path] = StoredSettings(version, packed)
+        self._versions[path] = version
         self.faults.pop(path, None)
         if value is None:
             self._in_force.pop(path, None)
@@ -198,12 +193,3 @@
         self.snapshot = self._builder.build(self.horizon, objects, groups)
         for listener in self._listeners:
             listener(self.snapshot)
-
-    def list_changes(self, after):
-        """Return (path, version, value) of all changes after a version."""
-        changes = []
-        for path, stored in self._stored.items():
-            if stored.version > after:
-                value = zlib.decompress(stored.packed) if stored.packed else None
-                changes.append([path, stored.version, value])
-        return sorted(changes, key=lambda change: change[1])
--- a/src/sapphirerock/process/settings/writer.py
+++ b/src/sapphirerock/process/settings/writer.py
@@ -57,7 +57,7 @@
 
     Parameters
     ----------
-    platform : PlatformClient
+    platform : VersionedValues
         Where settings are kept.
     store : SettingsStore
         Settings in force, for references.
--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -1,7 +1,6 @@
 """Command ``sapphirerock-standin``: an engine, a plain service or the platform."""
 
 import click
-import orjson
 
 from sapphirerock import __version__
 from sapphirerock.commands.worker import run_service
@@ -74,17 +73,12 @@
 
 @main.command()
 @add_address
-@click.option("--hosts", "hosts_file", type=click.Path(exists=True), help="JSON list.")
 @click.option("--delay", default=0.001, help="Seconds that a call takes.")
-@click.option("--list-lag", default=0.0, help="Lag of the host list, in seconds.")
 @click.option("--write-rate", type=float, help="Writes a second, at most.")
-def platform(host, port, hosts_file, delay, list_lag, write_rate):
-    """Run the platform's object API and host list."""
-    hosts = []
-    if hosts_file:
-        with open(hosts_file, "rb") as stream:
-            hosts = orjson.loads(stream.read())
-    standin = PlatformStandin(hosts, delay, list_lag, write_rate)
+@click.option("--history", default=10_000, help="Changes that watches can go back.")
+def platform(host, port, delay, write_rate, history):
+    """Run the platform's store."""
+    standin = PlatformStandin(delay, write_rate, history)
     run_service(WebService(standin.make_application(), host, port))
 
 
--- a/src/sapphirerock/standin/faults.py
+++ b/src/sapphirerock/standin/faults.py
@@ -32,14 +32,20 @@
         How long, where that applies.
     amount : float
         How much or how many, where that applies.
+    manner : str
+        In which way, where there are several.
+    source : str
+        What the addresses of those that meet it begin with; empty for all.
     """
 
-    __slots__ = ("kind", "seconds", "amount")
+    __slots__ = ("kind", "seconds", "amount", "manner", "source")
 
-    def __init__(self, kind, seconds=0.0, amount=1.0):
+    def __init__(self, kind, seconds=0.0, amount=1.0, manner="", source=""):
         self.kind = kind
         self.seconds = seconds
         self.amount = amount
+        self.manner = manner
+        self.source = source
 
 
 @register_fault("die")
@@ -74,8 +80,10 @@
 
 @register_fault("down")
 def refuse_all(standin, order):
-    """Answer 503 to everything for a while."""
+    """Turn calls away for a while: busy, many, reset or silent; from some or all."""
     standin.down_until = time.monotonic() + order.seconds
+    standin.down_manner = order.manner or "busy"
+    standin.down_source = order.source
 
 
 @register_fault("lose-answer")
@@ -86,8 +94,15 @@
 
 @register_fault("stale")
 def answer_stale(standin, order):
-    """Answer reads with what stood some seconds ago."""
+    """Answer reads with what stood some seconds ago; those that allow it, or all."""
     standin.stale_s = order.seconds
+    standin.all_stale = order.manner != "allowed"
+
+
+@register_fault("forget-history")
+def forget_history(standin, order):
+    """Drop the changes so far: watches from before them can't go on."""
+    standin.forget_history()
 
 
 @register_fault("occupy")
@@ -116,6 +131,9 @@
         self.silent_before = 0
         self.slowness = 1.0
         self.down_until = 0.0
+        self.down_manner = "busy"
+        self.down_source = ""
+        self.all_stale = False
         self.answers_to_lose = 0
         self.stale_s = 0.0
         self.occupied = 0
@@ -127,6 +145,13 @@
         """Whether calls are to be refused."""
         return time.monotonic() < self.down_until
 
+    def turns_away(self, address):
+        """Return whether calls from an address are to be refused."""
+        return self.is_down and (address or "").startswith(self.down_source)
+
+    def forget_history(self):
+        """Drop what a watch could go back to."""
+
     def take_lost_answer(self):
         """Return whether this answer is to be dropped."""
         if self.answers_to_lose <= 0:
@@ -141,7 +166,11 @@
         """Answer ``POST /faults``."""
         body = await request.json()
         order = FaultOrder(
-            body["kind"], body.get("seconds", 0.0), body.get("amount", 1.0)
+            body["kind"],
+            body.get("seconds", 0.0),
+            body.get("amount", 1.0),
+            body.get("manner", ""),
+            body.get("source", ""),
         )
         if order.kind not in FAULTS:
             raise web.HTTPBadRequest(text=f"unknown fault {order.kind!r}")
--- a/src/sapphirerock/standin/platform.py
+++ b/src/sapphirerock/standin/platform.py
@@ -1,70 +1,79 @@
-"""The platform stand-in: versions, conditional updates, watches, the live list."""
+"""The platform stand-in: objects by kind, revisions, conditions, watches, faults."""
 
 import asyncio
 import time
-from collections import Counter
+from collections import Counter, deque
+from dataclasses import dataclass, replace
 
-import orjson
 from aiohttp import web
 
+from sapphirerock.connection.storeobjects import (
+    ObjectEvent,
+    ObjectEvents,
+    ObjectPage,
+    StoredObject,
+)
+from sapphirerock.platform import storewire
+from sapphirerock.platform.names import OBJECTS_PATH
 from sapphirerock.standin.faults import FaultState, drop_connection
 
 VALUE_LIMIT_BYTES = 1 << 20
+PAGE_OBJECTS = 500
 WAIT_LIMIT_S = 30.0
+CONTROL_PATHS = ("/faults", "/calls")
+# Long enough for any caller to have given up.
+SILENCE_S = 3600.0
 
 
-class StoredObject:
-    """One version of one object; a deletion keeps its version."""
+@dataclass(slots=True, frozen=True)
+class Change:
+    """One change of one object, and when it was made."""
 
-    __slots__ = ("value", "version", "deleted")
-
-    def __init__(self, value, version, deleted=False):
-        self.value = value
-        self.version = version
-        self.deleted = deleted
+    kind: str
+    event: ObjectEvent
+    revision: int
+    at_s: float
 
 
 class PlatformStandin(FaultState):
-    """The object API and the list of hosts.
+    """The store of a platform.
 
     Parameters
     ----------
-    hosts : list of dict
-        Entries of the live list as JSON objects.
     delay_s : float
         Time that a call takes, in seconds.
-    list_lag_s : float
-        How far the list lags, in seconds.
     writes_per_s : float or None
         Writes that are let through in a second; all when None.
+    history : int
+        Changes that watches can go back.
     """
 
-    def __init__(self, hosts=(), delay_s=0.001, list_lag_s=0.0, writes_per_s=None):
+    def __init__(self, delay_s=0.001, writes_per_s=None, history=10_000):
         super().__init__()
         self._write_interval_s = 1 / writes_per_s if writes_per_s else 0.0
         self._next_write_s = 0.0
         self.objects = {}
-        self.version = 0
+        self.revision = 1
         self.delay_s = delay_s
-        self.list_lag_s = list_lag_s
         self.calls = Counter()
         self._changed = asyncio.Event()
-        self._history = []
-        self._hosts_log = [(0.0, list(hosts))]
+        self._history = deque(maxlen=history)
+        # Revision up to which changes are forgotten.
+        self._forgotten = 0
 
     def make_application(self):
         """Return the HTTP application."""
         application = web.Application(
-            client_max_size=2 * VALUE_LIMIT_BYTES, middlewares=[self._count]
+            client_max_size=2 * VALUE_LIMIT_BYTES, middlewares=[self._meet]
         )
+        kind, name = f"{OBJECTS_PATH}/{{kind}}", f"{OBJECTS_PATH}/{{kind}}/{{name:.+}}"
         application.add_routes(
             [
-                web.get("/objects", self._list),
-                web.get("/objects/{path:.*}", self._get),
-                web.put("/objects/{path:.*}", self._put),
-                web.delete("/objects/{path:.*}", self._delete),
-                web.get("/hosts", self._hosts),
-                web.put("/hosts", self._set_hosts),
+                web.get(kind, self._list_or_watch),
+                web.post(kind, self._create),
+                web.get(name, self._get),
+                web.put(name, self._put),
+                web.delete(name, self._delete),
                 web.get("/calls", self._calls),
                 web.post("/faults", self.handle_fault),
             ]
@@ -72,20 +81,29 @@
         return application
 
     @web.middleware
-    async def _count(self, request, handler):
-        if request.path in ("/faults", "/calls"):
+    async def _meet(self, request, handler):
+        """Count a call and let the faults in force meet it."""
+        if request.path in CONTROL_PATHS:
             return await handler(request)
-        kind = request.method if request.path != "/hosts" else "HOSTS"
-        if request.path == "/objects":
-            kind = "WATCH" if "wait" in request.query else "LIST"
+        kind = request.method
+        if kind == "GET" and "name" not in request.match_info:
+            kind = "WATCH" if "watch" in request.query else "LIST"
         self.calls[kind] += 1
-        if self.is_down:
-            return web.Response(status=503)
+        if self.turns_away(request.remote):
+            return await self._turn_away(request)
         await asyncio.sleep(self.delay_s * self.slowness)
-        if request.method in ("PUT", "DELETE"):
+        if request.method != "GET":
             await self._wait_write()
         return await handler(request)
 
+    async def _turn_away(self, request):
+        """Answer as a store that is down, in the way that the fault names."""
+        if self.down_manner == "silent":
+            await asyncio.sleep(SILENCE_S)
+        if self.down_manner == "reset":
+            return drop_connection(request)
+        return web.Response(status=429 if self.down_manner == "many" else 503)
+
     async def _wait_write(self):
         """Wait until the next write is let through."""
         now_s = time.monotonic()
@@ -95,91 +113,135 @@
     async def _calls(self, request):
         return web.json_response(dict(self.calls))
 
-    def _view(self, path):
-        """Return the object as reads see it, stale where that fault is on."""
-        if self.stale_s <= 0:
-            return self.objects.get(path)
+    def forget_history(self):
+        """Drop all changes so far."""
+        self._forgotten = self.revision
+        self._history.clear()
+
+    def _view(self, kind, allows_stale=False):
+        """Return the objects of a kind and the revision that they were read at.
+
+        Reads that allow it are stale where that fault is on, or all reads.
+        """
+        objects = self.objects.get(kind, {})
+        if self.stale_s <= 0 or not (allows_stale or self.all_stale):
+            return objects, self.revision
         limit_s = time.monotonic() - self.stale_s
-        seen = [item for at, key, item in self._history if key == path and at < limit_s]
-        return seen[-1] if seen else None
+        past, revision = {}, 1
+        for change in self._history:
+            if change.at_s > limit_s:
+                break
+            revision = change.revision
+            if change.kind == kind:
+                name = change.event.object.name
+                if change.event.is_deleted:
+                    past.pop(name, None)
+                else:
+                    past[name] = change.event.object
+        return past, revision
 
     async def _get(self, request):
-        item = self._view(request.match_info["path"])
-        if item is None or item.deleted:
-            raise web.HTTPNotFound
-        return web.Response(body=item.value, headers={"ETag": str(item.version)})
+        view, _ = self._view(request.match_info["kind"])
+        item = view.get(request.match_info["name"])
+        return answer_object(item) if item else web.Response(status=404)
+
+    async def _create(self, request):
+        kind = request.match_info["kind"]
+        item = storewire.decode_request(await request.read())
+        current = self.objects.get(kind, {}).get(item.name)
+        if current is not None:
+            return answer_object(current, 409)
+        return self._store(request, kind, item)
 
     async def _put(self, request):
+        kind, name = request.match_info["kind"], request.match_info["name"]
         body = await request.read()
         if len(body) > VALUE_LIMIT_BYTES:
             raise web.HTTPRequestEntityTooLarge(VALUE_LIMIT_BYTES, len(body))
-        return self._write(request, body, deleted=False)
+        item = storewire.decode_request(body)
+        current = self.objects.get(kind, {}).get(name)
+        if current is None:
+            return web.Response(status=404)
+        if item.revision and item.revision != current.revision:
+            return answer_object(current, 409)
+        if item.spec == current.spec:
+            return answer_object(current)
+        return self._store(request, kind, item)
 
     async def _delete(self, request):
-        return self._write(request, b"", deleted=True)
-
-    def _write(self, request, body, deleted):
-        path = request.match_info["path"]
-        current = self.objects.get(path)
-        standing = current is not None and not current.deleted
-        match = request.headers.get("If-Match")
-        if match is not None and (not standing or str(current.version) != match):
-            raise web.HTTPPreconditionFailed
-        if request.headers.get("If-None-Match") == "*" and standing:
-            raise web.HTTPPreconditionFailed
-        self.version += 1
-        item = StoredObject(body, self.version, deleted)
-        self.objects[path] = item
-        self._history.append((time.monotonic(), path, item))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        current = self.objects.get(kind, {}).get(name)
+        if current is None:
+            return web.Response(status=404)
+        revision = storewire.get_condition(request.query)
+        if revision is not None and revision != current.revision:
+            return answer_object(current, 409)
+        del self.objects[kind][name]
+        self._record(kind, ObjectEvent(current, is_deleted=True))
         if self.take_lost_answer():
             return drop_connection(request)
-        return web.Response(status=200, headers={"ETag": str(self.version)})
+        return answer_object(current)
 
-    async def _list(self, request):
-        prefix = request.query.get("prefix", "")
-        after = int(request.query.get("after", "0"))
-        wait_s = min(float(request.query.get("wait", "0")), WAIT_LIMIT_S)
-        deadline_s = time.monotonic() + wait_s
+    def _store(self, request, kind, item):
+        stored = replace(item, revision=self.revision + 1)
+        self.objects.setdefault(kind, {})[item.name] = stored
+        self._record(kind, ObjectEvent(stored, is_deleted=False))
+        if self.take_lost_answer():
+            return drop_connection(request)
+        return answer_object(stored)
+
+    def put_object(self, kind, name, spec):
+        """Write an object, as another program of the platform would."""
+        item = StoredObject(name, self.revision + 1, spec)
+        self.objects.setdefault(kind, {})[name] = item
+        self._record(kind, ObjectEvent(item, is_deleted=False))
+
+    def _record(self, kind, event):
+        self.revision += 1
+        if len(self._history) == self._history.maxlen:
+            self._forgotten = self._history[0].revision
+        self._history.append(Change(kind, event, self.revision, time.monotonic()))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _list_or_watch(self, request):
+        kind = request.match_info["kind"]
+        query = storewire.read_list_query(request.query)
+        if query.watched is None:
+            return self._list(kind, query)
+        return await self._watch(request, kind, query)
+
+    def _list(self, kind, query):
+        view, revision = self._view(kind, query.allows_stale)
+        names = sorted(name for name in view if name > (query.after or ""))
+        items = tuple(view[name] for name in names[:PAGE_OBJECTS])
+        page = ObjectPage(items, len(names) > PAGE_OBJECTS, revision)
+        return web.Response(body=storewire.encode_page(page))
+
+    async def _watch(self, request, kind, query):
+        deadline_s = time.monotonic() + min(query.wait_s, WAIT_LIMIT_S)
         while True:
+            if query.watched < self._forgotten:
+                return web.Response(status=410)
             changed = self._changed
-            found = self._find_changes(prefix, after)
-            if found or time.monotonic() >= deadline_s or self.is_down:
+            found = [
+                change.event
+                for change in self._history
+                if change.kind == kind and change.revision > query.watched
+            ]
+            if found or time.monotonic() >= deadline_s:
                 break
             try:
                 async with asyncio.timeout(deadline_s - time.monotonic()):
                     await changed.wait()
             except TimeoutError:
                 pass
-        if self.is_down:
-            return web.Response(status=503)
-        horizon = max([after] + [change["version"] for change in found])
-        return web.Response(
-            body=orjson.dumps({"changes": found, "horizon": horizon}),
-            content_type="application/json",
-        )
+            if self.turns_away(request.remote):
+                return await self._turn_away(request)
+        events = ObjectEvents(tuple(found), self.revision)
+        return web.Response(body=storewire.encode_events(events))
+
 
-    def _find_changes(self, prefix, after):
-        changes = []
-        for path in [path for path in self.objects if path.startswith(prefix)]:
-            item = self._view(path)
-            if item is not None and item.version > after:
-                changes.append(
-                    {
-                        "path": path,
-                        "version": item.version,
-                        "deleted": item.deleted,
-                        "value": item.value.decode(),
-                    }
-                )
-        return sorted(changes, key=lambda change: change["version"])
-
-    async def _hosts(self, request):
-        limit_s = time.monotonic() - self.list_lag_s
-        visible = [hosts for at_s, hosts in self._hosts_log if at_s <= limit_s]
-        return web.json_response({"hosts": visible[-1], "version": len(visible)})
-
-    async def _set_hosts(self, request):
-        self._hosts_log.append((time.monotonic(), await request.json()))
-        return web.json_response({"version": len(self._hosts_log)})
+def answer_object(item, status=200):
+    """Return an object as an answer."""
+    return web.Response(status=status, body=storewire.encode_stored(item))
--- a/tools/localcluster.py
+++ b/tools/localcluster.py
@@ -15,6 +15,8 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from sapphirerock.platform.storewire import encode_object, make_path
+
 ROOT = Path(__file__).resolve().parent.parent
 RUN_FOLDER = ROOT / ".test-run"
 BIN = Path(sys.executable).parent
@@ -158,16 +160,12 @@
         port = find_free_port()
         self.platform_url = f"http://127.0.0.1:{port}"
         self.urls["platform"] = self.platform_url
-        hosts_file = self.folder / "hosts.json"
-        hosts_file.write_text(json.dumps(self.hosts))
         self.spawn(
             "platform",
             "standin",
             "platform",
             "--port",
             port,
-            "--hosts",
-            hosts_file,
             *format_options(options),
         )
 
@@ -329,6 +327,18 @@
             await asyncio.sleep(0.05)
         raise AssertionError(f"{name} is not ready: {self.read_log(name)}")
 
+    async def put_object(self, kind, name, spec):
+        """Write an object of the store, as another program would."""
+        body = encode_object(name, spec)
+        async with ClientSession() as session:
+            url = self.urls["platform"] + make_path(kind, name)
+            async with session.put(url, data=body) as answer:
+                if answer.status == 200:
+                    return
+            url = self.urls["platform"] + make_path(kind)
+            async with session.post(url, data=body) as answer:
+                assert answer.status == 200, await answer.text()
+
     async def put_settings(
         self, path, document, version=0, token=ROOT_TOKEN, host=None
     ):
