Stand-ins of the shared platform's engines, and calls proved byte for byte

Ports of features that run side by side come from slices of their own, and a service whose port is taken ends with that cause alone.

--- /dev/null
+++ b/features/forwarding.feature
@@ -0,0 +1,117 @@
+Feature: Calls of the shared platform reach engines as callers sent them
+
+  Scenario Outline: A call is forwarded byte for byte: <call>
+    Given a shared platform with 1 edge and 1 engine of each service
+    When this call is sent: <call>
+    Then the engine ran it once, with the caller's method, target and body
+    And the caller got the engine's answer, seal and all
+
+    Examples:
+      | call                                   |
+      | GET /stock/reds?shade=3&shade=4        |
+      | GET /stock/a%2fb/%7Ec;v=1/..%2e        |
+      | GET /stock//double//                   |
+      | POST /order/1 with 600 bytes           |
+      | POST /order/2 with 600 bytes in chunks |
+      | POST /order/3 with 0 bytes             |
+      | PUT /stock/4 with 300000 bytes         |
+      | DELETE /stock/5                        |
+      | PATCH /stock/6 with 20 bytes in chunks |
+      | POST /review/7 with 110000 bytes       |
+
+  Scenario Outline: Headers that are the system's to set never pass from a caller: <header>
+    Given a shared platform with 1 edge and 1 engine of each service
+    When a stock lookup carries the header <header>: forged
+    Then the engine saw <seen> in the header <header>
+
+    Examples:
+      | header                       | seen        |
+      | Sapphirerock-Tenant          | weavers     |
+      | Sapphirerock-Expect-Instance | its own id  |
+      | Sapphirerock-Deadline-Ms     | a time left |
+      | Sapphirerock-Kv-Backup       | nothing     |
+      | Sapphirerock-Hold            | nothing     |
+      | Sapphirerock-Pin-Ms          | nothing     |
+      | Sapphirerock-Request-Urgency | nothing     |
+      | Sapphirerock-Expect-Version  | nothing     |
+      | Kv-From                      | nothing     |
+      | Kv-Fetch                     | nothing     |
+      | Authorization                | nothing     |
+      | X-Of-The-Caller              | forged      |
+      | Accept-Language              | forged      |
+
+  Scenario Outline: What no route allows is refused and not run: <call>
+    Given a shared platform with 1 edge and 1 engine of each service
+    When this call is sent: <call>
+    Then it is answered <status> and nothing ran
+
+    Examples:
+      | call                                             | status |
+      | GET /nowhere/1                                   | 404    |
+      | GET /stock                                       | 404    |
+      | GET /stock/1 to another host                     | 404    |
+      | GET /stock/1 without a key                       | 401    |
+      | GET /stock/1 with an unknown key                 | 401    |
+      | POST /order/1 with 1100000 bytes                 | 413    |
+      | POST /order/1 with a length and chunks           | 400    |
+      | POST /order/1 with two lengths                   | 400    |
+
+  Scenario: Requests on one connection are answered in turn, and each once
+    Given a shared platform with 1 edge and 1 engine of each service
+    When a caller sends 20 lookups on one connection
+    Then each was answered with its own answer and ran once
+
+  Scenario Outline: A caller that is slow or idle loses its connection: <manner>
+    Given a shared platform with 1 edge and 1 engine of each service
+    When a caller <manner>
+    Then its connection ends within <bound> seconds, not before <earliest>
+
+    Examples:
+      | manner                              | earliest | bound |
+      | sends half a head                   | 0.9      | 1.6   |
+      | stays idle after a call             | 2.4      | 3.6   |
+
+  Scenario Outline: A spoiled answer is never passed on: <spoiled> to <call>
+    Given a shared platform with 1 edge and 2 engines of each service
+    When the engines spoil their next answers as <spoiled>
+    And this call is sent: <call>
+    Then the caller is answered <answer>
+
+    Examples:
+      | spoiled        | call                         | answer       |
+      | truncated      | POST /order/1 with 9 bytes   | 502          |
+      | extra          | POST /order/1 with 9 bytes   | 200 whole    |
+      | unframed       | POST /order/1 with 9 bytes   | 200 whole    |
+      | unframed-reset | POST /order/1 with 9 bytes   | 502          |
+      | noise          | POST /order/1 with 9 bytes   | 502          |
+      | unsealed       | POST /order/1 with 9 bytes   | 502          |
+      | other          | POST /order/1 with 9 bytes   | 502          |
+      | failed         | POST /order/1 with 9 bytes   | 500 failed   |
+      | lost           | POST /order/1 with 9 bytes   | 502          |
+      | hung           | POST /order/1 with 9 bytes   | 504          |
+      | truncated once | GET /stock/1                 | 200 anything |
+      | noise once     | GET /stock/1                 | 200 anything |
+      | failed once    | GET /stock/1                 | 200 anything |
+      | failed         | GET /stock/1                 | 500 failed   |
+      | lost once      | GET /stock/1                 | 200 anything |
+
+  Scenario: An order runs at most once, whatever happens to its answer
+    Given a shared platform with 1 edge and 3 engines of each service
+    When 40 orders meet engines that lose, spoil and fail answers
+    Then no order ran twice
+    And every order that was said not to have run has not run
+
+  Scenario Outline: An engine is told what is left of the caller's time
+    Given a shared platform with 1 edge and 1 engine of each service
+    When a caller that waits <patience> ms sends a stock lookup
+    Then the engine was given between <least> and <most> ms
+
+    Examples:
+      | patience | least | most |
+      | 300      | 200   | 300  |
+      | 5000     | 900   | 1000 |
+
+  Scenario: A caller that leaves stops its engine
+    Given a shared platform with 1 edge and 1 engine of each service
+    When a caller leaves a stream after 3 events
+    Then the engine stops within 0.5 seconds
--- a/src/sapphirerock/commands/router.py
+++ b/src/sapphirerock/commands/router.py
@@ -6,30 +6,58 @@
 
 from sapphirerock import __version__
 from sapphirerock.commands.worker import run_service
-from sapphirerock.process.router import RouterService
-from sapphirerock.process.settings.hostsettings import read_host_settings
+from sapphirerock.platform.names import SETTINGS_VARIABLE
 from sapphirerock.process.telemetry.logs import configure_logs
 
 
+def prepare_router(settings_file):
+    """Return a Result of the service that settings of the project's own describe."""
+    # Imported here: neither kind of router needs the memory of the other.
+    from sapphirerock.process.router import RouterService
+    from sapphirerock.process.settings.hostsettings import read_host_settings
+
+    def prepare(settings):
+        configure_logs(settings.logs.style, settings.logs.level)
+        return RouterService(settings)
+
+    return read_host_settings(settings_file).map(prepare)
+
+
+def prepare_edge(settings_file):
+    """Return a Result of the service that the platform's settings describe."""
+    from sapphirerock.platform.settingsfile import read_profile
+    from sapphirerock.process.edge import Edge
+
+    def prepare(profile):
+        configure_logs("json", "INFO")
+        return Edge(profile, settings_file)
+
+    return read_profile(settings_file).map(prepare)
+
+
 @click.command()
 @click.version_option(__version__)
-@click.argument("settings_file", type=click.Path(exists=True, dir_okay=False))
+@click.argument("settings_file", envvar=SETTINGS_VARIABLE, type=click.Path())
+@click.option("--platform", is_flag=True, help="Run on the shared platform.")
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
-def main(settings_file, check):
+def main(settings_file, platform, check):
     """Run the router of an entry host.
 
-    SETTINGS_FILE is the host's own settings, in JSON.
+    SETTINGS_FILE is the host's own settings, in JSON, or with --platform the file
+    that the shared platform writes, which its environment names.
 
     Example: sapphirerock-router /etc/sapphirerock/host.json
     """
-    read = read_host_settings(settings_file)
-    if read.is_error():
-        for fault in read.error.faults:
+    prepared = (prepare_edge if platform else prepare_router)(settings_file)
+    if prepared.is_error():
+        for fault in prepared.error.faults:
             click.echo(f"{settings_file}: {fault}", err=True)
         sys.exit(2)
     if check:
         click.echo(f"{settings_file}: good")
         return
-    settings = read.ok
-    configure_logs(settings.logs.style, settings.logs.level)
-    run_service(RouterService(settings))
+    run_service(prepared.ok)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sapphirerock/connection/store.py
+++ b/src/sapphirerock/connection/store.py
@@ -41,11 +41,11 @@
         Bound of a call that does not wait, in seconds.
     """
 
-    __slots__ = ("_session", "_url", "_metrics", "_tracer", "_timeout_s")
+    __slots__ = ("_session", "url", "_metrics", "_tracer", "_timeout_s")
 
     def __init__(self, session, url, metrics, tracer=None, timeout_s=CALL_TIMEOUT_S):
         self._session = session
-        self._url = url
+        self.url = url
         self._metrics = metrics
         self._tracer = tracer or NoOpTracer()
         self._timeout_s = timeout_s
@@ -169,7 +169,7 @@
             try:
                 async with self._session.request(
                     method,
-                    self._url + path,
+                    self.url + path,
                     params=query,
                     timeout=timeout,
                     **options,
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -1,7 +1,9 @@
 """The entry host's process on the shared platform: all parts, put together."""
 
 import asyncio
+import os
 import random
+import signal
 import time
 
 from aiohttp import web
@@ -28,6 +30,7 @@
     ROUTERS_KIND,
 )
 from sapphirerock.platform.registrations import decode_registration
+from sapphirerock.platform.settingsfile import read_profile
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.edgeruntime import EdgeRuntime
 from sapphirerock.process.engines.crashwatch import CrashWatch
@@ -58,6 +61,7 @@
 # Time before SIGKILL that is kept for closing what is still open.
 CLOSING_S = 0.6
 DRAIN_POLL_S = 0.05
+SETTINGS_INTERVAL_S = 1.0
 
 
 class Edge(Service):
@@ -67,16 +71,20 @@
     ----------
     profile : HostProfile
         This host.
+    settings_file : str
+        Where the profile was read from.
     clock : Clock or None
         Source of time; the system's when None.
     """
 
-    def __init__(self, profile, clock=None, **kwargs):
+    def __init__(self, profile, settings_file, clock=None, **kwargs):
         super().__init__(**kwargs)
         self.profile = profile
+        self._settings_file = settings_file
         self.clock = clock or SystemClock()
         self.metrics = EdgeMetrics()
         self._sessions = []
+        self._settings_stamp = read_stamp(settings_file)
         self._listener = None
         self._server = None
 
@@ -101,10 +109,33 @@
         self._listener = await asyncio.get_running_loop().create_server(
             self._server, callers.address, callers.port, backlog=BACKLOG
         )
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._reload)
         logger.bind(
             host=profile.host, zone=profile.availability_zone, callers=str(callers)
         ).info("started")
 
+    @Service.task
+    async def _watch_settings(self):
+        """Read the settings again when their file changes; no signal may come."""
+        while not self.should_stop:
+            await self.clock.sleep(SETTINGS_INTERVAL_S)
+            if read_stamp(self._settings_file) != self._settings_stamp:
+                self._reload()
+
+    def _reload(self):
+        """Take over the settings file; keep what is in force where it is wrong."""
+        self._settings_stamp = read_stamp(self._settings_file)
+        read = read_profile(self._settings_file)
+        if read.is_error():
+            logger.bind(cause=str(read.error)).error("settings refused")
+            return
+        changed = read.ok != self.profile
+        self.profile = read.ok
+        self.budget.terms = make_repeat_terms(read.ok.bounds)
+        self.membership.seeds = read.ok.seeds
+        self.store.url = make_store_url(read.ok.store)
+        logger.bind(changed=changed).info("settings reloaded")
+
     def _keep_session(self, session):
         """Return a session that is closed with the process."""
         self._sessions.append(session)
@@ -130,12 +161,12 @@
         self.gossip = Gossip(self.peers)
         self.store = StoreClient(
             self._keep_session(make_session(profile.address, force_close=True)),
-            f"http://{profile.store.endpoint}",
+            make_store_url(profile.store),
             self.metrics,
             self.tracer,
         )
         self.routing = RoutingStore(decode_configuration, CONFIGURATION_NAME)
-        self.engines = EngineTable(decode_registration, clock)
+        self.engines = EngineTable(decode_registration, clock, self.metrics)
         configuration = Replica(CONFIGURATION_KIND)
         engines = Replica(ENGINES_KIND)
         routers = Replica(ROUTERS_KIND)
@@ -151,7 +182,7 @@
 
     def _build_calls(self):
         """Build what calls use."""
-        profile, clock, bounds = self.profile, self.clock, self.profile.bounds
+        profile, clock = self.profile, self.clock
         generator = random.Random(profile.host)
         session = self._keep_session(make_upstream_session(profile.address))
         dialect = DIALECTS[platform_dialect.PlatformDialect.name]
@@ -160,9 +191,8 @@
         )
         self.monitor = EngineMonitor(self.engines, crashes, session, dialect, clock)
         policy = PLACEMENTS[PLACEMENT](generator)
-        terms = RepeatTerms(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
-        )
+        terms = make_repeat_terms(self.profile.bounds)
+        self.budget = RepeatBudget(terms, self._count_hosts, clock)
         runtime = EdgeRuntime(
             clock=clock,
             metrics=self.metrics,
@@ -170,7 +200,7 @@
             session=session,
             dialect=dialect,
             fleet=Fleet(self.engines, self.routing, policy, profile.availability_zone),
-            budget=RepeatBudget(terms, self._count_hosts, clock),
+            budget=self.budget,
             crashes=crashes,
             generator=generator,
             stream_length=StreamLength(),
@@ -211,6 +241,8 @@
 
     async def on_stop(self):
         """Take no new connections, finish what is under way, then end."""
+        if self._listener is None:
+            return
         started_s = self.clock.monotonic()
         allowed_s = self.profile.bounds.grace_s - CLOSING_S
         self.reception.start_leaving(allowed_s)
@@ -232,3 +264,22 @@
         for session in self._sessions:
             await session.close()
         await asyncio.sleep(0)
+
+
+def read_stamp(path):
+    """Return what changes when a file does, or None where there is none."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size, found.st_ino
+
+
+def make_repeat_terms(bounds):
+    """Return what all hosts together may repeat."""
+    return RepeatTerms(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+
+
+def make_store_url(access):
+    """Return the address of the platform's store."""
+    return f"http://{access.endpoint}"
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -109,13 +109,16 @@
         From a name and a registration's content to a Result of EngineEntry.
     clock : Clock
         Source of time.
+    metrics : EdgeMetrics
+        Counts engines.
     """
 
-    __slots__ = ("_decode", "_clock", "_states")
+    __slots__ = ("_decode", "_clock", "_metrics", "_states")
 
-    def __init__(self, decode, clock):
+    def __init__(self, decode, clock, metrics):
         self._decode = decode
         self._clock = clock
+        self._metrics = metrics
         self._states = {}
 
     def apply_changes(self, changes):
@@ -132,6 +135,7 @@
                 self._remove(change.name)
             else:
                 self._put(decoded.ok)
+        self._metrics.engines.set(len(self._states))
 
     def _put(self, entry):
         known = self._states.get(entry.name)
--- a/src/sapphirerock/process/orders/placer.py
+++ b/src/sapphirerock/process/orders/placer.py
@@ -194,6 +194,7 @@
         self._replica = Replica(SETTINGS_KIND, packs=True)
         self._replica.subscribe(self.store.apply_changes)
         self._session = None
+        self._store_session = None
         self._platform = None
         self._keeper = None
         self._budget = None
@@ -215,8 +216,9 @@
 
     async def on_shutdown(self):
         """Close connections."""
-        await self._session.close()
-        await self._store_session.close()
+        for session in (self._session, self._store_session):
+            if session is not None:
+                await session.close()
 
     @Service.task
     async def _keep_lease(self):
--- a/src/sapphirerock/process/peers/membership.py
+++ b/src/sapphirerock/process/peers/membership.py
@@ -39,7 +39,7 @@
         self._store = store
         self._replica = replica
         self._peers = peers
-        self._seeds = seeds
+        self.seeds = seeds
         self._incarnation = incarnation
         self._clock = clock
         replica.subscribe(self._apply_changes)
@@ -125,7 +125,7 @@
         """Reach some host through the seeds while no peer is known."""
         while not self.should_stop:
             if not self._peers.streams:
-                for seed in self._seeds:
+                for seed in self.seeds:
                     if seed.address != self._own.address:
                         await self._peers.dial_seed(seed)
             await self._clock.sleep(SEED_INTERVAL_S)
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -91,7 +91,9 @@
 
     async def on_stop(self):
         """Close every stream."""
-        self._server.close()
+        # A port that could not be opened is the cause to be seen, not this.
+        if self._server is not None:
+            self._server.close()
         for stream in list(self.streams.values()):
             stream.close()
         self._stream_tasks.cancel()
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -75,6 +75,7 @@
         self.clock = clock or SystemClock()
         self.metrics = Metrics()
         self.journal_store = JournalStore(self.clock)
+        self.gateway = None
         self._sessions = []
 
     async def on_start(self):
@@ -256,6 +257,8 @@
 
     async def on_stop(self):
         """Take no new work, finish every stream, then stop."""
+        if self.gateway is None:
+            return
         self.gateway.leaving = True
         self.peers.announce_leaving()
         await self.membership.leave()
--- a/src/sapphirerock/process/settings/hostsettings.py
+++ b/src/sapphirerock/process/settings/hostsettings.py
@@ -181,6 +181,14 @@
 
 
 def read_host_settings(path):
-    """Read, check and decode a settings file."""
-    with open(path, "rb") as stream:
-        return parse_host_settings(stream.read())
+    """Read, check and decode a settings file.
+
+    Returns
+    -------
+    expression.Result of HostSettings or SettingsError
+    """
+    try:
+        with open(path, "rb") as stream:
+            return parse_host_settings(stream.read())
+    except OSError as error:
+        return Error(SettingsError([SettingsFault("$", repr(error), "a file")]))
--- a/src/sapphirerock/process/telemetry/logs.py
+++ b/src/sapphirerock/process/telemetry/logs.py
@@ -24,8 +24,8 @@
 
     def emit(self, record):
         """Log one record at its own level."""
-        level = min(record.levelno, logging.CRITICAL)
-        logger.opt(exception=record.exc_info).log(level, record.getMessage())
+        name = logging.getLevelName(min(record.levelno, logging.CRITICAL))
+        logger.opt(exception=record.exc_info).log(name, record.getMessage())
 
 
 class LineSink:
--- a/src/sapphirerock/process/web.py
+++ b/src/sapphirerock/process/web.py
@@ -38,4 +38,5 @@
 
     async def on_stop(self):
         """Close the port and what is still open on it."""
-        await self._runner.cleanup()
+        if self._runner is not None:
+            await self._runner.cleanup()
--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -11,6 +11,11 @@
 from sapphirerock.standin.link import LinkService, LinkStandin, parse_forward
 from sapphirerock.standin.platform import PlatformStandin
 from sapphirerock.standin.service import ServiceStandin
+from sapphirerock.standin.sharedengine import (
+    EngineTraits,
+    SharedEngineService,
+    SharedEngineStandin,
+)
 
 
 @click.group()
@@ -71,6 +76,27 @@
     run_service(WebService(standin.make_application(), host, port))
 
 
+@main.command("shared-engine")
+@add_address
+@click.option("--store", "store_url", required=True, help="URL of the platform.")
+@click.option("--service", required=True, help="What it serves.")
+@click.option("--zone", required=True, help="Availability zone.")
+@click.option("--slots", default=16, help="Calls at once.")
+@click.option("--event", "event_s", default=0.02, help="Seconds between events.")
+@click.option("--prompt", "prompt_s", default=0.1, help="Seconds to read a prompt.")
+@click.option("--work", "work_s", default=0.01, help="Seconds of a plain call.")
+@click.option("--poison", default="", help="Bodies with it crash the engine.")
+def shared_engine(
+    host, port, store_url, service, zone, slots, event_s, prompt_s, work_s, poison
+):
+    """Run an engine of the shared platform."""
+    traits = EngineTraits(
+        service, zone, slots, event_s, prompt_s, work_s, poison=poison
+    )
+    standin = SharedEngineStandin(traits)
+    run_service(SharedEngineService(standin, host, port, store_url))
+
+
 @main.command()
 @add_address
 @click.option("--delay", default=0.001, help="Seconds that a call takes.")
--- /dev/null
+++ b/tools/sharedcluster.py
@@ -0,0 +1,213 @@
+"""Edges of the shared platform as real processes, with their stand-ins."""
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from tools.localcluster import LocalCluster, find_free_port, format_options
+
+HOST = "ficu95.example"
+KEY = "key-of-weavers"
+ORGANISATION = "weavers"
+GRACE_S = 4.0
+READY_BOUND_S = 8.0
+STREAM_PREFIX, ORDER_PREFIX, LOOKUP_PREFIX = "/review/", "/order/", "/stock/"
+
+
+@dataclass(slots=True)
+class PlannedEdge:
+    """An edge's host and its addresses."""
+
+    name: str
+    zone: str
+    region: str
+    address: str
+    callers_port: int
+    readiness_port: int
+    peers_port: int
+
+
+def make_route(name, prefix, kind, service, **fields):
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 8000 if kind == "streaming" else 1000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 5 if kind == "streaming" else 2,
+        "public": False,
+        "sticky": kind == "streaming",
+        "resumable": kind == "streaming",
+        **fields,
+    }
+
+
+def make_configuration(version=1, routes=None, keys=(KEY,), **limits):
+    """Return a configuration as the operator writes it."""
+    default = [
+        make_route("review", STREAM_PREFIX, "streaming", "model"),
+        make_route("order", ORDER_PREFIX, "non_idempotent", "shop", max_attempts=1),
+        make_route("stock", LOOKUP_PREFIX, "idempotent", "shop"),
+    ]
+    engine = {
+        "slots": 16,
+        "kv_tokens": 88_000,
+        "stride": 1,
+        "backups": True,
+        "moves": True,
+        "handle_s": 4.0,
+    }
+    return {
+        "version": version,
+        "routes": default if routes is None else routes,
+        "services": [
+            {"name": "model", "max_conns": 100, "engine": engine},
+            {"name": "shop", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 3000,
+            **limits,
+        },
+        "tenants": [{"name": ORGANISATION, "api_keys": list(keys), "priority": 1}],
+    }
+
+
+class SharedCluster(LocalCluster):
+    """A platform, its engines and the edges of some hosts."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.edges = {}
+        self._zones_by_region = {}
+
+    def add_shared_engine(self, name, service, zone, **options):
+        """Start an engine that registers itself."""
+        address = self.get_zone_prefix(zone) + "2"
+        port = find_free_port(address)
+        self.urls[name] = f"http://{address}:{port}"
+        self.spawn(
+            name,
+            "standin",
+            "shared-engine",
+            "--host",
+            address,
+            "--port",
+            port,
+            "--store",
+            self.urls["platform"],
+            "--service",
+            service,
+            "--zone",
+            zone,
+            *format_options(options),
+        )
+
+    def plan_edge(self, name, zone, region):
+        """Reserve addresses of an edge, in the order in which seeds name them."""
+        address = f"{self.get_zone_prefix(zone)}{10 + len(self.edges)}"
+        ports = [find_free_port(address) for _ in range(3)]
+        self.edges[name] = PlannedEdge(name, zone, region, address, *ports)
+        self._zones_by_region[zone] = region
+
+    def write_settings(self, name, **changes):
+        """Write an edge's settings file; return its path."""
+        edge = self.edges[name]
+        document = {
+            "node": name,
+            "role": "router",
+            "zone": edge.zone,
+            "region": edge.region,
+            "zones": self._zones_by_region,
+            "ip": edge.address,
+            "listen": {
+                "front": f"{edge.address}:{edge.callers_port}",
+                "ready": f"{edge.address}:{edge.readiness_port}",
+                "control": f"{edge.address}:{edge.peers_port}",
+            },
+            "port_range": [edge.peers_port + 1, edge.peers_port + 2],
+            "seeds": [
+                f"{item.address}:{item.peers_port}"
+                for item in list(self.edges.values())[:3]
+            ],
+            "bounds": {
+                "grace_s": GRACE_S,
+                "drain_ms": 3000,
+                "contact_ms": 4000,
+                "budget_ratio": 0.8,
+                "budget_window_s": 10,
+                "budget_slack": 150,
+            },
+            "platform": {
+                "address": self.urls["platform"].removeprefix("http://"),
+                "form": "objects",
+                "writes_per_s": 400,
+                "reads_per_s": 2000,
+                "history_s": 20,
+                "value_bytes": 1 << 20,
+            },
+            "a_field_of_tomorrow": {"any": "value"},
+            **changes,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(document))
+        return path
+
+    def start_edge(self, name, **changes):
+        """Start a planned edge, or start it again."""
+        path = self.write_settings(name, **changes)
+        if name in self.processes:
+            self.processes[name].start()
+        else:
+            self.spawn(name, "router", "--platform", path)
+
+    async def put_configuration(self, document):
+        """Write the operator's configuration."""
+        await self.put_object("config", "main", document)
+
+    async def is_edge_ready(self, name):
+        """Return whether an edge says that it is ready."""
+        edge = self.edges[name]
+        url = f"http://{edge.address}:{edge.readiness_port}/sapphirerock/readiness"
+        try:
+            async with ClientSession(timeout=ClientTimeout(total=1)) as session:
+                async with session.get(url) as answer:
+                    return answer.status == 200
+        except (ClientError, TimeoutError, OSError):
+            return False
+
+    async def wait_edges(self, *names):
+        """Wait until edges are ready."""
+        deadline_s = time.monotonic() + READY_BOUND_S
+        for name in names or self.edges:
+            while not await self.is_edge_ready(name):
+                assert time.monotonic() < deadline_s, self.read_log(name)
+                await asyncio.sleep(0.03)
+
+    async def read_engine(self, name):
+        """Return an engine's id and all that it ran."""
+        async with ClientSession() as session:
+            async with session.get(self.urls[name] + "/standin/runs") as answer:
+                return await answer.json()
+
+    async def list_runs(self):
+        """Return what all engines ran, by engine."""
+        found = {}
+        for name in self.urls:
+            if name in self.processes and name not in ("platform", *self.edges):
+                found[name] = (await self.read_engine(name))["runs"]
+        return found
+
+    def read_events(self, name):
+        """Return the log lines of an edge, decoded."""
+        lines = self.processes[name].log.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -5,12 +5,15 @@
 """
 
 import json
+import os
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
+from tools.localcluster import PORT_SLICE_VARIABLE
+
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 RESULTS = ROOT / ".test-run" / "results"
@@ -61,7 +64,16 @@
     command = [sys.executable, "-m", "behave", "--no-color"]
     command += ["--format", "json", "--outfile", str(results)]
     command += ["--format", "progress3", str(path)]
-    run = subprocess.run(command, cwd=ROOT, check=False, capture_output=True, text=True)
+    # Features side by side take ports of different slices.
+    environment = {**os.environ, PORT_SLICE_VARIABLE: str(os.getpid() + number)}
+    run = subprocess.run(
+        command,
+        cwd=ROOT,
+        check=False,
+        capture_output=True,
+        text=True,
+        env=environment,
+    )
     scenarios = read_results(results) if results.exists() else []
     good = bool(scenarios) and all(item.status == "passed" for item in scenarios)
     if run.returncode and (good or not scenarios):
