Prove streams under failure; a call that loses two engines waits for what was found out

A request that crashes engines was sent to six of them: evidence comes 0.4 s after a crash, and two engines of a zone that it took down in turn counted as a zone that failed.

--- a/features/steps/golden_steps.py
+++ b/features/steps/golden_steps.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from behave import given, then, when
+
 from features.steps.recovery_steps import LOSSES
 
 GOLDEN = Path(__file__).resolve().parent.parent / "golden"
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -1,5 +1,6 @@
 """Finds out whether an engine whose connections broke has crashed, and by what."""
 
+import asyncio
 import hashlib
 from collections import deque
 
@@ -23,6 +24,24 @@
 REPLACED = "replaced"
 
 
+class Inquiry:
+    """Looks into why the connections to one engine broke.
+
+    Attributes
+    ----------
+    suspects : set of bytes
+        Fingerprints of the calls whose connections these were.
+    task : asyncio.Task or None
+        Ends when it is known.
+    """
+
+    __slots__ = ("suspects", "task")
+
+    def __init__(self):
+        self.suspects = set()
+        self.task = None
+
+
 class CrashWatch:
     """Evidence of crashes from this host's calls and from peers.
 
@@ -50,7 +69,7 @@
         "_dialect",
         "_clock",
         "_crashes",
-        "_suspects",
+        "_inquiries",
         "_tasks",
     )
 
@@ -62,7 +81,7 @@
         self._dialect = dialect
         self._clock = clock
         self._crashes = deque(maxlen=CRASHES_REMEMBERED)
-        self._suspects = {}
+        self._inquiries = {}
         self._tasks = BackgroundTasks()
         gossip.subscribe(CrashNews, quarantine.apply_news)
         gossip.subscribe(EngineDownNews, self._take_down)
@@ -76,20 +95,30 @@
 
     def investigate(self, state, call):
         """Find out why the connection of a call to its engine broke."""
-        suspects = self._suspects.get(state)
-        if suspects is not None:
-            suspects.add(fingerprint_call(call))
-            return
-        self._suspects[state] = {fingerprint_call(call)}
-        self._tasks.spawn(self._investigate(state))
-
-    async def _investigate(self, state):
+        found = self._inquiries.get(state)
+        if found is None:
+            found = self._inquiries[state] = Inquiry()
+            found.task = self._tasks.spawn(self._investigate(state, found.suspects))
+        found.suspects.add(fingerprint_call(call))
+
+    async def wait_examined(self, call):
+        """Wait until all losses of a call have been looked into."""
+        fingerprint = fingerprint_call(call)
+        pending = [
+            found.task
+            for found in self._inquiries.values()
+            if fingerprint in found.suspects
+        ]
+        if pending:
+            await asyncio.wait(pending)
+
+    async def _investigate(self, state, suspects):
         try:
             if await self._has_crashed(state):
-                self.condemn(state, "crashed")
-                await self._collect_evidence(state)
+                crash = self.condemn(state, "crashed", suspects)
+                await self._collect_evidence(state, crash)
         finally:
-            del self._suspects[state]
+            del self._inquiries[state]
 
     async def _has_crashed(self, state):
         """Return whether an engine is not the one any more that it was."""
@@ -107,16 +136,22 @@
         born_ms = self._dialect.read_start(answer.ok)
         return bool(entry.born_ms and born_ms and born_ms != entry.born_ms)
 
-    def condemn(self, state, cause):
-        """Take an engine out, end this host's attempts there and tell peers."""
+    def condemn(self, state, cause, suspects=()):
+        """Take an engine out, end this host's attempts there and tell peers.
+
+        Returns
+        -------
+        Crash
+        """
         self._end_attempts(state, cause)
         entry = state.entry
-        self._crashes.append(
-            Crash(entry.name, entry.availability_zone, self._clock.monotonic())
-        )
+        now_s = self._clock.monotonic()
+        crash = Crash(entry.name, entry.availability_zone, now_s, suspects)
+        self._crashes.append(crash)
         self._gossip.spread(
             EngineDownNews(entry.name, entry.born_ms, entry.availability_zone, cause)
         )
+        return crash
 
     def report_replaced(self, state):
         """Take out an engine whose address another one has, and tell peers."""
@@ -134,19 +169,19 @@
         for attempt in list(state.attempts):
             attempt.interrupt(cause)
 
-    async def _collect_evidence(self, state):
+    async def _collect_evidence(self, state, crash):
         """Wait until crashes of the same moment are known, then tell peers."""
-        crash = self._crashes[-1]
         await self._clock.sleep(TOGETHER_S)
-        suspects = self._suspects[state]
-        convicting = is_evidence(crash, self._crashes)
+        start = str(state.entry.born_ms)
+        against = [
+            fingerprint
+            for fingerprint in crash.suspects
+            if is_evidence(crash, fingerprint, self._crashes)
+        ]
         logger.bind(
-            engine=state.name, suspects=len(suspects), is_evidence=convicting
+            engine=state.name, suspects=len(crash.suspects), against=len(against)
         ).info("crash examined")
-        if not convicting:
-            return
-        start = str(state.entry.born_ms)
-        for fingerprint in suspects:
+        for fingerprint in against:
             self._gossip.spread(CrashNews(fingerprint, state.name, start, False))
 
     def _take_down(self, news):
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -12,6 +12,7 @@
 )
 from sapphirerock.connection.events import EventOversized, EventSplitter
 from sapphirerock.decisions.continuation import Ending, Step, StreamView, choose_step
+from sapphirerock.decisions.conviction import EXAMINED_LOSSES
 from sapphirerock.decisions.refusal import choose_retry_after
 from sapphirerock.request.problem import (
     TIMED_OUT,
@@ -125,7 +126,7 @@
                     self._runtime.stream_length.note_end(elapsed_s)
                 if ending in (Ending.COMPLETE, Ending.PASSED_ON):
                     return
-                step = self._choose_step(ending)
+                step = await self._choose_step(ending)
             await self._give_up(ending)
         finally:
             self._log_end()
@@ -282,10 +283,12 @@
             self._runtime.crashes.investigate(attempt.state, self._call)
         return Ending.LOST
 
-    def _choose_step(self, ending):
+    async def _choose_step(self, ending):
         """Return what follows; a repeat must also be within the budget."""
         self._losses += ending is Ending.LOST
         self._failures += ending is Ending.FAILED
+        if ending is Ending.LOST and self._losses >= EXAMINED_LOSSES:
+            await self._runtime.crashes.wait_examined(self._call)
         route = self._call.route
         choice = choose_step(
             StreamView(
--- a/src/sapphirerock/standin/faults.py
+++ b/src/sapphirerock/standin/faults.py
@@ -66,6 +66,12 @@
     standin.crash()
 
 
+@register_fault("reset-connections")
+def reset_connections(standin, order):
+    """Reset the connections open now and go on."""
+    standin.reset_connections()
+
+
 @register_fault("silence")
 def silence_connections(standin, order):
     """Send nothing more on connections open now; accept new ones."""
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -145,11 +145,15 @@
         """Lose all work and connections, and come back after a while."""
         for run in self.runs:
             run.ended = run.ended or "crashed"
-        for transport in list(self._transports):
-            transport.abort()
+        self.reset_connections()
         if self.on_crash is not None:
             self.on_crash()
 
+    def reset_connections(self):
+        """Reset the connections of all calls under way."""
+        for transport in list(self._transports):
+            transport.abort()
+
     def make_application(self):
         """Return the HTTP application."""
         application = web.Application(client_max_size=16 << 20)
--- a/tools/rawclient.py
+++ b/tools/rawclient.py
@@ -101,9 +101,15 @@
         """Read a stream's head and its first events; more may come."""
         await self.read_head(answer)
         while len(answer.events) < count:
-            size = int(await self.reader.readline(), 16)
-            answer.body += await self.reader.readexactly(size)
-            await self.reader.readexactly(2)
+            await self.read_some_chunk(answer)
+
+    async def read_some_chunk(self, answer):
+        """Read the next part of a stream."""
+        size = int(await self.reader.readline(), 16)
+        if not size:
+            raise ValueError("the stream has ended")
+        answer.body += await self.reader.readexactly(size)
+        await self.reader.readexactly(2)
 
     async def read_rest(self, answer, bound_s=READ_BOUND_S):
         """Read a stream to its end."""
--- a/tools/sharedcluster.py
+++ b/tools/sharedcluster.py
@@ -194,19 +194,33 @@
                 await asyncio.sleep(0.03)
 
     async def read_engine(self, name):
-        """Return an engine's id and all that it ran."""
-        async with ClientSession() as session:
-            async with session.get(self.urls[name] + "/standin/runs") as answer:
-                return await answer.json()
-
-    async def list_runs(self):
-        """Return what all engines ran, by engine."""
+        """Return an engine's id and all that it ran; wait while it is away."""
+        deadline_s = time.monotonic() + READY_BOUND_S
+        while True:
+            try:
+                return await self.get_json(self.urls[name] + "/standin/runs")
+            except (ClientError, OSError):
+                if time.monotonic() > deadline_s:
+                    raise
+                await asyncio.sleep(0.05)
+
+    async def list_runs(self, waits=True):
+        """Return what all engines ran, by engine, those that are away left out."""
         found = {}
         for name in self.urls:
             if name in self.processes and name not in ("platform", *self.edges):
-                found[name] = (await self.read_engine(name))["runs"]
+                try:
+                    read = self.read_engine if waits else self.peek_engine
+                    found[name] = (await read(name))["runs"]
+                except (ClientError, OSError):
+                    if waits:
+                        raise
         return found
 
+    async def peek_engine(self, name):
+        """Return an engine's id and all that it ran, if it is there."""
+        return await self.get_json(self.urls[name] + "/standin/runs")
+
     def read_events(self, name):
         """Return the log lines of an edge, decoded."""
         lines = self.processes[name].log.read_text().splitlines()
