--- /dev/null
+++ b/features/steps/replica_steps.py
@@ -0,0 +1,501 @@
+"""Steps on what hosts know of the store."""
+
+import asyncio
+import time
+
+from aiohttp import ClientSession
+from behave import given, then, when
+from tools.rawclient import RawConnection
+from tools.sharedcluster import KEY, SharedCluster, make_configuration, make_route
+
+from features.steps.edge_steps import list_all_runs, make_head, start_cluster
+from sapphirerock.platform.names import ENGINES_KIND
+from sapphirerock.platform.storewire import make_path
+
+TROUBLES = {}
+LONG_S = 600
+NEW_PREFIX = "/added/"
+NEW_KEY = "key-of-tomorrow"
+
+
+def register_trouble(text):
+    """Register a trouble of the store under the words of a table."""
+
+    def register(function):
+        TROUBLES[text] = function
+        return function
+
+    return register
+
+
+@given(
+    "a shared platform with {edges:d} edges and {engines:d} engine of each service "
+    "in {zones:d} zones"
+)
+def start_in_zones(context, edges, engines, zones):
+    context.run(start_cluster(context, edges, engines * zones, zones))
+
+
+@given(
+    "a shared platform with {edges:d} edges and {engines:d} engine of each service "
+    "in {zones:d} zone"
+)
+def start_in_zone(context, edges, engines, zones):
+    context.run(start_cluster(context, edges, engines * zones, zones))
+
+
+@given(
+    "a shared platform with {edges:d} edges and {engines:d} engines of each service "
+    "in {zones:d} zones"
+)
+def start_more_in_zones(context, edges, engines, zones):
+    context.run(start_cluster(context, edges, engines * zones, zones))
+
+
+async def find_watchers(context):
+    """Return the edges that watch the store, by what their logs say last."""
+    counts = {}
+    for name, edge in context.world.cluster.edges.items():
+        async with context.world.session.get(
+            f"http://{edge.address}:9464/metrics"
+        ) as answer:
+            text = await answer.text()
+        marker = 'sapphirerock_platform_calls_total{kind="watch"} '
+        counts[name] = float(text.partition(marker)[2].split("\n")[0] or 0)
+    zones = {edge.zone for edge in context.world.cluster.edges.values()}
+    ranked = sorted(counts, key=counts.get, reverse=True)
+    return ranked[: len(zones)]
+
+
+async def turn_away(context, names, manner):
+    cluster = context.world.cluster
+    for name in names:
+        await cluster.inject(
+            "platform",
+            "down",
+            seconds=LONG_S,
+            manner=manner,
+            source=cluster.edges[name].address,
+        )
+
+
+@register_trouble("none")
+async def do_nothing(context):
+    pass
+
+
+def register_manner(manner):
+    @register_trouble(f"it turns the watchers away, {manner}")
+    async def turn_watchers_away(context):
+        await turn_away(context, await find_watchers(context), manner)
+
+
+for word in ("busy", "many", "reset", "silent"):
+    register_manner(word)
+
+
+@register_trouble("it turns all but one edge away, silent")
+async def turn_most_away(context):
+    await turn_away(context, list(context.world.cluster.edges)[1:], "silent")
+
+
+@register_trouble("it has forgotten its history")
+async def forget(context):
+    await context.world.cluster.inject("platform", "forget-history")
+
+
+@register_trouble("it answers slowly")
+async def slow(context):
+    await context.world.cluster.inject("platform", "slow", amount=250)
+
+
+@register_trouble("the watchers are killed")
+async def kill_watchers(context):
+    for name in await find_watchers(context):
+        context.world.cluster.processes[name].kill()
+
+
+@register_trouble("the watchers are paused")
+async def pause_watchers(context):
+    context.paused = await find_watchers(context)
+    for name in context.paused:
+        context.world.cluster.processes[name].pause()
+
+
+@register_trouble("an edge has just been restarted")
+async def restart_one(context):
+    name = list(context.world.cluster.edges)[-1]
+    context.world.cluster.processes[name].kill()
+    context.world.cluster.start_edge(name)
+
+
+@when("the store has this trouble: {trouble}")
+def trouble_store(context, trouble):
+    context.run(TROUBLES[trouble](context))
+
+
+def list_running(context):
+    paused = getattr(context, "paused", ())
+    return [
+        name
+        for name in context.world.cluster.edges
+        if context.world.cluster.processes[name].is_running and name not in paused
+    ]
+
+
+@when("the operator adds a route")
+def add_route(context):
+    document = make_configuration(version=9)
+    document["routes"].append(make_route("added", NEW_PREFIX, "idempotent", "shop"))
+    context.run(context.world.cluster.put_configuration(document))
+    context.changed_s = time.monotonic()
+
+
+async def call_once(context, name, target, number, key=KEY):
+    """Return the status of a lookup through an edge; 0 where none came."""
+    try:
+        async with RawConnection(context.world.cluster.edges[name]) as connection:
+            head = make_head(number, key=key)
+            answer = await connection.ask("GET", target, head)
+            return answer.status
+    except OSError:
+        return 0
+
+
+async def wait_status(context, name, target, wanted, bound_s, key=KEY):
+    """Wait until a lookup through an edge is answered with a status."""
+    number = 1000
+    while True:
+        number += 1
+        status = await call_once(context, name, target, number, key)
+        if status == wanted:
+            return
+        late_s = time.monotonic() - context.changed_s - bound_s
+        log = context.world.cluster.read_log(name)
+        assert late_s < 0, f"{name}: {target} is answered {status}\n{log}"
+        await asyncio.sleep(0.05)
+
+
+@then("every edge serves the new route within {bound:g} seconds")
+def check_route(context, bound):
+    async def run():
+        await asyncio.gather(
+            *(
+                wait_status(context, name, NEW_PREFIX + "1", 200, bound)
+                for name in list_running(context)
+            )
+        )
+
+    context.run(run())
+
+
+@then("no edge ever went back to an older configuration")
+def check_order(context):
+    cluster = context.world.cluster
+    for name in cluster.edges:
+        revisions = []
+        for line in cluster.read_events(name):
+            if line["event"] == "started":
+                revisions = []
+            elif line["event"] == "configuration in force":
+                revisions.append(line["revision"])
+        assert revisions == sorted(set(revisions)), (name, revisions)
+
+
+@when("an engine says that it is draining")
+def drain_engine(context):
+    context.leaving = "shop-0"
+    context.run(context.world.cluster.inject("shop-0", "leave"))
+    context.changed_s = time.monotonic() + 0.2
+
+
+@when("an engine is taken out of the store")
+def remove_engine(context):
+    cluster = context.world.cluster
+    context.leaving = "shop-0"
+
+    async def run():
+        found = await cluster.read_engine("shop-0")
+        await delete_entry(cluster, found["id"])
+
+    context.run(run())
+    context.changed_s = time.monotonic()
+
+
+async def delete_entry(cluster, name):
+    """Remove an engine's entry as the platform does."""
+    async with ClientSession() as session:
+        url = cluster.urls["platform"] + make_path(ENGINES_KIND, name)
+        async with session.delete(url) as answer:
+            assert answer.status == 200, await answer.text()
+
+
+async def press(context, seconds):
+    """Send lookups through all edges for a while."""
+    end_s = time.monotonic() + seconds
+    number = 5000
+    while time.monotonic() < end_s:
+        for name in list_running(context):
+            number += 1
+            await call_once(context, name, f"/stock/{number}", number)
+
+
+@then("no edge sends it work later than {bound:g} seconds after")
+def check_left_alone(context, bound):
+    limit = time.time() + (context.changed_s + bound - time.monotonic())
+
+    async def run():
+        await press(context, bound + 1.5)
+        runs = (await context.world.cluster.read_engine(context.leaving))["runs"]
+        late = [run["began_at"] - limit for run in runs if run["began_at"] > limit]
+        assert not late, late
+
+    context.run(run())
+
+
+@when("the operator replaces the key")
+def replace_key(context):
+    document = make_configuration(version=9, keys=(NEW_KEY,))
+    context.run(context.world.cluster.put_configuration(document))
+    context.changed_s = time.monotonic()
+
+
+@then("every edge refuses the old key and takes the new one within {bound:g} seconds")
+def check_keys(context, bound):
+    async def run():
+        for name in list_running(context):
+            await wait_status(context, name, "/stock/1", 401, bound)
+            await wait_status(context, name, "/stock/1", 200, bound, NEW_KEY)
+
+    context.run(run())
+
+
+@when("the store is down and an edge is restarted")
+def restart_without_store(context):
+    cluster = context.world.cluster
+    context.restarted = list(cluster.edges)[-1]
+
+    async def run():
+        await cluster.inject("platform", "down", seconds=LONG_S)
+        cluster.processes[context.restarted].kill()
+        cluster.start_edge(context.restarted)
+
+    context.run(run())
+    context.changed_s = time.monotonic()
+
+
+@given("a shared platform with 1 edge that starts while the store is down")
+def start_without_store(context):
+    world = context.world
+    world.cluster = cluster = SharedCluster("shared")
+
+    async def run():
+        cluster.add_platform()
+        await cluster.wait_ready("platform")
+        cluster.plan_edge("edge-0", "zone-a", "region-a")
+        cluster.add_shared_engine("shop-0", "shop", "zone-a")
+        cluster.add_shared_engine("model-0", "model", "zone-a")
+        await cluster.put_configuration(make_configuration())
+        await cluster.inject("platform", "down", seconds=LONG_S)
+        cluster.start_edge("edge-0")
+
+    context.run(run())
+    context.restarted = "edge-0"
+
+
+@then("the edge is not ready and answers 503 with a time to come back")
+def check_not_ready(context):
+    cluster = context.world.cluster
+
+    async def run():
+        async def answers():
+            return await call_once(context, "edge-0", "/stock/1", 1) == 503
+
+        await context.world.wait_until(answers, "the edge answers 503")
+        assert not await cluster.is_edge_ready("edge-0")
+        async with RawConnection(cluster.edges["edge-0"]) as connection:
+            answer = await connection.ask("GET", "/stock/1", make_head(1))
+        assert float(answer.headers["retry-after"]) > 0, answer
+
+    context.run(run())
+
+
+@when("the store is back")
+def restore_store(context):
+    context.run(context.world.cluster.inject("platform", "down", seconds=0))
+    context.changed_s = time.monotonic()
+
+
+@when("all edges are killed and started again")
+def restart_all(context):
+    cluster = context.world.cluster
+    for name in cluster.edges:
+        cluster.processes[name].kill()
+    for name in cluster.edges:
+        cluster.start_edge(name)
+    context.restarted = list(cluster.edges)[-1]
+    context.changed_s = time.monotonic()
+
+
+@then("the restarted edge is ready and serves within {bound:g} seconds")
+def check_restarted(context, bound):
+    cluster = context.world.cluster
+
+    async def run():
+        await wait_status(context, context.restarted, "/stock/1", 200, bound)
+        assert await cluster.is_edge_ready(context.restarted)
+
+    context.run(run())
+
+
+MALFORMED = {
+    "a text": "an engine",
+    "without a service": {"address": "127.0.0.1:9", "zone": "z", "slots": 1},
+    "without an address": {"service": "shop", "zone": "z", "slots": 1},
+    "with an address of words": {"address": "the usual one"},
+    "with slots of another type": {"slots": "many"},
+    "in a state that is not known": {"state": "resting"},
+    "with models of another type": {"models": 7},
+}
+GOOD = {
+    "service": "shop",
+    "address": "127.0.0.1:9",
+    "zone": "zone-a",
+    "slots": 4,
+    "state": "ready",
+}
+
+
+@when("an entry of engines is {malformed}")
+def write_malformed(context, malformed):
+    entry = MALFORMED[malformed]
+    if isinstance(entry, dict) and not malformed.startswith("without"):
+        entry = {**GOOD, **entry}
+    context.run(context.world.cluster.put_object(ENGINES_KIND, "i-odd", entry))
+    context.logged = "registration ignored"
+
+
+@when("an engine's entry gets a field that is not known")
+def write_more(context):
+    cluster = context.world.cluster
+
+    async def run():
+        found = await cluster.read_engine("shop-0")
+        entry = {
+            **GOOD,
+            "address": cluster.urls["shop-0"].removeprefix("http://"),
+            "mood": "good",
+        }
+        await cluster.put_object(ENGINES_KIND, found["id"], entry)
+        await asyncio.sleep(0.3)
+
+    context.run(run())
+
+
+@when("the operator writes a configuration that cannot be read")
+def write_unreadable(context):
+    document = {"version": 12, "routes": "none today"}
+    context.run(context.world.cluster.put_configuration(document))
+    context.logged = "configuration refused"
+
+
+@then("calls are served")
+def check_served(context):
+    async def run():
+        for number in range(20):
+            status = await call_once(context, "edge-0", f"/stock/{number}", number)
+            assert status == 200, (number, status)
+
+    context.run(run())
+
+
+@then("calls are served, and the entry was logged and ignored")
+def check_ignored(context):
+    check_logged(context)
+
+
+@then("calls are served, and the configuration was logged and refused")
+def check_logged(context):
+    async def is_logged():
+        lines = context.world.cluster.read_events("edge-0")
+        return any(line["event"] == context.logged for line in lines)
+
+    context.run(context.world.wait_until(is_logged, context.logged))
+    check_served(context)
+
+
+@when(
+    "the store is away for {seconds:d} seconds and entries lapse, one of them for good"
+)
+def lapse(context, seconds):
+    cluster = context.world.cluster
+    context.leaving = "shop-1"
+
+    async def run():
+        names = ["shop-0", "shop-1", "model-0", "model-1"]
+        found = {name: (await cluster.read_engine(name))["id"] for name in names}
+        await cluster.inject("platform", "down", seconds=seconds, manner="silent")
+        await cluster.inject("platform", "lapse", manner=ENGINES_KIND)
+        context.served = []
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s:
+            context.served.append(await call_once(context, "edge-0", "/stock/1", 1))
+        context.changed_s = time.monotonic()
+        for name in names:
+            if name != context.leaving:
+                entry = {**GOOD, "service": name.partition("-")[0]}
+                entry["address"] = cluster.urls[name].removeprefix("http://")
+                await cluster.put_object(ENGINES_KIND, found[name], entry)
+
+    context.run(run())
+
+
+@then("calls are served all the while")
+def check_always(context):
+    async def run():
+        for number in range(40):
+            status = await call_once(context, "edge-0", f"/stock/{number}", number)
+            context.served.append(status)
+            await asyncio.sleep(0.1)
+
+    context.run(run())
+    assert set(context.served) == {200}, context.served
+
+
+@then("the engine without an entry gets no work {bound:d} seconds after the return")
+def check_gone(context, bound):
+    check_left_alone(context, bound)
+
+
+@when("the engines crash and come back under their ids")
+def crash_same_id(context):
+    cluster = context.world.cluster
+
+    async def run():
+        for name in ("shop-0", "model-0"):
+            await cluster.inject(name, "keep-id")
+            await cluster.inject(name, "down-for", seconds=0.5)
+            await cluster.inject(name, "crash")
+        assert await call_once(context, "edge-0", "/stock/1", 1) != 200
+        await asyncio.sleep(0.6)
+        context.changed_s = time.monotonic()
+
+    context.run(run())
+
+
+@then("calls are served again within {bound:g} seconds")
+def check_served_again(context, bound):
+    context.run(wait_status(context, "edge-0", "/stock/1", 200, bound))
+
+
+@when("an engine is replaced at its address by one of another service, unseen")
+def replace_unseen(context):
+    context.run(context.world.cluster.inject("shop-0", "become", manner="model"))
+
+
+@then("no engine ran a call of a service that is not its own")
+def check_services(context):
+    runs = context.run(context.world.cluster.list_runs())
+    foreign = [run for run in runs["shop-0"] if run["target"].startswith("/stock/")]
+    assert not foreign, foreign
+    assert context.run(list_all_runs(context))
--- a/src/sapphirerock/standin/faults.py
+++ b/src/sapphirerock/standin/faults.py
@@ -111,6 +111,12 @@
     standin.forget_history()
 
 
+@register_fault("lapse")
+def lapse_objects(standin, order):
+    """Drop all objects of the kind that is named."""
+    standin.lapse(order.manner)
+
+
 @register_fault("occupy")
 def occupy_slots(standin, order):
     """Let a sister firm take a number of slots."""
--- a/src/sapphirerock/standin/platform.py
+++ b/src/sapphirerock/standin/platform.py
@@ -118,6 +118,12 @@
         self._forgotten = self.revision
         self._history.clear()
 
+    def lapse(self, kind):
+        """Drop all objects of a kind, as when their writers were not heard."""
+        for item in list(self.objects.get(kind, {}).values()):
+            del self.objects[kind][item.name]
+            self._record(kind, ObjectEvent(item, is_deleted=True))
+
     def _view(self, kind, allows_stale=False):
         """Return the objects of a kind and the revision that they were read at.
 
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -123,7 +123,10 @@
         self.copies = {}
         self.spoiled = deque()
         self.down_for_s = 1.0
+        self.keeps_id = False
+        self.engine_id = ""
         self.on_crash = None
+        self.is_hidden = False
         self._transports = set()
         self._silent = set()
         self._session = None
@@ -131,7 +134,8 @@
 
     def start_life(self):
         """Become a new incarnation that knows nothing."""
-        self.engine_id = "i-" + uuid.uuid4().hex[:10]
+        if not (self.keeps_id and self.engine_id):
+            self.engine_id = "i-" + uuid.uuid4().hex[:10]
         self.born_ms = time.time_ns() // 1_000_000
         self.copies = {}
         self.leaving = False
@@ -330,6 +334,20 @@
     standin.down_for_s = order.seconds
 
 
+@register_fault("keep-id")
+def keep_id(standin, order):
+    """Come back from crashes under the same id."""
+    standin.keeps_id = True
+
+
+@register_fault("become")
+def become_other(standin, order):
+    """Be another engine at the same address, of another service, unregistered."""
+    standin.runs.clear()
+    standin.start_life()
+    standin.is_hidden = True
+
+
 async def write_raw(request, run, data, ended):
     """Write bytes past the library and close the connection."""
     transport = request.transport
@@ -488,7 +506,8 @@
                 standin.born_ms,
             )
             current = (standin.engine_id, orjson.dumps(spec))
-            if current != written and await self._write(standin.engine_id, spec):
+            changed = current != written and not standin.is_hidden
+            if changed and await self._write(standin.engine_id, spec):
                 written = current
             await asyncio.sleep(BEAT_S / 5)
 
