Close no connection whose request was read; cut streams in time when a host stops

A connection counted as idle between the arrival of a request and the start of its handler, and one that was accepted late was closed with the process: requests that had run ended without an answer while hosts were restarted in turn.

--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -47,8 +47,8 @@
 
 async def has_engines(context, count):
     """Return whether every edge counts a number of engines."""
-    for edge in context.world.cluster.edges.values():
-        url = f"http://{edge.address}:9464/metrics"
+    for name in context.world.cluster.edges:
+        url = context.world.cluster.get_metrics_url(name)
         async with context.world.session.get(url) as answer:
             text = await answer.text()
         found = re.search(r"^sapphirerock_engines (\d+)", text, re.MULTILINE)
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -52,17 +52,24 @@
     context.run(start_cluster(context, edges, engines * zones, zones))
 
 
+@given(
+    "a shared platform with {edges:d} edges and {engines:d} engines of each service "
+    "in {zones:d} zone"
+)
+def start_more_in_zone(context, edges, engines, zones):
+    context.run(start_cluster(context, edges, engines * zones, zones))
+
+
 async def find_watchers(context):
     """Return the edges that watch the store, by what their logs say last."""
     counts = {}
-    for name, edge in context.world.cluster.edges.items():
-        async with context.world.session.get(
-            f"http://{edge.address}:9464/metrics"
-        ) as answer:
+    cluster = context.world.cluster
+    for name in cluster.edges:
+        async with context.world.session.get(cluster.get_metrics_url(name)) as answer:
             text = await answer.text()
         marker = 'sapphirerock_platform_calls_total{kind="watch"} '
         counts[name] = float(text.partition(marker)[2].split("\n")[0] or 0)
-    zones = {edge.zone for edge in context.world.cluster.edges.values()}
+    zones = {edge.zone for edge in cluster.edges.values()}
     ranked = sorted(counts, key=counts.get, reverse=True)
     return ranked[: len(zones)]
 
--- /dev/null
+++ b/features/steps/stopping_steps.py
@@ -0,0 +1,359 @@
+"""Steps on hosts that stop, start and reload."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import time
+
+from behave import given, then, when
+from tools.localcluster import BIN
+from tools.rawclient import RawConnection
+from tools.sharedcluster import GRACE_S, SharedCluster, make_configuration
+
+from features.steps.edge_steps import make_head, start_cluster
+from features.steps.replica_steps import call_once
+from features.steps.stream_steps import StreamCaller
+
+LEAVING = "edge-0"
+OTHER = "edge-1"
+
+
+@when("an edge is told to stop while it relays streams and answers lookups")
+def stop_busy(context):
+    cluster = context.world.cluster
+    edge = cluster.edges[LEAVING]
+
+    async def run():
+        context.callers = [StreamCaller(edge, 50 + n, 100) for n in range(4)]
+        context.world.calls = [caller.task for caller in context.callers]
+        await asyncio.sleep(0.6)
+        async with RawConnection(edge) as kept:
+            assert (await kept.ask("GET", "/stock/1", make_head(1))).status == 200
+            context.started_s = time.monotonic()
+            cluster.processes[LEAVING].signal(signal.SIGTERM)
+            await asyncio.sleep(0.15)
+            context.ready = [await cluster.is_edge_ready(LEAVING)]
+            context.lookups = [await kept.ask("GET", "/stock/2", make_head(2))]
+        for number in range(3, 7):
+            await asyncio.sleep(0.3)
+            async with RawConnection(edge) as connection:
+                answer = await connection.ask(
+                    "GET", f"/stock/{number}", make_head(number)
+                )
+                context.lookups.append(answer)
+            context.ready.append(await cluster.is_edge_ready(LEAVING))
+        async with RawConnection(edge) as connection:
+            context.late_stream = await connection.ask(
+                "POST", "/review/9", make_head(9, 100), b"pattern"
+            )
+        await asyncio.gather(*context.world.calls)
+
+    context.run(run())
+
+
+@then("it is not ready from then on")
+def check_never_ready(context):
+    assert not any(context.ready), context.ready
+
+
+@then("the streams that end within its time are whole")
+def check_streams(context):
+    for caller in context.callers:
+        assert caller.answer.events == list(range(1, 101)), caller.answer
+        assert caller.answer.is_whole
+
+
+@then("new streams are refused with a time to come back, new lookups are answered")
+def check_new(context):
+    assert context.late_stream.status == 503, context.late_stream
+    assert float(context.late_stream.headers["retry-after"]) < 1
+    assert [answer.status for answer in context.lookups] == [200] * 5
+
+
+@then("every answer says that the connection ends")
+def check_close(context):
+    for answer in [*context.lookups, context.late_stream]:
+        assert answer.headers.get("connection") == "close", answer
+
+
+@then("it ends by itself before it would be killed")
+def check_ends(context):
+    process = context.world.cluster.processes[LEAVING]
+    left_s = GRACE_S - (time.monotonic() - context.started_s)
+    assert process.popen.wait(max(0.1, left_s)) == 0
+
+
+@when("an edge is told to stop while it relays a stream of {events:d} events")
+def stop_long(context, events):
+    cluster = context.world.cluster
+
+    async def run():
+        caller = StreamCaller(cluster.edges[LEAVING], 60, events)
+        context.callers = [caller]
+        await asyncio.sleep(0.5)
+        context.started_s = time.monotonic()
+        cluster.processes[LEAVING].signal(signal.SIGTERM)
+        await caller.task
+        context.ended_s = time.monotonic() - context.started_s
+
+    context.run(run())
+
+
+@then("the stream ends without looking complete just before the host is killed")
+def check_cut(context):
+    (caller,) = context.callers
+    assert not caller.answer.is_whole
+    assert GRACE_S * 5 / 6 <= context.ended_s < GRACE_S, context.ended_s
+
+
+@then("the rest of the stream comes whole from another host")
+def check_rest(context):
+    (former,) = context.callers
+    last = former.answer.events[-1]
+    cluster = context.world.cluster
+
+    async def run():
+        caller = StreamCaller(cluster.edges[OTHER], 61, former.events, last)
+        await caller.task
+        return caller.answer
+
+    answer = context.run(run())
+    assert answer.is_whole
+    expected = list(range(last + 1, former.events + 1))
+    assert answer.events == expected, answer.events
+
+
+class PressingCaller:
+    """Sends lookups over one connection as long as it stays open."""
+
+    def __init__(self, edge, number):
+        self.edge = edge
+        self.lost = []
+        self.answered = 0
+        self.is_done = False
+        self._number = number * 100_000
+
+    async def run(self):
+        """Press until told that it is done."""
+        while not self.is_done:
+            try:
+                await self._press()
+            except OSError:
+                await asyncio.sleep(0.05)
+
+    async def _press(self):
+        async with RawConnection(self.edge) as connection:
+            while not self.is_done:
+                await asyncio.sleep(0.01)
+                self._number += 1
+                path = f"/stock/{self._number}"
+                answer = await connection.ask("GET", path, make_head(self._number))
+                if answer.status == 200:
+                    self.answered += 1
+                else:
+                    self.lost.append((f"{self._number:016x}", answer.status))
+                    return
+                if answer.headers.get("connection") == "close":
+                    return
+
+
+async def press_all(context, edges, action):
+    """Press edges from several callers each while an action runs."""
+    callers = [
+        PressingCaller(edge, 1 + number) for number, edge in enumerate(edges * 4)
+    ]
+    tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+    await asyncio.sleep(0.3)
+    await action()
+    for caller in callers:
+        caller.is_done = True
+    await asyncio.gather(*tasks)
+    context.callers_pressed = callers
+
+
+@when("callers press 3 edges over kept connections while each is restarted in turn")
+def roll(context):
+    cluster = context.world.cluster
+
+    async def restart_each():
+        for name in cluster.edges:
+            process = cluster.processes[name]
+            process.signal(signal.SIGTERM)
+            await asyncio.to_thread(process.popen.wait, GRACE_S + 1)
+            cluster.start_edge(name)
+            await cluster.wait_edges(name)
+            await asyncio.sleep(0.3)
+
+    context.run(press_all(context, list(cluster.edges.values()), restart_each))
+
+
+@then("every request that was read got its answer")
+def check_pressed(context):
+    runs = context.run(context.world.cluster.list_runs())
+    ran = {run["attempt_id"] for found in runs.values() for run in found}
+    lost = [item for caller in context.callers_pressed for item in caller.lost]
+    # A request that crosses the host's close was not read, and has not run.
+    assert not [item for item in lost if item[0] in ran], lost
+    assert not [item for item in lost if item[1] not in (0, 503)], lost
+    assert sum(caller.answered for caller in context.callers_pressed) > 500
+
+
+@when("callers press the edge while its settings file {how}")
+def reload(context, how):
+    cluster = context.world.cluster
+    path = cluster.folder / "edge-0.json"
+
+    async def change():
+        if how.startswith("changes"):
+            cluster.write_settings("edge-0", extra=1)
+        elif how.startswith("breaks"):
+            path.write_text("{")
+        if how.endswith("SIGHUP comes"):
+            cluster.processes["edge-0"].signal(signal.SIGHUP)
+        await asyncio.sleep(1.5)
+
+    context.run(press_all(context, list(cluster.edges.values()), change))
+
+
+@then("every request was answered, and the log says {logged}")
+def check_reloaded(context, logged):
+    lost = [item for caller in context.callers_pressed for item in caller.lost]
+    assert not lost, lost
+    lines = context.world.cluster.read_events("edge-0")
+    assert any(line["event"] == logged for line in lines), lines[-5:]
+
+
+@given("the platform's settings with {field} set to {value}")
+def write_wrong(context, field, value):
+    world = context.world
+    world.cluster = cluster = SharedCluster("settings")
+    cluster.urls["platform"] = "http://127.0.0.1:1"
+    cluster.plan_edge("edge-0", "zone-a", "region-a")
+    path = cluster.write_settings("edge-0")
+    document = json.loads(path.read_text())
+    if field == "file" and value == "not there":
+        path.unlink()
+    elif field == "file":
+        path.write_text(value)
+    else:
+        if value == "nothing":
+            del document[field]
+        else:
+            document[field] = json.loads(value)
+        path.write_text(json.dumps(document))
+    context.settings_path = path
+
+
+@then("the router ends with status 2 and names {named}")
+def check_wrong(context, named):
+    found = subprocess.run(
+        [BIN / "sapphirerock-router", "--platform", context.settings_path],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert found.returncode == 2, found
+    assert named in found.stderr, found.stderr
+
+
+@when("a second edge starts at the same addresses")
+def start_twice(context):
+    cluster = context.world.cluster
+    path = cluster.folder / "edge-0.json"
+    context.second = subprocess.run(
+        [BIN / "sapphirerock-router", *cluster.make_arguments("edge-0"), path],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=10,
+    )
+
+
+@then("it ends with an error that names the address, and no other")
+def check_taken(context):
+    edge = context.world.cluster.edges["edge-0"]
+    assert context.second.returncode not in (0, 2), context.second
+    output = context.second.stdout + context.second.stderr
+    assert "address already in use" in output, output
+    assert edge.address in output, output
+    assert "AttributeError" not in output, output
+
+
+@given("a shared platform with 1 edge whose output nobody reads")
+def start_unread(context):
+    context.run(start_cluster(context, 1, 1))
+    cluster = context.world.cluster
+    cluster.processes["edge-0"].kill()
+    path = cluster.write_settings("edge-0")
+    read_end, write_end = os.pipe()
+    context.read_end = read_end
+    context.unread = subprocess.Popen(
+        [BIN / "sapphirerock-router", *cluster.make_arguments("edge-0"), path],
+        stdout=write_end,
+        stderr=subprocess.DEVNULL,
+    )
+    os.close(write_end)
+    cluster.processes["edge-0"].popen = context.unread
+    context.run(cluster.wait_edges("edge-0"))
+
+
+def read_resident_kb(pid):
+    with open(f"/proc/{pid}/status", encoding="ascii") as stream:
+        line = next(line for line in stream if line.startswith("VmRSS"))
+    return int(line.split()[1])
+
+
+@when("callers send {count:d} lookups that are refused")
+def send_refused(context, count):
+    async def run():
+        edge = context.world.cluster.edges["edge-0"]
+        context.statuses = []
+        async with RawConnection(edge) as connection:
+            for number in range(count):
+                if number == 200:
+                    context.before_kb = read_resident_kb(context.unread.pid)
+                answer = await connection.ask("GET", "/no/", make_head(number))
+                context.statuses.append(answer.status)
+
+    context.run(run())
+
+
+@then("all are answered, and memory has not grown by more than {bound:d} MB")
+def check_unread(context, bound):
+    assert set(context.statuses) == {404}, set(context.statuses)
+    grown_kb = read_resident_kb(context.unread.pid) - context.before_kb
+    assert grown_kb < bound * 1024, grown_kb
+
+
+@then("the lines that were dropped are counted once the output is read")
+def check_dropped(context):
+    async def read():
+        os.set_blocking(context.read_end, False)
+        content, end_s = b"", time.monotonic() + 5
+        while time.monotonic() < end_s and b"log lines dropped" not in content:
+            try:
+                content += os.read(context.read_end, 1 << 16)
+            except BlockingIOError:
+                await asyncio.sleep(0.05)
+            await call_once(context, "edge-0", "/no/", 1)
+        return content
+
+    content = context.run(read())
+    assert b"log lines dropped" in content, content[-500:]
+
+
+@when("the edges are paused for {seconds:d} seconds and go on")
+def pause(context, seconds):
+    cluster = context.world.cluster
+
+    async def run():
+        for name in cluster.edges:
+            cluster.processes[name].pause()
+        await asyncio.sleep(seconds)
+        for name in cluster.edges:
+            cluster.processes[name].wake()
+        await cluster.put_configuration(make_configuration(version=9))
+
+    context.run(run())
--- a/src/sapphirerock/commands/router.py
+++ b/src/sapphirerock/commands/router.py
@@ -10,7 +10,7 @@
 from sapphirerock.process.telemetry.logs import configure_logs
 
 
-def prepare_router(settings_file):
+def prepare_router(settings_file, metrics_port):
     """Return a Result of the service that settings of the project's own describe."""
     # Imported here: neither kind of router needs the memory of the other.
     from sapphirerock.process.router import RouterService
@@ -23,14 +23,14 @@
     return read_host_settings(settings_file).map(prepare)
 
 
-def prepare_edge(settings_file):
+def prepare_edge(settings_file, metrics_port):
     """Return a Result of the service that the platform's settings describe."""
     from sapphirerock.platform.settingsfile import read_profile
     from sapphirerock.process.edge import Edge
 
     def prepare(profile):
         configure_logs("json", "INFO")
-        return Edge(profile, settings_file)
+        return Edge(profile, settings_file, metrics_port)
 
     return read_profile(settings_file).map(prepare)
 
@@ -39,8 +39,11 @@
 @click.version_option(__version__)
 @click.argument("settings_file", envvar=SETTINGS_VARIABLE, type=click.Path())
 @click.option("--platform", is_flag=True, help="Run on the shared platform.")
+@click.option(
+    "--metrics-port", default=9464, help="Port of the metrics, with --platform."
+)
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
-def main(settings_file, platform, check):
+def main(settings_file, platform, metrics_port, check):
     """Run the router of an entry host.
 
     SETTINGS_FILE is the host's own settings, in JSON, or with --platform the file
@@ -48,7 +51,9 @@
 
     Example: sapphirerock-router /etc/sapphirerock/host.json
     """
-    prepared = (prepare_edge if platform else prepare_router)(settings_file)
+    prepared = (prepare_edge if platform else prepare_router)(
+        settings_file, metrics_port
+    )
     if prepared.is_error():
         for fault in prepared.error.faults:
             click.echo(f"{settings_file}: {fault}", err=True)
--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -46,8 +46,9 @@
 
     @property
     def is_idle(self):
-        """Whether no request is being answered."""
-        return not self._request_in_progress and not self._messages
+        """Whether the connection waits for the head of a request."""
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and not self._messages
 
 
 class CallerServer(web.Server):
@@ -85,6 +86,11 @@
             if connection.is_idle:
                 connection.force_close()
 
+    def close_all(self):
+        """Close every connection; answers under way do not look complete."""
+        for connection in self.connections:
+            connection.force_close()
+
 
 async def read_request_body(request: BaseRequest, limit_bytes):
     """Read a body of bounded size.
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -52,7 +52,6 @@
 from sapphirerock.request.reception import Reception
 from sapphirerock.version.routing import CallerLimits
 
-METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 PLACEMENT = "least-prompt-tokens"
 BACKLOG = 1024
@@ -73,14 +72,17 @@
         This host.
     settings_file : str
         Where the profile was read from.
+    metrics_port : int
+        Where metrics are served, at the host's address.
     clock : Clock or None
         Source of time; the system's when None.
     """
 
-    def __init__(self, profile, settings_file, clock=None, **kwargs):
+    def __init__(self, profile, settings_file, metrics_port, clock=None, **kwargs):
         super().__init__(**kwargs)
         self.profile = profile
         self._settings_file = settings_file
+        self._metrics_port = metrics_port
         self.clock = clock or SystemClock()
         self.metrics = EdgeMetrics()
         self._sessions = []
@@ -222,7 +224,7 @@
     def _make_metrics(self):
         application = web.Application()
         application.add_routes([web.get(METRICS_PATH, self._answer_metrics)])
-        return WebService(application, self.profile.address, METRICS_PORT)
+        return WebService(application, self.profile.address, self._metrics_port)
 
     @property
     def is_ready(self):
@@ -245,18 +247,21 @@
             return
         started_s = self.clock.monotonic()
         allowed_s = self.profile.bounds.grace_s - CLOSING_S
+        end_s = started_s + allowed_s
         self.reception.start_leaving(allowed_s)
         logger.bind(calls=self.reception.calls).info("stopping")
         self.peers.announce_leaving()
         await self.membership.leave()
         await self.clock.sleep(ROTATION_S)
         self._listener.close()
-        self._server.close_idle()
-        while self.reception.calls and self.clock.monotonic() < started_s + allowed_s:
+        while self._server.connections and self.clock.monotonic() < end_s:
+            # Answers close their connections; what is idle may be closed as well.
+            self._server.close_idle()
             await self.clock.sleep(DRAIN_POLL_S)
+        cut_off = len(self._server.connections)
+        self._server.close_all()
         logger.bind(
-            calls=self.reception.calls,
-            took_s=round(self.clock.monotonic() - started_s, 2),
+            cut_off=cut_off, took_s=round(self.clock.monotonic() - started_s, 2)
         ).info("stopped")
 
     async def on_shutdown(self):
--- a/tools/sharedcluster.py
+++ b/tools/sharedcluster.py
@@ -28,6 +28,7 @@
     callers_port: int
     readiness_port: int
     peers_port: int
+    metrics_port: int
 
 
 def make_route(name, prefix, kind, service, **fields):
@@ -115,7 +116,7 @@
     def plan_edge(self, name, zone, region):
         """Reserve addresses of an edge, in the order in which seeds name them."""
         address = f"{self.get_zone_prefix(zone)}{10 + len(self.edges)}"
-        ports = [find_free_port(address) for _ in range(3)]
+        ports = [find_free_port(address) for _ in range(4)]
         self.edges[name] = PlannedEdge(name, zone, region, address, *ports)
         self._zones_by_region[zone] = region
 
@@ -168,7 +169,16 @@
         if name in self.processes:
             self.processes[name].start()
         else:
-            self.spawn(name, "router", "--platform", path)
+            self.spawn(name, "router", *self.make_arguments(name), path)
+
+    def make_arguments(self, name):
+        """Return the options that an edge is started with."""
+        return ["--platform", "--metrics-port", str(self.edges[name].metrics_port)]
+
+    def get_metrics_url(self, name):
+        """Return where an edge serves its metrics."""
+        edge = self.edges[name]
+        return f"http://{edge.address}:{edge.metrics_port}/metrics"
 
     async def put_configuration(self, document):
         """Write the operator's configuration."""
