Admission, placement policies and their replays; takeovers that last

Cause: a host that took over from watchers the store turned away stopped after one change, because it counted contacts of itself and of other zones. Ruled out: the store's refusals (it answered all along).

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -21,6 +21,12 @@
       | the watchers are paused                        | 6     |
       | an edge has just been restarted                | 3     |
 
+  Scenario: After a takeover from the watchers every change is in force at once
+    Given a shared platform with 4 edges and 1 engine of each service in 2 zones
+    When the store has this trouble: it turns the watchers away, silent
+    And 3 seconds pass
+    Then each of 5 changes a second apart is in force everywhere within 0.5 seconds
+
   Scenario Outline: An engine that <leaves> gets no work within <bound> seconds: <trouble>
     Given a shared platform with 4 edges and 2 engines of each service in 2 zones
     When the store has this trouble: <trouble>
--- /dev/null
+++ b/features/steps/adapter_steps.py
@@ -0,0 +1,115 @@
+"""Steps on what the platform adapter decodes."""
+
+from pathlib import Path
+
+import orjson
+from behave import then, when
+from multidict import CIMultiDict
+
+from sapphirerock.connection.events import EventSplitter
+from sapphirerock.platform.configuration import decode_configuration
+from sapphirerock.platform.ingress import decode_terms
+from sapphirerock.platform.registrations import decode_registration
+from sapphirerock.platform.settingsfile import decode_profile
+from sapphirerock.platform.storewire import read_events, read_page
+
+GOLDEN = Path(__file__).resolve().parent.parent / "golden" / "platform"
+DECODERS = {
+    "settings": lambda document: decode_profile(orjson.dumps(document)),
+    "configuration": lambda document: decode_configuration(document, 42),
+    "registration": lambda document: decode_registration("i-7f3a91c2", document),
+}
+
+
+def read_golden(name):
+    return orjson.loads((GOLDEN / f"{name}.json").read_bytes())
+
+
+def find_field(value, path):
+    """Return a field by its path through attributes, keys and positions."""
+    for part in path.split("."):
+        if isinstance(value, dict):
+            value = value[part]
+        elif isinstance(value, tuple | list):
+            value = value[int(part)]
+        else:
+            value = getattr(value, part)
+    return value
+
+
+def set_field(document, path, value):
+    *parents, last = path.split(".")
+    for part in parents:
+        document = document[int(part) if isinstance(document, list) else part]
+    document[last] = value
+
+
+@when("the golden page is decoded")
+def decode_page(context):
+    context.found = read_page((GOLDEN / "page.json").read_bytes())
+
+
+@when("the golden events are decoded")
+def decode_events(context):
+    context.found = read_events((GOLDEN / "events.json").read_bytes())
+
+
+@when("the golden {name:w} is decoded with {path} set to {value}")
+def decode_changed(context, name, path, value):
+    document = read_golden(name)
+    set_field(document, path, orjson.loads(value))
+    context.result = DECODERS[name](document)
+
+
+@when("the golden settings are decoded without listen.control")
+def decode_without_control(context):
+    document = read_golden("settings")
+    del document["listen"]["control"]
+    context.found = DECODERS["settings"](document).ok
+
+
+@when("the golden settings are decoded")
+def decode_settings(context):
+    context.found = DECODERS["settings"](read_golden("settings")).ok
+
+
+@when("the golden {name:w} is decoded")
+def decode_golden(context, name):
+    context.found = DECODERS[name](read_golden(name)).ok
+
+
+@when("this head of a request is decoded")
+def decode_head(context):
+    head = CIMultiDict((row["name"], row["value"]) for row in context.table)
+    context.found = decode_terms(head)
+
+
+@then("these fields hold")
+def check_fields(context):
+    for row in context.table:
+        found = str(find_field(context.found, row["field"]))
+        assert found == row["value"], (row["field"], found)
+
+
+@then("it is refused")
+def check_refused(context):
+    assert context.result.is_error(), context.result
+
+
+@when("the bytes {text} are split in pieces of {size:d}")
+def split(context, text, size):
+    data = text.replace("\\n", "\n").replace("\\r", "\r").encode()
+    splitter = EventSplitter()
+    context.events = []
+    for start in range(0, len(data), size):
+        context.events += splitter.feed(data[start : start + size])
+    context.rest = splitter.has_rest
+
+
+@then("the events are {events} and what is left is {rest:w}")
+def check_events(context, events, rest):
+    found = [
+        "-" if item.number is None else str(item.number) for item in context.events
+    ]
+    assert ",".join(found) == events, found
+    assert context.rest == (rest == "yes")
--- /dev/null
+++ b/features/steps/decision_steps.py
@@ -0,0 +1,296 @@
+"""Steps on decisions that neither read nor write."""
+
+from random import Random
+
+from behave import given, then, when
+
+from sapphirerock.decisions.admission import AdmissionView, admit
+from sapphirerock.decisions.continuation import Ending, StreamView, choose_step
+from sapphirerock.decisions.conviction import Crash, is_evidence
+from sapphirerock.decisions.leaving import LeavingView
+from sapphirerock.decisions.placement import PLACEMENTS
+from sapphirerock.decisions.refusal import choose_retry_after
+from sapphirerock.decisions.repeats import RepeatBudget, RepeatTerms
+from sapphirerock.load.replay.simulation import ReplayPolicy, replay
+from sapphirerock.process.clock import ManualClock
+from sapphirerock.version.routing import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    RoutingVersion,
+    ServiceShare,
+)
+
+SEEDS = range(6)
+CASES = {}
+
+
+def register_case(text):
+    """Register fields that a table names in words."""
+
+    def register(fields):
+        CASES[text] = fields
+
+    return register
+
+
+def make_policy(text):
+    """Return the replay policy that a table names."""
+    if text in PLACEMENTS:
+        return ReplayPolicy(text)
+    options = {"no copies": "has_copies", "no admission": "has_admission"}
+    return ReplayPolicy("least-prompt-tokens", **{options[text]: False})
+
+
+def mean(values):
+    values = list(values)
+    return sum(values) / len(values)
+
+
+@when("the load pattern {pattern} is replayed with {policy} and with {baseline}")
+def replay_both(context, pattern, policy, baseline):
+    context.results = replay(pattern, make_policy(policy), SEEDS)
+    context.baseline = replay(pattern, make_policy(baseline), SEEDS)
+
+
+@when("the load pattern {pattern} is replayed twice with {policy}")
+def replay_twice(context, pattern, policy):
+    context.results = replay(pattern, make_policy(policy), SEEDS)
+    context.baseline = replay(pattern, make_policy(policy), SEEDS)
+
+
+@when("the load pattern {pattern} is replayed once with {policy}")
+def replay_once(context, pattern, policy):
+    context.results = replay(pattern, make_policy(policy), SEEDS)
+
+
+@then("{policy} serves at least {gain:f} more of the calls in time")
+def check_goodput(context, policy, gain):
+    found = mean(result.goodput for result in context.results)
+    before = mean(result.goodput for result in context.baseline)
+    assert found >= before + gain, (found, before)
+
+
+@then("{policy} reads at most {part:f} of the tokens in vain that {baseline} does")
+def check_waste(context, policy, part, baseline):
+    found = mean(result.wasted_tokens for result in context.results)
+    before = mean(result.wasted_tokens for result in context.baseline)
+    assert found <= part * before, (found, before)
+
+
+@then("at least {part:f} of the calls of {organisation} are served")
+def check_fair(context, part, organisation):
+    found = mean(result.count_done(organisation) for result in context.results)
+    assert found >= part, found
+
+
+@then("calls of {size:d} tokens and more are served {part:f} times as often as all")
+def check_sizes(context, size, part):
+    streams = [item for result in context.results for item in result.streams]
+    large = [item.is_done for item in streams if item.prompt.tokens >= size]
+    assert mean(large) >= part * mean(item.is_done for item in streams), mean(large)
+
+
+@then("both replays are the same")
+def check_same(context):
+    def describe(results):
+        return [
+            [(item.first_s, item.is_done, item.sends) for item in result.streams]
+            for result in results
+        ]
+
+    assert describe(context.results) == describe(context.baseline)
+
+
+STREAM = {
+    "has_copy": False,
+    "may_repeat": True,
+    "sends": 1,
+    "losses": 1,
+    "failures": 0,
+    "max_attempts": 5,
+    "is_convicted": False,
+}
+register_case("with a copy")({"has_copy": True})
+register_case("without a copy")({})
+register_case("of a call that may run once only")({"may_repeat": False})
+register_case("after as many failures as are allowed")({"failures": 5})
+register_case("after six losses")({"losses": 6})
+register_case("after ten sends")({"sends": 10})
+register_case("of a call that crashes engines")({"is_convicted": True})
+
+
+@given("a stream whose attempt ended as {ending}, {case}")
+def make_stream(context, ending, case):
+    view = StreamView(ending=Ending(ending), **{**STREAM, **CASES[case]})
+    context.choice = choose_step(view)
+
+
+@then("the next step is to {step}")
+def check_step(context, step):
+    assert context.choice.step.value == step, context.choice
+
+
+CRASH = Crash("e1", "zone-a", 10.0, {b"call"})
+register_case("and nothing else")([])
+register_case("and one of the same zone 0.2 s before")([("zone-a", 9.8, set())])
+register_case("and one of the same zone 0.2 s after")([("zone-a", 10.2, set())])
+register_case("and one of the same zone 2 s before")([("zone-a", 8.0, set())])
+register_case("and one of another zone at the same time")([("zone-b", 10.0, set())])
+register_case("and one of the same zone 0.2 s before under the same call")(
+    [("zone-a", 9.8, {b"call"})]
+)
+
+
+@given("a crash of an engine under a call, {case}")
+def make_crash(context, case):
+    others = [
+        Crash(f"other-{number}", *fields) for number, fields in enumerate(CASES[case])
+    ]
+    context.counts = is_evidence(CRASH, b"call", [CRASH, *others])
+
+
+@then("it is evidence")
+def check_evidence(context):
+    assert context.counts
+
+
+@then("it is no evidence")
+def check_no_evidence(context):
+    assert not context.counts
+
+
+GENERATION = {
+    "needed_tokens": 9000,
+    "free_tokens": 30_000,
+    "capacity_tokens": 88_000,
+    "ahead_tokens": 0,
+    "freed_tokens_per_s": 5000.0,
+    "time_left_s": 20.0,
+    "run_s": 6.0,
+    "waited_s": 0.0,
+    "outage_hold_s": 1.0,
+}
+register_case("with 30000 tokens free")({})
+register_case("with 9000 tokens free")({"free_tokens": 9000})
+register_case("with 2000 tokens free")({"free_tokens": 2000})
+register_case("with 30000 tokens free and others before it")({"ahead_tokens": 60_000})
+register_case("with 2000 tokens free and 5 seconds left")(
+    {"free_tokens": 2000, "time_left_s": 5.0}
+)
+register_case("larger than any engine")({"needed_tokens": 100_000})
+register_case("without any engine")({"free_tokens": None})
+register_case("without any engine for longer than it may wait")(
+    {"free_tokens": None, "waited_s": 1.5}
+)
+
+
+@given("a generation of {size:d} tokens, {case}")
+def make_generation(context, size, case):
+    context.admission = admit(AdmissionView(**{**GENERATION, **CASES[case]}))
+
+
+@then("it is to {verdict:w}")
+def check_verdict(context, verdict):
+    assert context.admission.verdict.value == verdict, context.admission
+
+
+@given(
+    "a service whose calls may be repeated {ratio:f} times and {slack:d} more "
+    "in {window:d} s"
+)
+def make_terms(context, ratio, slack, window):
+    context.terms = RepeatTerms(ratio, slack, window)
+
+
+@when("{calls:d} calls come to one of {hosts:d} hosts in 10 s")
+def count_calls(context, calls, hosts):
+    clock = ManualClock(100.0)
+    context.budget = RepeatBudget(context.terms, lambda: hosts, clock)
+    for _ in range(calls):
+        context.budget.add_call("s")
+        clock.advance(10.0 / (calls + 1))
+
+
+@then("it repeats {repeats:d} of them at most, and {continued:d} more continue runs")
+def check_repeats(context, repeats, continued):
+    taken = 0
+    while context.budget.take("s"):
+        taken += 1
+    assert taken == repeats, taken
+    more = 0
+    while context.budget.take("s", continues=True):
+        more += 1
+    assert more == continued, more
+
+
+@then("{hosts:d} hosts with {calls:d} calls each never repeat more than it allows")
+def check_all_hosts(context, hosts, calls):
+    terms, random = context.terms, Random(1)
+    clock = ManualClock(100.0)
+    budgets = [RepeatBudget(terms, lambda: hosts, clock) for _ in range(hosts)]
+    called, repeated = [], []
+    for _ in range(hosts * calls * 3):
+        budget = random.choice(budgets)
+        budget.add_call("s")
+        called.append(clock.monotonic())
+        for _ in range(3):
+            if budget.take("s", continues=random.random() < 0.5):
+                repeated.append(clock.monotonic())
+        clock.advance(10.0 / (hosts * calls))
+    for end_s in repeated:
+        since_s = end_s - terms.window_s
+        calls_there = sum(since_s < at_s <= end_s for at_s in called)
+        repeats_there = sum(since_s < at_s <= end_s for at_s in repeated)
+        assert repeats_there <= terms.ratio * calls_there + terms.slack
+
+
+@when("{count:d} callers are told to come back in about {wait:d} s")
+def refuse_many(context, count, wait):
+    random = Random(1)
+    context.times = [choose_retry_after(float(wait), random) for _ in range(count)]
+
+
+@then(
+    "their times are spread over at least {spread:f} s, and none is below {least:d} s"
+)
+def check_spread(context, spread, least):
+    assert max(context.times) - min(context.times) >= spread, context.times
+    assert min(context.times) >= least
+
+
+@given("a host that cuts calls off {allowed:f} s after it is told to stop")
+def make_leaving(context, allowed):
+    context.allowed_s = allowed
+
+
+@then(
+    "after {elapsed:f} s it takes a stream of {stream_s:d} s {stream:w}, "
+    "a call of {call_s:f} s {call:w}"
+)
+def check_leaving(context, elapsed, stream_s, stream, call_s, call):
+    view = LeavingView(elapsed, context.allowed_s)
+    assert view.takes(stream_s) == (stream == "yes")
+    assert view.takes(call_s) == (call == "yes")
+
+
+@given("routes of a host to / and /a/ and /a/b/ and of another to /a/")
+def make_routes(context):
+    shares = (ServiceShare("s", 1.0),)
+    routes = tuple(
+        Route(f"{host}{prefix}", host, prefix, RouteKind.IDEMPOTENT, shares)
+        for host, prefix in (
+            ("h.example", "/"),
+            ("h.example", "/a/"),
+            ("h.example", "/a/b/"),
+            ("other.example", "/a/"),
+        )
+    )
+    context.version = RoutingVersion(1, 1, routes, {}, CallerLimits(), {}, False)
+
+
+@then("the path {path} of that host takes the route {prefix}")
+def check_prefix(context, path, prefix):
+    found = context.version.find_route("H.example", path)
+    assert found.name == f"h.example{prefix}", found
+    assert context.version.find_route("nobody.example", path) is None
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -9,6 +9,7 @@
 from tools.sharedcluster import KEY, SharedCluster, make_configuration, make_route
 
 from features.steps.edge_steps import list_all_runs, make_head, start_cluster
+from sapphirerock.decisions.rendezvous import rank_candidates
 from sapphirerock.platform.names import ENGINES_KIND
 from sapphirerock.platform.storewire import make_path
 
@@ -61,29 +62,19 @@
 
 
 async def find_watchers(context):
-    """Return the edges that watch the store, by what their logs say last."""
-    counts = {}
-    cluster = context.world.cluster
-    for name in cluster.edges:
-        async with context.world.session.get(cluster.get_metrics_url(name)) as answer:
-            text = await answer.text()
-        marker = 'sapphirerock_platform_calls_total{kind="watch"} '
-        counts[name] = float(text.partition(marker)[2].split("\n")[0] or 0)
-    zones = {edge.zone for edge in cluster.edges.values()}
-    ranked = sorted(counts, key=counts.get, reverse=True)
-    return ranked[: len(zones)]
+    """Return the edges that watch the store, one of each zone."""
+    zones = {}
+    for name, edge in context.world.cluster.edges.items():
+        zones.setdefault(edge.zone, []).append(name)
+    return [rank_candidates(names, "hub")[0] for names in zones.values()]
 
 
 async def turn_away(context, names, manner):
     cluster = context.world.cluster
-    for name in names:
-        await cluster.inject(
-            "platform",
-            "down",
-            seconds=LONG_S,
-            manner=manner,
-            source=cluster.edges[name].address,
-        )
+    sources = ",".join(cluster.edges[name].address for name in names)
+    await cluster.inject(
+        "platform", "down", seconds=LONG_S, manner=manner, source=sources
+    )
 
 
 @register_trouble("none")
@@ -196,6 +187,34 @@
     context.run(run())
 
 
+@when("{seconds:d} seconds pass")
+def wait(context, seconds):
+    context.run(asyncio.sleep(seconds))
+
+
+@then(
+    "each of {count:d} changes a second apart is in force everywhere within "
+    "{bound:f} seconds"
+)
+def check_changes(context, count, bound):
+    async def run():
+        for number in range(count):
+            document = make_configuration(version=10 + number)
+            prefix = f"/added-{number}/"
+            document["routes"].append(make_route("n", prefix, "idempotent", "shop"))
+            await context.world.cluster.put_configuration(document)
+            context.changed_s = time.monotonic()
+            await asyncio.gather(
+                *(
+                    wait_status(context, name, prefix + "1", 200, bound)
+                    for name in list_running(context)
+                )
+            )
+            await asyncio.sleep(1.0)
+
+    context.run(run())
+
+
 @then("no edge ever went back to an older configuration")
 def check_order(context):
     cluster = context.world.cluster
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -69,9 +69,9 @@
     ----------
     leaving : bool
         Whether the sender is shutting down.
-    views : list of [str, int, int, int]
+    views : list of [str, int, int, int, str]
         Kind of objects, revision of the last change that the sender knows, their
-        number, and milliseconds since anybody it knows of heard from the store.
+        number, milliseconds since a host heard from the store, and which.
     """
 
     leaving: bool
--- a/src/sapphirerock/connection/store.py
+++ b/src/sapphirerock/connection/store.py
@@ -17,7 +17,7 @@
 # The store answers in milliseconds; a slow one takes some hundred.
 CALL_TIMEOUT_S = 1.0
 # A watch without changes is answered at the end of its wait, or never.
-WATCH_MARGIN_S = 0.7
+WATCH_MARGIN_S = 0.5
 STATUS_MISSING = 404
 STATUS_CONFLICT = 409
 STATUS_GONE = 410
--- a/src/sapphirerock/decisions/balancer.py
+++ b/src/sapphirerock/decisions/balancer.py
@@ -3,7 +3,7 @@
 import itertools
 from abc import ABC, abstractmethod
 
-from sapphirerock.process.peers.rendezvous import rank_candidates
+from sapphirerock.decisions.rendezvous import rank_candidates
 
 BALANCERS = {}
 # Waiting this long nearby is as good as going to a farther upstream.
--- a/src/sapphirerock/decisions/fairqueue.py
+++ b/src/sapphirerock/decisions/fairqueue.py
@@ -2,11 +2,14 @@
 
 Start-time fair queueing: each organisation has a virtual time that grows with
 the work it was given, divided by its weight. The next request is that of the
-highest priority, and among those of the organisation furthest behind.
+highest priority, and among those of the organisation furthest behind. A request that
+has missed its target goes after those that can still make theirs: under overload,
+first come first served would make all of them late.
 """
 
 import asyncio
 import itertools
+import math
 from dataclasses import dataclass
 
 
@@ -26,6 +29,8 @@
         Work that it is counted as.
     deadline_s : float
         Monotonic time at which it is given up.
+    target_s : float
+        Monotonic time until which it must start to be on time.
     admitted : asyncio.Future
         Done once the request may go.
     """
@@ -36,6 +41,7 @@
     cost: float
     deadline_s: float
     admitted: asyncio.Future
+    target_s: float = math.inf
     number: int = 0
     start: float = 0.0
 
@@ -87,9 +93,16 @@
         rank = rank_ticket(ticket)
         return sum(rank_ticket(other) < rank for other in self._waiting)
 
-    def list_waiting(self):
-        """Return all waiting requests in their order."""
-        return sorted(self._waiting, key=rank_ticket)
+    def list_waiting(self, now_s=-math.inf):
+        """Return all waiting requests in their order at a moment."""
+        return sorted(
+            self._waiting,
+            key=lambda ticket: (
+                -ticket.priority,
+                ticket.target_s < now_s,
+                *rank_ticket(ticket),
+            ),
+        )
 
 
 def rank_ticket(ticket):
--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -5,11 +5,23 @@
 
 from dataclasses import dataclass
 
+from sapphirerock.decisions.rendezvous import weigh_candidate
+
 PLACEMENTS = {}
-# Tokens of memory that count like one token of a prompt yet to be read: both
-# delay a new run, but memory only once it is full.
-MEMORY_WEIGHT = 0.05
-RUN_WEIGHT_TOKENS = 400
+# What a run costs a new one, in tokens of a prompt that must be read before: both
+# slow it down.
+RUN_COST_TOKENS = 400
+# Part of the memory in use that counts like a prompt: an engine that is full takes no
+# copies and preempts.
+MEMORY_COST_SHARE = 0.05
+# Engines whose costs differ by less than this part of the call's own prompt count as
+# equal: what hosts know of each other is a moment old, and all would choose the same.
+SPREAD_SHARE = 0.75
+# Part of an engine's memory that copies for others leave to its runs.
+COPY_RESERVE_SHARE = 0.35
+RANDOM_CHOICES = 2
+# One engine in this many owns a prefix.
+OWNERS_OF_ALL = 8
 
 
 def register_placement(name):
@@ -74,7 +86,15 @@
         self._random = generator
 
     def choose(self, views, prompt):
-        """Return the view of the engine to run on, or None without any."""
+        """Return the view of the engine to run on, or None without any.
+
+        Parameters
+        ----------
+        views : list of EngineView
+            Engines that can be used.
+        prompt : Prompt
+            Sizes of the call.
+        """
         return min(
             views,
             key=lambda view: (self.measure_cost(view, prompt), self._random.random()),
@@ -115,16 +135,60 @@
     __slots__ = ()
 
     def measure_cost(self, view, prompt):
-        """Return the tokens that delay a new run, weighed by how much."""
+        """Return the tokens that delay a run, and those that it finds no room for."""
         lacking = max(0, prompt.memory_tokens - view.free_tokens)
-        memory = MEMORY_WEIGHT * (view.memory_tokens + view.copy_tokens)
-        return view.prompt_tokens + memory + view.runs * RUN_WEIGHT_TOKENS + lacking
+        used = MEMORY_COST_SHARE * (view.memory_tokens + view.copy_tokens)
+        return view.prompt_tokens + view.runs * RUN_COST_TOKENS + used + lacking
+
+
+@register_placement("two-choices")
+class TwoChoices(LeastPromptTokens):
+    """Many hosts that choose at once by views that are a moment old."""
+
+    __slots__ = ()
+
+    def choose(self, views, prompt):
+        """Return the better of two random engines."""
+        if len(views) > RANDOM_CHOICES:
+            views = self._random.sample(views, RANDOM_CHOICES)
+        return super().choose(views, prompt)
+
+
+@register_placement("spread-prompt-tokens")
+class SpreadPromptTokens(LeastPromptTokens):
+    """A herd of calls on many hosts, after a zone or a host was lost."""
 
+    __slots__ = ()
+
+    def measure_cost(self, view, prompt):
+        """Return a cost that is blurred by a part of the call's own prompt."""
+        spread = self._random.uniform(0.0, SPREAD_SHARE * prompt.tokens)
+        return super().measure_cost(view, prompt) + spread
+
+
+@register_placement("same-prefix")
+class SamePrefix(SpreadPromptTokens):
+    """Calls that share long prompts, which engines keep in memory."""
 
-def choose_backup(views, availability_zone):
+    __slots__ = ()
+
+    def measure_cost(self, view, prompt):
+        """Return the cost without what the owner of the prefix need not read."""
+        cost = super().measure_cost(view, prompt)
+        if not prompt.parts or len(prompt.parts) < 2:
+            return cost
+        shared = sum(tokens for _, tokens in prompt.parts[:-1])
+        # Owners differ by prefix, not by host, so that hosts agree without words.
+        key = f"{view.name}:{prompt.parts[-2][0]}"
+        is_owner = weigh_candidate(view.name, key) % OWNERS_OF_ALL == 0
+        return cost - shared if is_owner else cost
+
+
+def choose_backup(views, availability_zone, needed_tokens):
     """Return the view of the engine that keeps a copy of a run's memory, or None.
 
-    Engines of one availability zone fail together, so another zone comes first.
+    Engines of one availability zone fail together, so another zone comes first. A
+    copy that leaves no room for runs does more harm than a prompt read again.
 
     Parameters
     ----------
@@ -132,9 +196,16 @@
         Engines that can be used, the run's own left out.
     availability_zone : str
         Zone of the run's engine.
+    needed_tokens : int
+        Tokens that the copy will occupy.
     """
+    roomy = [
+        view
+        for view in views
+        if view.free_tokens - needed_tokens >= COPY_RESERVE_SHARE * view.capacity_tokens
+    ]
     return min(
-        views,
+        roomy,
         key=lambda view: (
             view.availability_zone == availability_zone,
             view.memory_tokens + view.copy_tokens,
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -33,6 +33,7 @@
 from sapphirerock.platform.settingsfile import read_profile
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.edgeruntime import EdgeRuntime
+from sapphirerock.process.engines.admission import AdmissionQueue
 from sapphirerock.process.engines.crashwatch import CrashWatch
 from sapphirerock.process.engines.fleet import Fleet
 from sapphirerock.process.engines.monitor import EngineMonitor
@@ -40,9 +41,9 @@
 from sapphirerock.process.peers.gossip import Gossip
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.loadsharing import LoadSharing
-from sapphirerock.process.peers.membership import Membership
+from sapphirerock.process.peers.membership import MEMBERS_WATCH_S, Membership
 from sapphirerock.process.peers.table import PeerTable
-from sapphirerock.process.replicas.feed import ObjectFeed
+from sapphirerock.process.replicas.feed import FollowedKind, ObjectFeed
 from sapphirerock.process.replicas.replica import Replica
 from sapphirerock.process.settings.hostsettings import HostAddress, TracingSettings
 from sapphirerock.process.settings.routing import RoutingStore
@@ -102,6 +103,7 @@
             self.membership,
             self.loads,
             self.monitor,
+            self.admission,
             self._make_web(profile.readiness, READINESS_PATH, self._answer_ready),
             self._make_metrics(),
         ):
@@ -175,7 +177,14 @@
         configuration.subscribe(self.routing.apply_changes)
         engines.subscribe(self.engines.apply_changes)
         self.feed = ObjectFeed(
-            self.store, [configuration, engines, routers], self.peers, clock
+            self.store,
+            [
+                FollowedKind(configuration),
+                FollowedKind(engines),
+                FollowedKind(routers, MEMBERS_WATCH_S),
+            ],
+            self.peers,
+            clock,
         )
         self.loads = LoadSharing(self.engines, self.peers, clock)
         self.membership = Membership(
@@ -195,17 +204,28 @@
         policy = PLACEMENTS[PLACEMENT](generator)
         terms = make_repeat_terms(self.profile.bounds)
         self.budget = RepeatBudget(terms, self._count_hosts, clock)
+        fleet = Fleet(self.engines, self.routing, policy, profile.availability_zone)
+        stream_length = StreamLength()
+        self.admission = AdmissionQueue(
+            fleet,
+            stream_length,
+            self._count_hosts,
+            self.metrics,
+            generator,
+            clock,
+        )
         runtime = EdgeRuntime(
             clock=clock,
             metrics=self.metrics,
             tracer=self.tracer,
             session=session,
             dialect=dialect,
-            fleet=Fleet(self.engines, self.routing, policy, profile.availability_zone),
+            fleet=fleet,
+            admission=self.admission,
             budget=self.budget,
             crashes=crashes,
             generator=generator,
-            stream_length=StreamLength(),
+            stream_length=stream_length,
         )
         self.reception = Reception(runtime, self.routing)
 
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -21,6 +21,8 @@
         How engines are spoken to.
     fleet : Fleet
         Chooses engines.
+    admission : AdmissionQueue
+        Where generations wait for room.
     budget : RepeatBudget
         Bounds repeats.
     crashes : CrashWatch
@@ -37,6 +39,7 @@
     session: object
     dialect: object
     fleet: object
+    admission: object
     budget: object
     crashes: object
     generator: object
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -26,6 +26,22 @@
     candidates: int
 
 
+@dataclass(slots=True, frozen=True)
+class ServiceLoad:
+    """Load of all engines of a service together.
+
+    Parameters
+    ----------
+    memory_tokens : int
+        Tokens that all runs will occupy.
+    capacity_tokens : int
+        Tokens that the memory of one engine holds; 0 where that is not known.
+    """
+
+    memory_tokens: int
+    capacity_tokens: int
+
+
 class Fleet:
     """All engines, for the calls of this host.
 
@@ -75,9 +91,24 @@
         if terms is None or not terms.has_backups:
             return None
         views = self._list_views(call.service, {state.name})
-        view = choose_backup(views, state.entry.availability_zone)
+        needed = call.terms.prompt.memory_tokens
+        view = choose_backup(views, state.entry.availability_zone, needed)
         return self.engines.get(view.name) if view else None
 
+    def measure_load(self, service):
+        """Return the load of a service's engines.
+
+        Returns
+        -------
+        ServiceLoad
+        """
+        views = self._list_views(service, ())
+        terms = self._get_terms(service)
+        return ServiceLoad(
+            sum(view.memory_tokens for view in views),
+            terms.memory_tokens if terms else 0,
+        )
+
     def get_copy_life_s(self, service):
         """Return how long an engine keeps a copy of a run, in seconds."""
         return self._get_terms(service).copy_life_s
--- a/src/sapphirerock/process/engines/watchers.py
+++ b/src/sapphirerock/process/engines/watchers.py
@@ -9,8 +9,8 @@
 from mode import Service
 
 from sapphirerock.connection.messages import LoadSample
+from sapphirerock.decisions.rendezvous import pick_candidate
 from sapphirerock.process.peers.gossip import EVERYWHERE, UpstreamNews
-from sapphirerock.process.peers.rendezvous import pick_candidate
 
 POLL_INTERVAL_S = 0.8
 POLL_BOUND_S = 1.0
--- a/src/sapphirerock/process/journals/client.py
+++ b/src/sapphirerock/process/journals/client.py
@@ -17,12 +17,12 @@
     JournalOpen,
     JournalRecordMessage,
 )
+from sapphirerock.decisions.rendezvous import rank_candidates
 from sapphirerock.process.journals.appends import (
     HolderQueue,
     PendingAppend,
     make_backfill,
 )
-from sapphirerock.process.peers.rendezvous import rank_candidates
 from sapphirerock.process.tasks import BackgroundTasks
 from sapphirerock.request.problem import SUPERSEDED, Problem
 
--- a/src/sapphirerock/process/orders/ledger.py
+++ b/src/sapphirerock/process/orders/ledger.py
@@ -14,6 +14,7 @@
 
 from sapphirerock.connection.errors import PlatformConflict, PlatformUnavailable
 from sapphirerock.connection.messages import ClaimReply, ClaimRequest, Refusal
+from sapphirerock.decisions.rendezvous import pick_candidate
 from sapphirerock.process.orders.bucket import (
     CLAIMED,
     Bucket,
@@ -24,7 +25,6 @@
     format_bits,
     prune_entries,
 )
-from sapphirerock.process.peers.rendezvous import pick_candidate
 from sapphirerock.process.tasks import BackgroundTasks
 
 BUCKET_BITS = 6
--- a/src/sapphirerock/process/orders/placer.py
+++ b/src/sapphirerock/process/orders/placer.py
@@ -18,9 +18,9 @@
 from sapphirerock.connection.store import StoreClient
 from sapphirerock.connection.storeobjects import HistoryGone
 from sapphirerock.connection.values import VersionedValues
+from sapphirerock.decisions.rendezvous import rank_candidates
 from sapphirerock.platform.names import LEASES_KIND, ROUTERS_KIND, SETTINGS_KIND
 from sapphirerock.process.clock import SystemClock
-from sapphirerock.process.peers.rendezvous import rank_candidates
 from sapphirerock.process.replicas.feed import collapse_events
 from sapphirerock.process.replicas.replica import Replica, ReplicaChange
 from sapphirerock.process.settings.store import SettingsStore
--- a/src/sapphirerock/process/peers/limits.py
+++ b/src/sapphirerock/process/peers/limits.py
@@ -11,8 +11,8 @@
 from mode import Service
 
 from sapphirerock.connection.messages import ShareReply, ShareRequest
+from sapphirerock.decisions.rendezvous import pick_candidate
 from sapphirerock.process.peers.gossip import DemandNews
-from sapphirerock.process.peers.rendezvous import pick_candidate
 
 SHARE_INTERVAL_S = 1.0
 SHARE_BOUND_S = 0.3
--- a/src/sapphirerock/process/peers/membership.py
+++ b/src/sapphirerock/process/peers/membership.py
@@ -10,6 +10,8 @@
 from sapphirerock.process.settings.hostsettings import HostAddress
 
 RETRY_PAUSE_S = 1.0
+# Hosts find each other through peers as well; nothing waits for the store's list.
+MEMBERS_WATCH_S = 5.0
 # A store that answers within a call's bound; a host that leaves does not wait more.
 LEAVE_BOUND_S = 0.5
 SEED_INTERVAL_S = 1.0
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -10,7 +10,7 @@
 from sapphirerock.connection.errors import PeerUnavailable
 from sapphirerock.connection.messages import Heartbeat, Hello, Refusal
 from sapphirerock.connection.peer import open_peer_stream
-from sapphirerock.process.peers.rendezvous import rank_candidates
+from sapphirerock.decisions.rendezvous import rank_candidates
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.tasks import BackgroundTasks
 
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 import orjson
 from expression import Error
@@ -15,16 +16,18 @@
 
 from sapphirerock.connection.messages import ObjectDelta, ObjectPull
 from sapphirerock.connection.storeobjects import HistoryGone, StoreUnavailable
-from sapphirerock.process.peers.rendezvous import rank_candidates
-from sapphirerock.process.replicas.replica import ReplicaChange
+from sapphirerock.decisions.rendezvous import rank_candidates
+from sapphirerock.process.replicas.replica import Replica, ReplicaChange
 
 WATCHERS_PER_ZONE = 1
-# Bounds how late a watch that went silent is noticed; a watch that waits is one
-# call.
-WATCH_WAIT_S = 2.0
+# Bounds how late a watch that went silent is noticed; each wait is one call.
+WATCH_WAIT_S = 1.0
 RETRY_PAUSE_S = 0.3
+# A store that turns this host away is asked again after at most this long.
+MAX_RETRY_PAUSE_S = 1.0
+RETRY_GROWTH = 1.5
 # A watch that waits says nothing, so a contact counts for more than that.
-CONTACT_LIFE_S = 3.2
+CONTACT_LIFE_S = 2.2
 # Hosts take over from a zone's watcher one after the other.
 TAKEOVER_STEP_S = 0.4
 # A peer's change that an own watch has not shown by now means that it is silent.
@@ -40,6 +43,25 @@
 NO_CONTACT_MS = 1 << 30
 
 
+@dataclass(slots=True, frozen=True)
+class Contact:
+    """A host's last contact with the store.
+
+    Parameters
+    ----------
+    at_s : float
+        Monotonic time, `NEVER_S` for none.
+    host : str
+        The host that had it.
+    """
+
+    at_s: float
+    host: str
+
+
+NO_CONTACT = Contact(NEVER_S, "")
+
+
 class FeedState:
     """What a feed knows of contacts with the store.
 
@@ -51,10 +73,12 @@
         Whether this host's last call failed.
     is_synchronised : bool
         Whether the store or a peer has told all that there is.
-    peers : dict of str to float
-        Monotonic time of the last contact that each peer tells of.
+    peers : dict of str to Contact
+        The last contact that each peer tells of.
     watch : asyncio.Task or None
         The call that waits for changes.
+    turn : asyncio.Event
+        Set when it may have become this host's turn to watch.
     """
 
     __slots__ = (
@@ -64,6 +88,7 @@
         "peers",
         "pulled_at_s",
         "watch",
+        "turn",
     )
 
     def __init__(self):
@@ -73,6 +98,7 @@
         self.peers = {}
         self.pulled_at_s = {}
         self.watch = None
+        self.turn = asyncio.Event()
 
     @property
     def own_contact_s(self):
@@ -80,6 +106,22 @@
         return NEVER_S if self.is_lost else self.contact_at_s
 
 
+@dataclass(slots=True, frozen=True)
+class FollowedKind:
+    """A kind of objects to follow.
+
+    Parameters
+    ----------
+    replica : Replica
+        Where they are kept.
+    watch_wait_s : float
+        Time that a watch waits, in seconds; longer for what may come late.
+    """
+
+    replica: Replica
+    watch_wait_s: float = WATCH_WAIT_S
+
+
 class ObjectFeed(Service):
     """Keeps replicas up to date from the store and from peers.
 
@@ -87,7 +129,7 @@
     ----------
     store : StoreClient
         Calls to the store.
-    replicas : list of Replica
+    kinds : list of FollowedKind
         Kinds to follow.
     peers : PeerTable
         Streams to peers.
@@ -95,10 +137,11 @@
         Source of time.
     """
 
-    def __init__(self, store, replicas, peers, clock, **kwargs):
+    def __init__(self, store, kinds, peers, clock, **kwargs):
         super().__init__(**kwargs)
         self._store = store
-        self._replicas = {replica.kind: replica for replica in replicas}
+        self._replicas = {item.replica.kind: item.replica for item in kinds}
+        self._waits_s = {item.replica.kind: item.watch_wait_s for item in kinds}
         self._states = {kind: FeedState() for kind in self._replicas}
         self._peers = peers
         self._clock = clock
@@ -113,31 +156,29 @@
             self.add_future(self._follow(replica))
 
     def describe_views(self):
-        """Return [kind, newest, size, age in milliseconds] of each replica.
+        """Return [kind, newest, size, age in milliseconds, host] of each replica.
 
         The age is that of a contact with the store: this host's own, or, from a
         hub, that of a host of its zone. What hubs say is not passed on, so that no
         contact is made to look newer by going round.
         """
         now_s = self._clock.monotonic()
-        return [
-            [
-                kind,
-                replica.newest,
-                len(replica),
-                min(int((now_s - self._find_contact(kind)) * 1000), NO_CONTACT_MS),
-            ]
-            for kind, replica in self._replicas.items()
-        ]
+        views = []
+        for kind, replica in self._replicas.items():
+            contact = self._find_contact(kind)
+            age_ms = min(int((now_s - contact.at_s) * 1000), NO_CONTACT_MS)
+            views.append([kind, replica.newest, len(replica), age_ms, contact.host])
+        return views
 
     def _find_contact(self, kind):
-        state = self._states[kind]
-        contact_s = state.own_contact_s
-        if not self._peers.is_hub(self._peers.hosts.own.host):
-            return contact_s
-        for host in self._list_members():
-            contact_s = max(contact_s, state.peers.get(host, NEVER_S))
-        return contact_s
+        """Return the contact that this host tells of."""
+        state, own = self._states[kind], self._peers.hosts.own.host
+        contacts = [Contact(state.own_contact_s, own)]
+        if self._peers.is_hub(own):
+            contacts += [
+                state.peers.get(host, NO_CONTACT) for host in self._list_members()
+            ]
+        return max(contacts, key=lambda contact: contact.at_s)
 
     def _list_members(self):
         """Return the peers of the own zone that are no hubs."""
@@ -151,8 +192,13 @@
     def measure_age_s(self, kind):
         """Return the time since a contact with the store is known of, in seconds."""
         state = self._states[kind]
-        contacts = [state.peers.get(host, NEVER_S) for host in self._peers.streams]
-        return self._clock.monotonic() - max([state.own_contact_s, *contacts])
+        contacts = [state.own_contact_s]
+        contacts += [contact.at_s for contact in self._list_contacts(state)]
+        return self._clock.monotonic() - max(contacts)
+
+    def _list_contacts(self, state):
+        """Return the contacts that connected peers tell of."""
+        return [state.peers.get(host, NO_CONTACT) for host in self._peers.streams]
 
     @property
     def is_watcher(self):
@@ -172,19 +218,21 @@
                 return True
         return (await self._read_list(replica, state)).is_ok()
 
+    def _rank_zone(self):
+        """Return the live hosts of the zone in the order in which they watch."""
+        names = [address.host for address in self._peers.hosts.list_zone()]
+        return rank_candidates(names, "hub")
+
     def _find_rank(self):
-        """Return this host's place in the order in which its zone watches."""
-        hosts = self._peers.hosts
-        names = [address.host for address in hosts.list_zone()]
-        return rank_candidates(names, "hub").index(hosts.own.host)
+        return self._rank_zone().index(self._peers.hosts.own.host)
 
     async def _follow(self, replica):
         """Read the list once, then watch while it is this host's turn."""
         state = self._states[replica.kind]
-        needs_list = True
+        needs_list, pause_s = True, RETRY_PAUSE_S
         while not self.should_stop:
             if not needs_list and not self._is_due(replica.kind):
-                await self._clock.sleep(RETRY_PAUSE_S)
+                await self._wait_turn(state)
                 continue
             if needs_list or replica.horizon == 0:
                 read = await self._read_list(replica, state)
@@ -193,14 +241,37 @@
             needs_list = read.is_error() and isinstance(read.error, HistoryGone)
             if read.is_error() and not needs_list:
                 self._note_loss(replica.kind, state, read.error)
-                await self._clock.sleep(RETRY_PAUSE_S)
+                await self._clock.sleep(pause_s)
+                pause_s = min(MAX_RETRY_PAUSE_S, pause_s * RETRY_GROWTH)
+            else:
+                pause_s = RETRY_PAUSE_S
+
+    async def _wait_turn(self, state):
+        """Wait until a peer tells of a lost contact, or for a moment."""
+        state.turn.clear()
+        try:
+            async with asyncio.timeout(RETRY_PAUSE_S):
+                await state.turn.wait()
+        except TimeoutError:
+            pass
 
     def _is_due(self, kind):
-        rank = self._find_rank()
-        if rank < WATCHERS_PER_ZONE:
+        """Return whether this host is to watch: no host before it has contact."""
+        ranking = self._rank_zone()
+        own = ranking.index(self._peers.hosts.own.host)
+        if own < WATCHERS_PER_ZONE:
             return True
-        starved_s = self.measure_age_s(kind) - CONTACT_LIFE_S
-        return starved_s > (rank - WATCHERS_PER_ZONE) * TAKEOVER_STEP_S
+        # Those after this host stop once it has contact, and other zones have
+        # watchers of their own: two hosts that waited for each other would both stop.
+        before = set(ranking[:own])
+        contacts = [
+            contact.at_s
+            for contact in self._list_contacts(self._states[kind])
+            if contact.host in before
+        ]
+        life_s = CONTACT_LIFE_S - WATCH_WAIT_S + self._waits_s[kind]
+        starved_s = self._clock.monotonic() - max([NEVER_S, *contacts]) - life_s
+        return starved_s > (own - WATCHERS_PER_ZONE) * TAKEOVER_STEP_S
 
     async def _read_list(self, replica, state):
         read = await self._store.list_all(replica.kind)
@@ -225,7 +296,9 @@
             state.watch.cancel()
             state.watch = None
 
-    async def _watch(self, replica, state, wait_s=WATCH_WAIT_S):
+    async def _watch(self, replica, state, wait_s=None):
+        if wait_s is None:
+            wait_s = self._waits_s[replica.kind]
         after = replica.horizon
         read = await self._store.watch(replica.kind, after, wait_s)
         if read.is_ok():
@@ -335,13 +408,16 @@
     def _compare_views(self, stream, heartbeat):
         """Ask a peer for what it has and this host lacks."""
         now_s = self._clock.monotonic()
-        for kind, newest, size, age_ms in heartbeat.views:
+        for kind, newest, size, age_ms, host in heartbeat.views:
             replica = self._replicas.get(kind)
             if replica is None:
                 continue
             state = self._states[kind]
             lost = age_ms >= NO_CONTACT_MS
-            state.peers[stream.host] = NEVER_S if lost else now_s - age_ms / 1000
+            if lost and state.peers.get(stream.host, NO_CONTACT) is not NO_CONTACT:
+                state.turn.set()
+            contact = NO_CONTACT if lost else Contact(now_s - age_ms / 1000, host)
+            state.peers[stream.host] = contact
             same = (newest, size) == (replica.newest, len(replica))
             state.is_synchronised |= same and not lost
             differs = newest == replica.newest and size != len(replica)
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -42,9 +42,9 @@
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.limits import LimitTable
 from sapphirerock.process.peers.loads import LoadSpread
-from sapphirerock.process.peers.membership import Membership
+from sapphirerock.process.peers.membership import MEMBERS_WATCH_S, Membership
 from sapphirerock.process.peers.table import PeerTable
-from sapphirerock.process.replicas.feed import ObjectFeed
+from sapphirerock.process.replicas.feed import FollowedKind, ObjectFeed
 from sapphirerock.process.replicas.replica import Replica
 from sapphirerock.process.runtime import Runtime
 from sapphirerock.process.settings.store import SettingsStore
@@ -137,7 +137,14 @@
         engines.subscribe(self._apply_registrations)
         routers = Replica(ROUTERS_KIND)
         self.feed = ObjectFeed(
-            self.platform, [stored, engines, routers], self.peers, clock
+            self.platform,
+            [
+                FollowedKind(stored),
+                FollowedKind(engines),
+                FollowedKind(routers, MEMBERS_WATCH_S),
+            ],
+            self.peers,
+            clock,
         )
         self.membership = Membership(
             self.platform, routers, self.peers, (), incarnation, clock
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -152,6 +152,12 @@
         self._copy = None
         if step is Step.CONTINUE_COPY:
             return await self._attempt(fleet.engines.get(copy.holder.name), copy, None)
+        if not self._sends:
+            admitted = await self._runtime.admission.admit(self._call)
+            if admitted.is_error():
+                await self._responder.refuse(admitted.error)
+                return Ending.PASSED_ON
+            return await self._attempt(admitted.ok.state, None, admitted.ok)
         placement = fleet.place(self._call, self._tried)
         if placement is None:
             return Ending.NO_ENGINE
--- a/src/sapphirerock/standin/faults.py
+++ b/src/sapphirerock/standin/faults.py
@@ -35,7 +35,8 @@
     manner : str
         In which way, where there are several.
     source : str
-        What the addresses of those that meet it begin with; empty for all.
+        What the addresses of those that meet it begin with, separated by commas;
+        empty for all.
     """
 
     __slots__ = ("kind", "seconds", "amount", "manner", "source")
@@ -159,7 +160,8 @@
 
     def turns_away(self, address):
         """Return whether calls from an address are to be refused."""
-        return self.is_down and (address or "").startswith(self.down_source)
+        sources = tuple(self.down_source.split(","))
+        return self.is_down and (address or "").startswith(sources)
 
     def forget_history(self):
         """Drop what a watch could go back to."""
