Replay command with table and plot; stream times and attempts on the metrics

Cause: the load tool could not be imported since the peers' topology changed (capacity still asked for the ring's degree), and no test ran it. The new scenarios of the replay command run it; capacity now counts hubs. Ruled out: other commands of the package (each module imports).

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -34,6 +34,20 @@
     When the load pattern burst is replayed twice with least-prompt-tokens
     Then both replays are the same
 
+  Scenario: The replay command prints a table and draws a plot
+    When the replay command compares policies under zones-lost-in-turn and draws a plot
+    Then it prints a row for each policy, and the plot shows both
+
+  Scenario Outline: The replay command refuses <argument>
+    When the replay command is run with <argument>
+    Then it fails and says "<text>"
+
+    Examples:
+      | argument          | text                 |
+      | tide              | 'tide' is not one of |
+      | burst --seeds 0   | at least 1 is needed |
+      | burst --policy no | 'no' is not one of   |
+
   Scenario Outline: What follows when an attempt at a stream has ended: <case>
     Given a stream whose attempt ended as <ending>, <case>
     Then the next step is to <step>
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -3,15 +3,17 @@
 from random import Random
 
 from behave import given, then, when
+from click.testing import CliRunner
 
 from sapphirerock.decisions.admission import AdmissionView, admit
 from sapphirerock.decisions.continuation import Ending, StreamView, choose_step
 from sapphirerock.decisions.conviction import Crash, is_evidence
 from sapphirerock.decisions.leaving import LeavingView
-from sapphirerock.decisions.placement import PLACEMENTS
 from sapphirerock.decisions.refusal import choose_retry_after
 from sapphirerock.decisions.repeats import RepeatBudget, RepeatTerms
-from sapphirerock.load.replay.simulation import ReplayPolicy, replay
+from sapphirerock.load.cli import main as load_command
+from sapphirerock.load.replay.policies import POLICIES
+from sapphirerock.load.replay.simulation import replay
 from sapphirerock.process.clock import ManualClock
 from sapphirerock.version.routing import (
     CallerLimits,
@@ -34,14 +36,6 @@
     return register
 
 
-def make_policy(text):
-    """Return the replay policy that a table names."""
-    if text in PLACEMENTS:
-        return ReplayPolicy(text)
-    options = {"no copies": "has_copies", "no admission": "has_admission"}
-    return ReplayPolicy("least-prompt-tokens", **{options[text]: False})
-
-
 def mean(values):
     values = list(values)
     return sum(values) / len(values)
@@ -49,19 +43,19 @@
 
 @when("the load pattern {pattern} is replayed with {policy} and with {baseline}")
 def replay_both(context, pattern, policy, baseline):
-    context.results = replay(pattern, make_policy(policy), SEEDS)
-    context.baseline = replay(pattern, make_policy(baseline), SEEDS)
+    context.results = replay(pattern, POLICIES[policy], SEEDS)
+    context.baseline = replay(pattern, POLICIES[baseline], SEEDS)
 
 
 @when("the load pattern {pattern} is replayed twice with {policy}")
 def replay_twice(context, pattern, policy):
-    context.results = replay(pattern, make_policy(policy), SEEDS)
-    context.baseline = replay(pattern, make_policy(policy), SEEDS)
+    context.results = replay(pattern, POLICIES[policy], SEEDS)
+    context.baseline = replay(pattern, POLICIES[policy], SEEDS)
 
 
 @when("the load pattern {pattern} is replayed once with {policy}")
 def replay_once(context, pattern, policy):
-    context.results = replay(pattern, make_policy(policy), SEEDS)
+    context.results = replay(pattern, POLICIES[policy], SEEDS)
 
 
 @then("{policy} serves at least {gain:f} more of the calls in time")
@@ -91,6 +85,38 @@
     assert mean(large) >= part * mean(item.is_done for item in streams), mean(large)
 
 
+@when("the replay command compares policies under {pattern} and draws a plot")
+def run_replay_command(context, pattern):
+    context.plot = context.run_directory / "replay.svg"
+    arguments = [pattern, "--seeds", "2", "--plot", str(context.plot)]
+    for policy in ("least-prompt-tokens", "no copies"):
+        arguments += ["--policy", policy]
+    context.shown = CliRunner().invoke(load_command, ["replay", *arguments])
+
+
+@then("it prints a row for each policy, and the plot shows both")
+def check_replay_command(context):
+    assert context.shown.exit_code == 0, context.shown.output
+    rows = context.shown.output.strip().splitlines()
+    assert [row.split(" | ")[1] for row in rows[2:]] == [
+        "least-prompt-tokens",
+        "no copies",
+    ], rows
+    drawn = context.plot.read_text()
+    assert "<svg" in drawn and "no copies" in drawn
+
+
+@when("the replay command is run with {argument}")
+def run_replay_badly(context, argument):
+    context.shown = CliRunner().invoke(load_command, ["replay", *argument.split()])
+
+
+@then('it fails and says "{text}"')
+def check_replay_error(context, text):
+    assert context.shown.exit_code != 0
+    assert text in context.shown.output, context.shown.output
+
+
 @then("both replays are the same")
 def check_same(context):
     def describe(results):
--- a/src/sapphirerock/connection/responder.py
+++ b/src/sapphirerock/connection/responder.py
@@ -20,12 +20,15 @@
     ----------
     status : int
         Status that was sent; 0 before.
+    problem : Problem or None
+        What the caller was refused with.
     """
 
-    __slots__ = ("status", "_request", "_closes", "_response")
+    __slots__ = ("status", "problem", "_request", "_closes", "_response")
 
     def __init__(self, request, closes=False):
         self.status = 0
+        self.problem = None
         self._request = request
         self._closes = closes
         self._response = None
@@ -51,6 +54,7 @@
 
     async def refuse(self, problem: Problem):
         """Send an answer of the router's own."""
+        self.problem = problem
         response = web.Response(
             status=problem.status, headers=problem.make_headers(), body=problem.encode()
         )
--- a/src/sapphirerock/decisions/admission.py
+++ b/src/sapphirerock/decisions/admission.py
@@ -11,9 +11,6 @@
 
 # Part of an engine's memory that is left for the growth of what it holds.
 RESERVED_SHARE = 0.05
-# An engine whose unread prompts take longer than this part of the target latency
-# delays a run so much that another's room is worth waiting for.
-PROMPT_WAIT_SHARE = 0.8
 
 
 class Verdict(Enum):
--- a/src/sapphirerock/load/capacity.py
+++ b/src/sapphirerock/load/capacity.py
@@ -15,7 +15,7 @@
     CANDIDATES_PER_ZONE,
     RENEW_INTERVAL_S,
 )
-from sapphirerock.process.peers.table import ZONE_DEGREE
+from sapphirerock.process.peers.table import HUBS_PER_ZONE
 from sapphirerock.process.replicas.feed import WATCHERS_PER_ZONE
 
 CONTROL_CPU_PERCENT = 2.0
@@ -67,6 +67,11 @@
         """Nodes of one availability zone."""
         return self.nodes / self.zones
 
+    @property
+    def hub_streams(self):
+        """Streams that a hub keeps: its zone's nodes and the other zones' hubs."""
+        return self.zone_nodes - 1 + HUBS_PER_ZONE * (self.zones - 1)
+
 
 @dataclass(slots=True, frozen=True)
 class Slopes:
@@ -185,8 +190,10 @@
     """Return what control takes on one node, beyond the data path."""
     # Each sample crosses each of a host's streams once.
     samples_per_s = size.zone_engines / POLL_INTERVAL_S
-    load_bytes = samples_per_s * ZONE_DEGREE * slopes.load_sample_bytes
-    load_cpu = samples_per_s * ZONE_DEGREE * slopes.load_sample_cpu_us / 1e4
+    load_bytes = samples_per_s * HUBS_PER_ZONE * slopes.load_sample_bytes
+    load_cpu = samples_per_s * HUBS_PER_ZONE * slopes.load_sample_cpu_us / 1e4
+    hub_bytes = samples_per_s * size.hub_streams * slopes.load_sample_bytes
+    hub_cpu = samples_per_s * size.hub_streams * slopes.load_sample_cpu_us / 1e4
     poll_cpu = samples_per_s / size.zone_nodes * slopes.poll_cpu_us / 1e4
     change_cpu = (
         size.changes_per_day
@@ -204,7 +211,10 @@
         Need(
             "control", "at rest", slopes.idle_cpu_percent, percent, "heartbeats, watch"
         ),
-        Need("control", "loads", load_cpu, percent, "digests along the zone's ring"),
+        Need("control", "loads", load_cpu, percent, "digests to the zone's hubs"),
+        Need(
+            "hub", "loads", hub_cpu, percent, "digests to the zone", CONTROL_CPU_PERCENT
+        ),
         Need("control", "polls", poll_cpu, percent, "one watcher an engine"),
         Need("control", "settings", change_cpu, percent, "index rebuilt a change"),
         Need("control", "processor, all", cpu, percent, "", CONTROL_CPU_PERCENT),
@@ -213,7 +223,15 @@
             "bytes sent",
             sent / 1e3,
             "KB/s",
-            "bounded degree",
+            "streams to hubs alone",
+            CONTROL_BYTES_PER_S / 1e3,
+        ),
+        Need(
+            "hub",
+            "bytes sent",
+            (slopes.idle_bytes_per_s + hub_bytes) / 1e3,
+            "KB/s",
+            f"{HUBS_PER_ZONE} hubs a zone",
             CONTROL_BYTES_PER_S / 1e3,
         ),
         Need(
--- a/src/sapphirerock/load/cli.py
+++ b/src/sapphirerock/load/cli.py
@@ -13,6 +13,14 @@
 from sapphirerock.load.caller import Caller
 from sapphirerock.load.capacity import FleetSize, format_capacity, read_slopes
 from sapphirerock.load.experiment import read_plan, run_plan
+from sapphirerock.load.replay.patterns import PATTERNS
+from sapphirerock.load.replay.policies import POLICIES
+from sapphirerock.load.replay.report import (
+    draw_plot,
+    format_table,
+    summarise_replays,
+)
+from sapphirerock.load.replay.simulation import replay as replay_pattern
 from sapphirerock.load.report import format_report
 from sapphirerock.load.slopes import MEASUREMENTS, format_slopes
 from sapphirerock.process.telemetry.logs import configure_logs
@@ -135,6 +143,44 @@
     click.echo(format_capacity(FleetSize(), read_slopes(measured_file)))
 
 
+@main.command()
+@click.argument("patterns", nargs=-1, type=click.Choice(sorted(PATTERNS)))
+@click.option(
+    "--policy",
+    "policies",
+    multiple=True,
+    type=click.Choice(sorted(POLICIES)),
+    help="A policy to compare; all where none is named.",
+)
+@click.option("--seeds", default=6, help="Replays of each, with seeds from 0.")
+@click.option("--plot", type=click.Path(dir_okay=False), help="SVG file to write.")
+def replay(patterns, policies, seeds, plot):
+    """Replay load patterns against the decisions, and compare policies.
+
+    Example: sapphirerock-load replay overload --policy "no admission"
+    --policy least-prompt-tokens --plot overload.svg
+    """
+    if seeds < 1:
+        raise click.BadParameter("at least 1 is needed", param_hint="--seeds")
+    configure_logs(level="ERROR")
+    summaries = [
+        summarise_replays(
+            pattern, policy, replay_pattern(pattern, POLICIES[policy], range(seeds))
+        )
+        for pattern in patterns or sorted(PATTERNS)
+        for policy in policies or sorted(POLICIES)
+    ]
+    click.echo(format_table(summaries))
+    if plot is None:
+        return
+    try:
+        draw_plot(summaries, plot)
+    except ImportError as error:
+        raise click.ClickException(
+            "plots need the extra 'plots': pip install 'sapphirerock[plots]'"
+        ) from error
+
+
 @main.command("hash")
 @click.argument("text")
 def hash_text(text):
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -210,7 +210,6 @@
             fleet,
             stream_length,
             self._count_hosts,
-            self.metrics,
             generator,
             clock,
         )
--- a/src/sapphirerock/process/engines/admission.py
+++ b/src/sapphirerock/process/engines/admission.py
@@ -31,22 +31,17 @@
         Typical time of a stream.
     count_hosts : callable
         Returns the number of hosts that share the engines.
-    metrics : EdgeMetrics
-        Counts refusals.
     generator : random.Random
         Spreads returns of callers.
     clock : Clock
         Source of time.
     """
 
-    def __init__(
-        self, fleet, stream_length, count_hosts, metrics, generator, clock, **kwargs
-    ):
+    def __init__(self, fleet, stream_length, count_hosts, generator, clock, **kwargs):
         super().__init__(**kwargs)
         self._fleet = fleet
         self._stream_length = stream_length
         self._count_hosts = count_hosts
-        self._metrics = metrics
         self._generator = generator
         self._clock = clock
         self._queues = {}
@@ -136,7 +131,6 @@
     def _refuse(self, call, admission):
         retry_after_s = choose_retry_after(admission.wait_s, self._generator)
         kind = UNAVAILABLE if admission.wait_s is None else OVERLOADED
-        self._metrics.refusals.labels(admission.reason).inc()
         logger.bind(
             request=call.terms.attempt_id,
             reason=admission.reason,
--- a/src/sapphirerock/process/telemetry/edgemetrics.py
+++ b/src/sapphirerock/process/telemetry/edgemetrics.py
@@ -57,8 +57,8 @@
         self.pause_seconds = histogram(
             "pause_seconds", "Longest pause between events of a stream"
         )
-        self.attempts = counter("attempts", "Attempts at engines", "ending")
-        self.refusals = counter("refusals", "Calls turned away", "cause")
+        self.attempts = counter("attempts", "Attempts at engines", "kind", "ending")
+        self.refusals = counter("refusals", "Calls turned away", "problem")
         self.platform_calls = counter("platform_calls", "Calls to the store", "kind")
         self.peer_bytes = counter("peer_bytes", "Bytes to peers", "kind", "reach")
         self.peer_links = gauge("peer_links", "Open peer streams")
@@ -68,7 +68,19 @@
         )
         self.quarantined = gauge("quarantined", "Requests with evidence of crashes")
 
-    def observe_call(self, kind, status, seconds):
+    def observe_call(self, kind, responder, seconds):
         """Count an answer; status 0 stands for a caller that left."""
-        self.calls.labels(kind, str(status)).inc()
+        self.calls.labels(kind, str(responder.status)).inc()
         self.call_seconds.labels(kind).observe(seconds)
+        if responder.problem is not None:
+            self.refusals.labels(responder.problem.kind.name).inc()
+
+    def observe_attempt(self, kind, ending):
+        """Count an attempt at an engine by how it ended."""
+        self.attempts.labels(kind, ending.value).inc()
+
+    def observe_stream(self, first_s, longest_pause_s):
+        """Take the times of a stream in seconds; `first_s` None: it never began."""
+        if first_s is not None:
+            self.first_event_seconds.observe(first_s)
+            self.pause_seconds.observe(longest_pause_s)
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -63,6 +63,7 @@
                 return
             self._tried.add(state.name)
             outcome = await self._send(state)
+            self._runtime.metrics.observe_attempt(self._call.route.kind.value, outcome)
             if outcome is Outcome.ANSWERED:
                 await self._responder.pass_on(self._answer)
                 return
--- a/src/sapphirerock/request/reception.py
+++ b/src/sapphirerock/request/reception.py
@@ -86,7 +86,7 @@
         finally:
             self.calls -= 1
             elapsed_s = runtime.clock.monotonic() - arrived_s
-            runtime.metrics.observe_call(kind, responder.status, elapsed_s)
+            runtime.metrics.observe_call(kind, responder, elapsed_s)
         return responder.response
 
     async def _receive(self, request, arrived_s):
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -121,6 +121,9 @@
         try:
             while step is not Step.GIVE_UP:
                 ending = await self._attempt_next(step)
+                self._runtime.metrics.observe_attempt(
+                    self._call.route.kind.value, ending
+                )
                 if ending is Ending.COMPLETE:
                     elapsed_s = self._runtime.clock.monotonic() - self._started_s
                     self._runtime.stream_length.note_end(elapsed_s)
@@ -136,6 +139,7 @@
         first_s = None
         if progress.first_at_s is not None:
             first_s = round(progress.first_at_s - started_s, 3)
+        self._runtime.metrics.observe_stream(first_s, progress.longest_pause_s)
         self._log.bind(
             events=progress.events,
             last_id=progress.last_id,
