Keep suspects apart; leave out engines that fail more than their fellows

Traced: a call beside the poison lost the same two engines and both were then sent to the same third one, since all hosts rank engines alike, so the innocent one was convicted too; and a crash that two hosts saw counted as no evidence because one of them did not know the call. Now calls that lost the same engines get one each, chosen alike by all hosts, and a crash is known by engine. Cause 2: an engine that fails at once looks idle and draws more calls. A failed lookup without another engine is sent once more to the one that answered.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -11,6 +11,7 @@
       | overload           | least-prompt-tokens | no admission   | 0.08  |
       | hot-organisation   | least-prompt-tokens | no admission   | 0.05  |
       | herd-returns       | two-choices         | round-robin    | 0.02  |
+      | failing-engines    | least-prompt-tokens | no health      | 0.05  |
 
   Scenario Outline: Prompts are not read in vain: <policy> under <pattern>
     When the load pattern <pattern> is replayed with <policy> and with <baseline>
@@ -68,6 +69,37 @@
       | time is up | with a copy                          | give up                |
       | no engine  | without a copy                       | give up                |
 
+  Scenario Outline: Calls that lost the same engines never share the next: <case>
+    Given <suspects> calls that lost the same two engines, and <engines> others
+    When <hosts> hosts choose for each of them, with their own views of the load
+    Then no two calls share an engine, and all hosts choose alike
+
+    Examples:
+      | case           | suspects | engines | hosts |
+      | two of them    | 2        | 4       | 2     |
+      | five of them   | 5        | 6       | 8     |
+      | no other room  | 3        | 3       | 3     |
+
+  Scenario: A call that alone may crash engines goes where least would be lost
+    Given 1 calls that lost the same two engines, and 5 others
+    When 1 hosts choose for each of them, with their own views of the load
+    Then the engine has the fewest runs
+
+  Scenario Outline: An engine that fails more than its fellows is left out: <case>
+    Given engines whose latest calls failed like this: <failures>
+    Then these are left out: <left_out>
+
+    Examples:
+      | case                      | failures          | left_out |
+      | none fails                | 0/9 0/9 0/9       | none     |
+      | all fail alike            | 3/9 4/9 3/9       | none     |
+      | one fails half            | 5/9 0/9 1/9       | 1        |
+      | one call is no verdict    | 1/1 0/9 0/9       | none     |
+      | half stay whatever they do | 9/9 9/9 9/9 0/9  | none     |
+      | two of five               | 9/9 9/9 0/9 0/9 0/9 | 1 2    |
+      | alone                     | 9/9               | none     |
+      | long ago                  | 9/9@30 0/9 0/9    | none     |
+
   Scenario Outline: Which crashes are evidence against a call: <case>
     Given a crash of an engine under a call, <case>
     Then it <counts>
@@ -80,6 +112,7 @@
       | and one of the same zone 2 s before                     | is evidence   |
       | and one of another zone at the same time                | is evidence   |
       | and one of the same zone 0.2 s before under the same call | is evidence |
+      | and one that two hosts saw, under the same call on one of them | is evidence |
 
   Scenario Outline: Whether a generation starts, waits or is turned away: <case>
     Given a generation of 9000 tokens, <case>
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -7,8 +7,10 @@
 
 from sapphirerock.decisions.admission import AdmissionView, admit
 from sapphirerock.decisions.continuation import Ending, StreamView, choose_step
-from sapphirerock.decisions.conviction import Crash, is_evidence
+from sapphirerock.decisions.conviction import Crash, choose_isolated, is_evidence
+from sapphirerock.decisions.health import FailureShare, leave_out_failing
 from sapphirerock.decisions.leaving import LeavingView
+from sapphirerock.decisions.placement import EngineView
 from sapphirerock.decisions.refusal import choose_retry_after
 from sapphirerock.decisions.repeats import RepeatBudget, RepeatTerms
 from sapphirerock.load.cli import main as load_command
@@ -159,20 +161,27 @@
 
 CRASH = Crash("e1", "zone-a", 10.0, {b"call"})
 register_case("and nothing else")([])
-register_case("and one of the same zone 0.2 s before")([("zone-a", 9.8, set())])
-register_case("and one of the same zone 0.2 s after")([("zone-a", 10.2, set())])
-register_case("and one of the same zone 2 s before")([("zone-a", 8.0, set())])
-register_case("and one of another zone at the same time")([("zone-b", 10.0, set())])
+register_case("and one of the same zone 0.2 s before")(
+    [("other", "zone-a", 9.8, set())]
+)
+register_case("and one of the same zone 0.2 s after")(
+    [("other", "zone-a", 10.2, set())]
+)
+register_case("and one of the same zone 2 s before")([("other", "zone-a", 8.0, set())])
+register_case("and one of another zone at the same time")(
+    [("other", "zone-b", 10.0, set())]
+)
 register_case("and one of the same zone 0.2 s before under the same call")(
-    [("zone-a", 9.8, {b"call"})]
+    [("other", "zone-a", 9.8, {b"call"})]
+)
+register_case("and one that two hosts saw, under the same call on one of them")(
+    [("other", "zone-a", 10.1, {b"call"}), ("other", "zone-a", 10.1, {b"another"})]
 )
 
 
 @given("a crash of an engine under a call, {case}")
 def make_crash(context, case):
-    others = [
-        Crash(f"other-{number}", *fields) for number, fields in enumerate(CASES[case])
-    ]
+    others = [Crash(*fields) for fields in CASES[case]]
     context.counts = is_evidence(CRASH, b"call", [CRASH, *others])
 
 
@@ -320,3 +329,76 @@
     found = context.version.find_route("H.example", path)
     assert found.name == f"h.example{prefix}", found
     assert context.version.find_route("nobody.example", path) is None
+
+
+def make_engine_views(count, generator, **fields):
+    """Return views of some engines, with loads as one host sees them."""
+    return [
+        EngineView(
+            name=f"engine-{number}",
+            availability_zone="zone",
+            slots=64,
+            prompt_tokens=generator.randrange(9000),
+            runs=generator.randrange(9),
+            memory_tokens=0,
+            copy_tokens=0,
+            capacity_tokens=88_000,
+            **fields,
+        )
+        for number in range(count)
+    ]
+
+
+@given("{suspects:d} calls that lost the same two engines, and {engines:d} others")
+def make_suspects(context, suspects, engines):
+    context.suspects = [f"call-{number}".encode() for number in range(suspects)]
+    context.engine_count = engines
+
+
+@when("{hosts:d} hosts choose for each of them, with their own views of the load")
+def choose_for_suspects(context, hosts):
+    context.views = [
+        make_engine_views(context.engine_count, Random(seed)) for seed in range(hosts)
+    ]
+    context.chosen = [
+        [choose_isolated(views, call, context.suspects) for call in context.suspects]
+        for views in context.views
+    ]
+
+
+@then("no two calls share an engine, and all hosts choose alike")
+def check_apart(context):
+    names = [[view.name for view in chosen] for chosen in context.chosen]
+    assert all(len(set(chosen)) == len(chosen) for chosen in names), names
+    assert all(chosen == names[0] for chosen in names), names
+
+
+@then("the engine has the fewest runs")
+def check_fewest_runs(context):
+    ((chosen,),) = context.chosen
+    assert chosen.runs == min(view.runs for view in context.views[0])
+
+
+@given("engines whose latest calls failed like this: {failures}")
+def make_failing_engines(context, failures):
+    now_s = 100.0
+    context.views = []
+    for number, text in enumerate(failures.split(), 1):
+        counts, _, age_s = text.partition("@")
+        failed, calls = map(int, counts.split("/"))
+        health = FailureShare()
+        for call in range(calls):
+            health.note(call < failed, now_s - float(age_s or 0))
+        (view,) = make_engine_views(1, Random(1), failure_share=health.measure(now_s))
+        context.views.append((str(number), view))
+
+
+@then("these are left out: {left_out}")
+def check_left_out(context, left_out):
+    kept = leave_out_failing([view for _, view in context.views])
+    found = [
+        number
+        for number, view in context.views
+        if not any(view is other for other in kept)
+    ]
+    assert found == (left_out.split() if left_out != "none" else []), found
--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -53,6 +53,8 @@
         Tokens that its runs and the copies for others will occupy.
     capacity_tokens : int
         Tokens that its memory holds.
+    failure_share : float
+        Part of this host's latest calls there that failed.
     """
 
     name: str
@@ -63,6 +65,7 @@
     memory_tokens: int
     copy_tokens: int
     capacity_tokens: int
+    failure_share: float = 0.0
 
     @property
     def free_tokens(self):
--- a/src/sapphirerock/decisions/quarantine.py
+++ b/src/sapphirerock/decisions/quarantine.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 
 EVIDENCE_LIFE_S = 600.0
+# A call that may crash engines has ended, or been convicted, by then.
+SUSPECT_LIFE_S = 5.0
 EXCLUSIVE_CRASHES = 2
 EVIDENCE_LIMIT = 10_000
 
@@ -82,6 +84,15 @@
         evidence = self._evidence.get(fingerprint)
         return evidence is not None and evidence.convicted
 
+    def list_suspects(self):
+        """Return the fingerprints of requests that may run as the single suspect."""
+        limit_s = self._clock.monotonic() - SUSPECT_LIFE_S
+        return [
+            key
+            for key, item in self._evidence.items()
+            if len(item.crashes) == EXCLUSIVE_CRASHES and item.touched_s >= limit_s
+        ]
+
     def list_convicted(self):
         """Return the fingerprints of all convicted requests."""
         return [key for key, item in self._evidence.items() if item.convicted]
--- a/src/sapphirerock/load/replay/engines.py
+++ b/src/sapphirerock/load/replay/engines.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from sapphirerock.decisions.health import FailureShare
 from sapphirerock.decisions.placement import EngineView
 
 
@@ -66,12 +67,16 @@
         Its figures.
     slowness : float
         Times longer that everything takes.
+    failing_share : float
+        Part of its calls that it fails at once.
     """
 
     name: str
     zone: str
     model: EngineModel
     slowness: float = 1.0
+    failing_share: float = 0.0
+    health: FailureShare = field(default_factory=FailureShare)
     is_up: bool = True
     is_known_down: bool = False
     runs: list = field(default_factory=list)
@@ -115,7 +120,7 @@
             self.preempted += 1
             return
 
-    def make_view(self):
+    def make_view(self, now_s):
         """Return what a host knows of it."""
         expected = [run.stream.prompt.memory_tokens for run in self.runs]
         unread = sum(run.unread_tokens for run in self.runs)
@@ -128,4 +133,5 @@
             memory_tokens=int(sum(expected)),
             copy_tokens=int(sum(self.copies.values())),
             capacity_tokens=self.model.capacity_tokens,
+            failure_share=self.health.measure(now_s),
         )
--- a/src/sapphirerock/load/replay/patterns.py
+++ b/src/sapphirerock/load/replay/patterns.py
@@ -44,6 +44,8 @@
         Whether connections just go silent.
     slowness : float
         Times longer that the engines take; 1 for engines that are lost.
+    failing_share : float
+        Part of their calls that they fail while they say that they are well.
     """
 
     at_s: float
@@ -52,6 +54,7 @@
     share: float = 1.0
     is_silent: bool = False
     slowness: float = 1.0
+    failing_share: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -159,6 +162,13 @@
     return Pattern(draw_arrivals(random, 3.1, 0, 30), [trouble])
 
 
+@register_pattern("failing-engines")
+def make_failing(random):
+    """A quarter of the engines fails most calls at once and says that it is well."""
+    trouble = Trouble(5.0, 15.0, share=1 / 4, failing_share=0.8)
+    return Pattern(draw_arrivals(random, 3.1, 0, 30), [trouble])
+
+
 @register_pattern("mixed-sizes")
 def make_mixed(random):
     """Large prompts among many small ones, near the engines' limit."""
--- a/src/sapphirerock/load/replay/policies.py
+++ b/src/sapphirerock/load/replay/policies.py
@@ -5,4 +5,5 @@
 
 POLICIES = {name: ReplayPolicy(name) for name in PLACEMENTS}
 POLICIES["no copies"] = ReplayPolicy(has_copies=False)
+POLICIES["no health"] = ReplayPolicy(has_health=False)
 POLICIES["no admission"] = ReplayPolicy(has_admission=False)
--- a/src/sapphirerock/load/replay/simulation.py
+++ b/src/sapphirerock/load/replay/simulation.py
@@ -6,6 +6,7 @@
 from sapphirerock.decisions.admission import AdmissionView, Verdict, admit
 from sapphirerock.decisions.continuation import Ending, Step, StreamView, choose_step
 from sapphirerock.decisions.fairqueue import FairQueue, Ticket
+from sapphirerock.decisions.health import leave_out_failing
 from sapphirerock.decisions.placement import PLACEMENTS, choose_backup
 from sapphirerock.decisions.refusal import choose_retry_after
 from sapphirerock.load.replay.engines import (
@@ -23,6 +24,10 @@
 VIEW_AGE_S = 0.1
 # From an engine's loss to the next attempt: a reset is seen at once, silence late.
 CRASH_SEEN_S = 0.05
+# From a call's start to an answer that says that it failed.
+FAILURE_SEEN_S = 0.1
+# Engines that a call may fail on.
+MAX_ATTEMPTS = 3
 SILENCE_SEEN_S = 0.45
 # Tokens of a copy that had not arrived, and are read again.
 COPY_LAG_TOKENS = 60.0
@@ -48,16 +53,20 @@
         Whether runs are copied to a second engine.
     has_admission : bool
         Whether calls wait for room or are turned away.
+    has_health : bool
+        Whether engines that fail more than their fellows are left out.
     """
 
     placement: str = "least-prompt-tokens"
     has_copies: bool = True
     has_admission: bool = True
+    has_health: bool = True
 
     def __str__(self):
         parts = [self.placement]
         parts += [] if self.has_copies else ["no copies"]
         parts += [] if self.has_admission else ["no admission"]
+        parts += [] if self.has_health else ["no health"]
         return ", ".join(parts)
 
 
@@ -83,6 +92,8 @@
     longest_pause_s: float = 0.0
     wasted_tokens: float = 0.0
     losses: int = 0
+    failures: int = 0
+    ending: Ending = Ending.LOST
     sends: int = 0
     refused_s: float | None = None
     returns: int = 0
@@ -223,7 +234,11 @@
             starts = trouble.at_s <= now_s < trouble.at_s + STEP_S
             ends = now_s >= trouble.at_s + trouble.for_s
             for engine in engines:
-                if trouble.slowness > 1.0:
+                if trouble.failing_share and (starts or ends):
+                    engine.failing_share = 0.0 if ends else trouble.failing_share
+                elif trouble.failing_share:
+                    continue
+                elif trouble.slowness > 1.0:
                     engine.slowness = 1.0 if ends else engine.slowness
                     engine.slowness = trouble.slowness if starts else engine.slowness
                 elif starts:
@@ -241,6 +256,7 @@
             stream = run.stream
             stream.made_tokens = run.made_tokens
             stream.losses += 1
+            stream.ending = Ending.LOST
             stream.resume_at_s = now_s + seen_s
             if stream.backup is None or stream not in stream.backup.copies:
                 stream.wasted_tokens += run.memory_tokens
@@ -326,13 +342,16 @@
         now_s = self._clock.monotonic()
         if now_s - self._views_s >= VIEW_AGE_S:
             self._views_s = now_s
-            self._views = {item.name: item.make_view() for item in self._engines}
+            self._views = {item.name: item.make_view(now_s) for item in self._engines}
         return [
             self._views[item.name] for item in self._engines if not item.is_known_down
         ]
 
     def _choose(self, stream):
-        return self._placement.choose(self._list_views(), stream.prompt)
+        views = self._list_views()
+        if self._policy.has_health:
+            views = leave_out_failing(views)
+        return self._placement.choose(views, stream.prompt)
 
     def _start(self, stream, now_s):
         """Send a call to an engine that reads its prompt."""
@@ -349,10 +368,19 @@
         engine = next(item for item in self._engines if item.name == name)
         stream.engine = engine
         stream.sends += 1
+        now_s = self._clock.monotonic()
+        has_failed = self._random.random() < engine.failing_share
+        engine.health.note(has_failed, now_s)
+        if has_failed:
+            stream.failures += 1
+            stream.ending = Ending.FAILED
+            stream.resume_at_s = now_s + FAILURE_SEEN_S
+            self._moving.append(stream)
+            return
         engine.runs.append(SimulatedRun(stream, unread_tokens, stream.made_tokens))
         # One of several hosts: it knows at once what it did itself.
         if self._random.random() < 1 / HOSTS:
-            self._views[name] = engine.make_view()
+            self._views[name] = engine.make_view(now_s)
         self._back_up(stream, engine)
 
     def _back_up(self, stream, engine):
@@ -375,13 +403,13 @@
             has_copy = backup is not None and backup.is_up and stream in backup.copies
             choice = choose_step(
                 StreamView(
-                    ending=Ending.LOST,
+                    ending=stream.ending,
                     has_copy=has_copy and stream.first_s is not None,
                     may_repeat=True,
                     sends=stream.sends,
                     losses=stream.losses,
-                    failures=0,
-                    max_attempts=5,
+                    failures=stream.failures,
+                    max_attempts=MAX_ATTEMPTS,
                     is_convicted=False,
                 )
             )
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -204,7 +204,9 @@
         policy = PLACEMENTS[PLACEMENT](generator)
         terms = make_repeat_terms(self.profile.bounds)
         self.budget = RepeatBudget(terms, self._count_hosts, clock)
-        fleet = Fleet(self.engines, self.routing, policy, profile.availability_zone)
+        fleet = Fleet(
+            self.engines, self.routing, policy, profile.availability_zone, clock
+        )
         stream_length = StreamLength()
         self.admission = AdmissionQueue(
             fleet,
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -10,8 +10,10 @@
 from sapphirerock.connection.upstream import probe
 from sapphirerock.decisions.conviction import (
     CONVICTING_CRASHES,
+    SETTLE_S,
     TOGETHER_S,
     Crash,
+    choose_isolated,
     is_evidence,
 )
 from sapphirerock.decisions.quarantine import make_fingerprint
@@ -111,6 +113,28 @@
         ]
         if pending:
             await asyncio.wait(pending)
+        if self._quarantine.needs_exclusion(fingerprint):
+            await self._clock.sleep(SETTLE_S)
+
+    def choose_isolated(self, call, views):
+        """Return an engine apart from other suspects for a call that is one.
+
+        Returns
+        -------
+        EngineView or None
+            None where the call is no suspect, or there is no engine.
+        """
+        fingerprint = fingerprint_call(call)
+        if not self._quarantine.needs_exclusion(fingerprint):
+            return None
+        suspects = self._quarantine.list_suspects()
+        view = choose_isolated(views, fingerprint, suspects)
+        logger.bind(
+            request=call.terms.attempt_id,
+            suspects=len(suspects),
+            engine=view.name if view else None,
+        ).info("isolated")
+        return view
 
     async def _investigate(self, state, suspects):
         try:
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from sapphirerock.decisions.health import leave_out_failing
 from sapphirerock.decisions.placement import EngineView, choose_backup, choose_plain
 
 
@@ -55,17 +56,20 @@
         Ranks engines for generations.
     availability_zone : str
         Zone of this host.
+    clock : Clock
+        Source of time.
     """
 
-    __slots__ = ("engines", "_routing", "_policy", "_zone")
+    __slots__ = ("engines", "_routing", "_policy", "_zone", "_clock")
 
-    def __init__(self, engines, routing, policy, availability_zone):
+    def __init__(self, engines, routing, policy, availability_zone, clock):
         self.engines = engines
         self._routing = routing
         self._policy = policy
         self._zone = availability_zone
+        self._clock = clock
 
-    def place(self, call, excluded):
+    def place(self, call, excluded, isolate=None):
         """Choose an engine for a generation.
 
         Parameters
@@ -74,13 +78,19 @@
             The call.
         excluded : set of str
             Engines that it has been sent to.
+        isolate : callable or None
+            Chooses among views for a call that may crash engines; returns None
+            for any other.
 
         Returns
         -------
         Placement or None
         """
         views = self._list_views(call.service, excluded)
-        view = self._policy.choose(views, call.terms.prompt)
+        view = isolate(call, views) if isolate else None
+        if view is None:
+            views = leave_out_failing(views)
+            view = self._policy.choose(views, call.terms.prompt)
         if view is None:
             return None
         return Placement(self.engines.get(view.name), view, len(views))
@@ -115,7 +125,7 @@
 
     def choose_plain(self, service, excluded):
         """Return the engine for a call that is answered whole, or None."""
-        views = self._list_views(service, excluded)
+        views = leave_out_failing(self._list_views(service, excluded))
         view = choose_plain(views, self._zone)
         return self.engines.get(view.name) if view else None
 
@@ -131,19 +141,24 @@
     def _list_views(self, service, excluded):
         terms = self._get_terms(service)
         capacity = terms.memory_tokens if terms else 0
+        now_s = self._clock.monotonic()
         return [
-            make_view(state, capacity)
+            make_view(state, capacity, now_s)
             for state in self.engines.list_usable(service)
             if state.name not in excluded
         ]
 
+    def note_outcome(self, state, has_failed):
+        """Count a call that an engine answered, or failed."""
+        state.health.note(has_failed, self._clock.monotonic())
+
     def report_unreachable(self, state, failure):
         """Take note that an engine could not be connected to."""
         logger.bind(engine=state.name, cause=repr(failure)).info("engine unreachable")
         self.engines.mark_down(state, "refused" if failure.refused else "unreachable")
 
 
-def make_view(state, capacity_tokens):
+def make_view(state, capacity_tokens, now_s):
     """Return what decisions get to know of an engine."""
     own, others = state.own, state.others
     return EngineView(
@@ -155,4 +170,5 @@
         memory_tokens=own.memory_tokens + others.memory_tokens,
         copy_tokens=own.copy_tokens + others.copy_tokens,
         capacity_tokens=capacity_tokens,
+        failure_share=state.health.measure(now_s),
     )
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -4,6 +4,8 @@
 
 from loguru import logger
 
+from sapphirerock.decisions.health import FailureShare
+
 # An engine that was found down is tried again after this long; the time doubles
 # with each failure in a row.
 DOWN_FOR_S = 1.5
@@ -73,6 +75,8 @@
         Monotonic time until which it gets no work, because it failed.
     failures : int
         Times in a row that it was found down.
+    health : FailureShare
+        How many of this host's calls there fail.
     is_gone : bool
         Whether its registration has ended, or another engine has its address.
     is_probed : bool
@@ -86,6 +90,7 @@
     heard_at_s: float = 0.0
     down_until_s: float = 0.0
     failures: int = 0
+    health: FailureShare = field(default_factory=FailureShare)
     is_gone: bool = False
     is_probed: bool = False
 
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -41,13 +41,26 @@
         Where the answer goes.
     """
 
-    __slots__ = ("_runtime", "_call", "_responder", "_tried", "_ran", "_answer", "_log")
+    __slots__ = (
+        "_runtime",
+        "_call",
+        "_responder",
+        "_tried",
+        "_answered",
+        "_sends",
+        "_ran",
+        "_answer",
+        "_log",
+    )
 
     def __init__(self, runtime, call, responder):
         self._runtime = runtime
         self._call = call
         self._responder = responder
         self._tried = set()
+        # Engines that answered with a failure.
+        self._answered = set()
+        self._sends = 0
         self._ran = 0
         self._answer = None
         self._log = logger.bind(request=call.terms.attempt_id, route=call.route.name)
@@ -57,13 +70,14 @@
         service = self._call.service
         self._runtime.budget.add_call(service)
         while True:
-            state = self._runtime.fleet.choose_plain(service, self._tried)
+            state = self._choose_engine()
             if state is None:
                 await self._give_up("no engine left")
                 return
             self._tried.add(state.name)
+            self._sends += 1
             outcome = await self._send(state)
-            self._runtime.metrics.observe_attempt(self._call.route.kind.value, outcome)
+            self._note_outcome(state, outcome)
             if outcome is Outcome.ANSWERED:
                 await self._responder.pass_on(self._answer)
                 return
@@ -75,6 +89,20 @@
                 await self._give_up(outcome.value)
                 return
 
+    def _choose_engine(self):
+        """Return an engine that was not tried; else one that has answered."""
+        fleet, service = self._runtime.fleet, self._call.service
+        state = fleet.choose_plain(service, self._tried)
+        if state is None:
+            state = fleet.choose_plain(service, self._tried - self._answered)
+        return state
+
+    def _note_outcome(self, state, outcome):
+        runtime = self._runtime
+        runtime.metrics.observe_attempt(self._call.route.kind.value, outcome)
+        has_answered = outcome is Outcome.ANSWERED
+        runtime.fleet.note_outcome(state, not has_answered)
+
     def _may_send_again(self, outcome):
         if outcome is Outcome.FAILED:
             self._ran += 1
@@ -82,16 +110,12 @@
                 return False
             if self._ran >= self._call.route.max_attempts:
                 return False
-        if len(self._tried) >= MAX_SENDS or self._runtime.crashes.is_convicted(
-            self._call
-        ):
+        if self._sends >= MAX_SENDS or self._runtime.crashes.is_convicted(self._call):
             return False
         return self._runtime.budget.take(self._call.service)
 
     async def _give_up(self, cause):
-        self._log.bind(cause=cause, ran=self._ran, sends=len(self._tried)).info(
-            "given up"
-        )
+        self._log.bind(cause=cause, ran=self._ran, sends=self._sends).info("given up")
         if self._answer is not None and self._ran:
             await self._responder.pass_on(self._answer)
         elif self._ran:
@@ -118,6 +142,7 @@
             return Outcome.NOT_RUN
         self._answer = answer
         if answer.head.status >= SERVER_ERROR and self._call.route.may_repeat:
+            self._answered.add(state.name)
             self._log.bind(engine=state.name, status=answer.head.status).info("failed")
             return Outcome.FAILED
         return Outcome.ANSWERED
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -162,7 +162,8 @@
                 await self._responder.refuse(admitted.error)
                 return Ending.PASSED_ON
             return await self._attempt(admitted.ok.state, None, admitted.ok)
-        placement = fleet.place(self._call, self._tried)
+        isolate = self._runtime.crashes.choose_isolated if self._losses else None
+        placement = fleet.place(self._call, self._tried, isolate)
         if placement is None:
             return Ending.NO_ENGINE
         return await self._attempt(placement.state, None, placement)
@@ -191,7 +192,9 @@
             finally:
                 if keeping is not None:
                     keeping.cancel()
-        if ending not in (Ending.COMPLETE, Ending.PASSED_ON):
+        has_failed = ending not in (Ending.COMPLETE, Ending.PASSED_ON)
+        self._runtime.fleet.note_outcome(state, has_failed)
+        if has_failed:
             self._tried.add(state.name)
             if self._responder.has_begun:
                 self._copy = copies.get_usable()
@@ -209,6 +212,7 @@
             fields["prompt_tokens"] = view.prompt_tokens
             fields["runs"] = view.runs
             fields["free_tokens"] = view.free_tokens
+            fields["failing"] = round(view.failure_share, 2)
         self._log.bind(**fields).info("placed")
 
     async def _relay(self, attempt, continuation):
