Beat all peers at once: one description of the views for all streams

Cause: in a trial of the grown site a hub spent 0.56 of 1.9 s of processor time on describing its replicas once for each of 25 streams, and asked 142,773 times in 14 s whether a host is a hub. Now once a beat, from a set.

--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -61,8 +61,11 @@
         self.incarnation = incarnation
         self.leaving = False
         self.streams = {}
+        # Among them those that a newer one to the same host has replaced.
+        self._open = set()
         self.zone_hubs = []
         self._hubs = {}
+        self._all_hubs = frozenset()
         self.describe_views = list
         self.on_heartbeat = []
         self.on_connect = []
@@ -105,8 +108,9 @@
 
     def beat_all(self):
         """Tell every peer at once what a heartbeat would."""
-        for stream in list(self.streams.values()):
-            self._beat(stream)
+        message = self._make_heartbeat()
+        for stream in list(self._open):
+            self._beat(stream, message)
 
     async def reach(self, host):
         """Return the stream to a host, dialled if there is none.
@@ -245,31 +249,39 @@
             notify(stream)
 
     async def _serve(self, stream):
-        beats = asyncio.ensure_future(self._keep_alive(stream))
+        self._open.add(stream)
+        self._beat(stream, self._make_heartbeat())
         try:
             await stream.run(self._clock)
         finally:
-            beats.cancel()
+            self._open.discard(stream)
             stream.close()
             if self.streams.get(stream.host) is stream:
                 del self.streams[stream.host]
                 self._metrics.peer_links.set(len(self.streams))
 
-    async def _keep_alive(self, stream):
-        while stream.is_open:
-            self._beat(stream)
+    @Service.task
+    async def _keep_alive(self):
+        while not self.should_stop:
             await self._clock.sleep(HEARTBEAT_S)
-            now_s = self._clock.monotonic()
-            if now_s - stream.last_heard_s > SILENCE_BOUND_S:
-                self.hosts.mark_dead(stream.host)
-                stream.close()
-            if stream.on_demand and now_s - stream.last_used_s > IDLE_CLOSE_S:
-                stream.close()
-
-    def _beat(self, stream):
-        message = Heartbeat(self.leaving, self.describe_views())
-        size = stream.send(message)
-        self.count_bytes(stream, "heartbeat", size)
+            self.beat_all()
+            for stream in list(self._open):
+                self._close_useless(stream)
+
+    def _close_useless(self, stream):
+        """Close a stream that is silent, or that nobody needs any more."""
+        now_s = self._clock.monotonic()
+        if now_s - stream.last_heard_s > SILENCE_BOUND_S:
+            self.hosts.mark_dead(stream.host)
+            stream.close()
+        if stream.on_demand and now_s - stream.last_used_s > IDLE_CLOSE_S:
+            stream.close()
+
+    def _make_heartbeat(self):
+        return Heartbeat(self.leaving, self.describe_views())
+
+    def _beat(self, stream, message):
+        self.count_bytes(stream, "heartbeat", stream.send(message))
 
     def _take_heartbeat(self, stream, message):
         if message.leaving:
@@ -320,6 +332,7 @@
             zone: rank_candidates(names, "hub")[:HUBS_PER_ZONE]
             for zone, names in zones.items()
         }
+        self._all_hubs = frozenset().union(*self._hubs.values())
         self.zone_hubs = self._hubs[own.availability_zone]
         neighbours = set(self.zone_hubs)
         if own.host in self.zone_hubs:
@@ -329,7 +342,7 @@
 
     def is_hub(self, host):
         """Return whether a host passes news on for its zone."""
-        return any(host in hubs for hubs in self._hubs.values())
+        return host in self._all_hubs
 
     def is_first_hub(self, host):
         """Return whether a host is the first hub of its zone."""
