Bound the volume of logs, and keep each line whole JSON

Cause: lines were bounded only where nobody reads; a reader that keeps up got any volume, and a line over 4 KB was cut in its middle. Now 400 KB a second with bursts of 1 MB, the rest counted; a line that is too long is written short. Test: 8000 lines of 300 bytes in a second, 3000 to 6000 written, the others counted.

--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -6,8 +6,10 @@
 import signal
 import subprocess
 import time
+from contextlib import suppress
 
 from behave import given, then, when
+from loguru import logger
 from tools.localcluster import BIN
 from tools.rawclient import RawConnection
 from tools.sharedcluster import GRACE_S, SharedCluster, make_configuration
@@ -15,6 +17,8 @@
 from features.steps.edge_steps import make_head, start_cluster
 from features.steps.replica_steps import call_once
 from features.steps.stream_steps import StreamCaller
+from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.telemetry.logs import LineSink
 
 LEAVING = "edge-0"
 OTHER = "edge-1"
@@ -327,6 +331,58 @@
     assert grown_kb < bound * 1024, grown_kb
 
 
+@given("a log whose reader is fast")
+def open_log(context):
+    context.read_end, write_end = os.pipe()
+    os.set_blocking(context.read_end, False)
+    context.clock = ManualClock()
+    context.sink = LineSink(write_end, context.clock)
+    context.logged = b""
+    # The lines are for the sink alone.
+    logger.remove()
+    handler = logger.add(context.sink, format="{message}")
+    context.add_cleanup(logger.remove, handler)
+    context.add_cleanup(os.close, write_end)
+
+
+def read_log(context):
+    context.sink.flush()
+    with suppress(BlockingIOError):
+        context.logged += os.read(context.read_end, 1 << 20)
+
+
+@when("{lines:d} lines of {size:d} bytes are logged within a second")
+def log_lines(context, lines, size):
+    context.lines = lines
+    for number in range(lines):
+        logger.bind(request=number, filler="x" * (size - 120)).info("burst")
+        context.clock.advance(1 / lines)
+        read_log(context)
+
+
+@then("{written} of them are written, and the others are counted a second later")
+def check_volume(context, written):
+    count = context.logged.count(b'"event":"burst"')
+    low, _, high = written.partition(" to ")
+    if written == "all":
+        low = high = context.lines
+    assert int(low) <= count <= int(high), count
+    context.clock.advance(1.0)
+    read_log(context)
+    read_log(context)
+    counted = [
+        json.loads(line).get("lines", 0)
+        for line in context.logged.splitlines()
+        if b"log lines dropped" in line
+    ]
+    assert sum(counted) == context.lines - count, (counted, count)
+
+
+@then("each line is a JSON object")
+def check_log_lines(context):
+    assert all(json.loads(line) for line in context.logged.splitlines())
+
+
 @then("the lines that were dropped are counted once the output is read")
 def check_dropped(context):
     async def read():
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -62,6 +62,18 @@
     Then all are answered, and memory has not grown by more than 10 MB
     And the lines that were dropped are counted once the output is read
 
+  Scenario Outline: The volume of logs is bounded: <lines> lines of <size> bytes
+    Given a log whose reader is fast
+    When <lines> lines of <size> bytes are logged within a second
+    Then <written> of them are written, and the others are counted a second later
+    And each line is a JSON object
+
+    Examples:
+      | lines | size | written      |
+      | 1000  | 300  | all          |
+      | 8000  | 300  | 3000 to 6000 |
+      | 3     | 9000 | all          |
+
   Scenario: A clock that jumps changes nothing
     Given a shared platform with 2 edges and 1 engine of each service in 1 zone
     When the edges are paused for 2 seconds and go on
--- a/src/sapphirerock/process/telemetry/logs.py
+++ b/src/sapphirerock/process/telemetry/logs.py
@@ -10,11 +10,19 @@
 import orjson
 from loguru import logger
 
+from sapphirerock.process.clock import SystemClock
+
 TEXT_FORMAT = "{time:HH:mm:ss.SSS} {level:<7} {message} {extra}"
 # A pipe that is writable takes at least this much without blocking (POSIX).
 ATOMIC_WRITE_BYTES = 4096
 # Lines that wait for a reader of standard output; more are dropped and counted.
 WAITING_LIMIT_BYTES = 256 << 10
+# Ten times what a host writes at 20 requests a second with 7 lines of 300 bytes each.
+VOLUME_BYTES_PER_S = 400 << 10
+# What a moment of trouble may take at once: some thousand lines.
+VOLUME_BURST_BYTES = 1 << 20
+# Of the event and the request in a line that is too long; ids are 16 to 64 long.
+SHORTENED_CHARACTERS = 200
 FLUSH_INTERVAL_S = 0.02
 RETRY_INTERVAL_S = 0.25
 
@@ -31,19 +39,34 @@
 class LineSink:
     """Writes JSON lines to a file descriptor without ever blocking.
 
-    Lines wait in a bounded buffer while nobody reads; what does not fit is dropped,
-    and its number is logged when lines are read again.
+    Lines wait in a bounded buffer while nobody reads. What does not fit, or is more
+    than the volume allows, is dropped, and its number is logged afterwards.
 
     Parameters
     ----------
     descriptor : int
         Where lines go.
+    clock : Clock
+        Source of time.
     """
 
-    __slots__ = ("_descriptor", "_lines", "_size", "_dropped", "_poll", "_is_scheduled")
-
-    def __init__(self, descriptor):
+    __slots__ = (
+        "_descriptor",
+        "_clock",
+        "_lines",
+        "_size",
+        "_dropped",
+        "_allowance",
+        "_counted_s",
+        "_poll",
+        "_is_scheduled",
+    )
+
+    def __init__(self, descriptor, clock):
         self._descriptor = descriptor
+        self._clock = clock
+        self._allowance = VOLUME_BURST_BYTES
+        self._counted_s = clock.monotonic()
         self._lines = deque()
         self._size = 0
         self._dropped = 0
@@ -57,13 +80,20 @@
         self._schedule(FLUSH_INTERVAL_S)
 
     def _take(self, line):
-        if len(line) > ATOMIC_WRITE_BYTES:
-            line = line[: ATOMIC_WRITE_BYTES - 1] + b"\n"
-        if self._size + len(line) > WAITING_LIMIT_BYTES:
+        self._refill()
+        if self._size + len(line) > WAITING_LIMIT_BYTES or len(line) > self._allowance:
             self._dropped += 1
             return
         self._lines.append(line)
         self._size += len(line)
+        self._allowance -= len(line)
+
+    def _refill(self):
+        """Add to the allowance what the time since the last line gives."""
+        now_s = self._clock.monotonic()
+        refilled = self._allowance + (now_s - self._counted_s) * VOLUME_BYTES_PER_S
+        self._allowance = min(VOLUME_BURST_BYTES, refilled)
+        self._counted_s = now_s
 
     def _schedule(self, delay_s):
         if self._is_scheduled:
@@ -79,7 +109,7 @@
     def _flush_scheduled(self):
         self._is_scheduled = False
         self.flush()
-        if self._lines:
+        if self._lines or self._dropped:
             self._schedule(RETRY_INTERVAL_S)
 
     def flush(self):
@@ -96,13 +126,15 @@
                 # Nobody will ever read: there is no place left to say so.
                 self._lines.clear()
                 self._size = 0
-        if self._dropped and not self._lines:
+        self._refill()
+        has_room = self._allowance >= ATOMIC_WRITE_BYTES
+        if self._dropped and not self._lines and has_room:
             dropped, self._dropped = self._dropped, 0
             logger.bind(lines=dropped).warning("log lines dropped")
 
 
 def encode_record(record):
-    """Return a loguru record as one line of JSON."""
+    """Return a loguru record as one line of JSON that can be written at once."""
     fields = {
         "time": record["time"].timestamp(),
         "level": record["level"].name,
@@ -112,7 +144,13 @@
     if record["exception"] is not None:
         fields["exception"] = repr(record["exception"].value)
         fields["traceback"] = format_traceback(record["exception"].traceback)
-    return orjson.dumps(fields, default=str) + b"\n"
+    line = orjson.dumps(fields, default=str) + b"\n"
+    if len(line) <= ATOMIC_WRITE_BYTES:
+        return line
+    kept = {name: fields[name] for name in ("time", "level")}
+    for name in ("event", "request"):
+        kept[name] = str(fields.get(name))[:SHORTENED_CHARACTERS]
+    return orjson.dumps({**kept, "shortened_bytes": len(line)}) + b"\n"
 
 
 def format_traceback(traceback):
@@ -141,7 +179,8 @@
     # Tracebacks without the values of variables: those may hold keys.
     options = {"level": level, "backtrace": False, "diagnose": False}
     if style == "json":
-        logger.add(LineSink(sys.stdout.fileno()), format="{message}", **options)
+        sink = LineSink(sys.stdout.fileno(), SystemClock())
+        logger.add(sink, format="{message}", **options)
     else:
         logger.add(sys.stderr, format=TEXT_FORMAT, **options)
     logging.basicConfig(handlers=[LoguruHandler()], level=logging.WARNING, force=True)
