Logs name the problem, the configuration and the age of loads; metrics tell of all calls

Cause: a refusal's line gave its status alone, a plain call that went well or whose caller left had none, and two gauges were never set. Test: 'The metrics count calls, attempts and refusals'.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -115,3 +115,26 @@
     Given a shared platform with 1 edge and 1 engine of each service
     When a caller leaves a stream after 3 events
     Then the engine stops within 0.5 seconds
+
+  Scenario: The metrics count calls, attempts and refusals, and time streams
+    Given a shared platform with 1 edge and 1 engine of each service
+    When these calls are sent one after the other
+      | call                       |
+      | GET /stock/1               |
+      | GET /nowhere/1             |
+      | POST /order/1 with 9 bytes |
+      | POST /review/1             |
+    Then the edge's metrics hold
+      | metric                                                           | at least |
+      | calls_total{kind="idempotent",status="200"}                      | 1        |
+      | calls_total{kind="none",status="404"}                            | 1        |
+      | calls_total{kind="non-idempotent",status="200"}                  | 1        |
+      | calls_total{kind="streaming",status="200"}                       | 1        |
+      | attempts_total{ending="answered",kind="idempotent"}              | 1        |
+      | attempts_total{ending="complete",kind="streaming"}               | 1        |
+      | refusals_total{problem="not-found"}                              | 1        |
+      | first_event_seconds_count                                        | 1        |
+      | pause_seconds_count                                              | 1        |
+      | call_seconds_count{kind="streaming"}                             | 1        |
+      | configuration_revision                                           | 1        |
+      | engines                                                          | 2        |
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -83,6 +83,27 @@
     context.run(send_described(context, call))
 
 
+@when("these calls are sent one after the other")
+def send_calls(context):
+    for row in context.table:
+        context.run(send_described(context, row["call"]))
+
+
+@then("the edge's metrics hold")
+def check_metrics(context):
+    async def read():
+        url = context.world.cluster.get_metrics_url("edge-0")
+        async with context.world.session.get(url) as answer:
+            return await answer.text()
+
+    lines = context.run(read()).splitlines()
+    found = dict(line.rsplit(" ", 1) for line in lines if not line.startswith("#"))
+    for row in context.table:
+        value = found.get(f"sapphirerock_{row['metric']}")
+        assert value is not None, (row["metric"], sorted(found))
+        assert float(value) >= float(row["at least"]), (row["metric"], value)
+
+
 async def send_described(context, call):
     """Send a call that a table describes in words."""
     found = CALL.match(call)
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -170,6 +170,7 @@
             self.tracer,
         )
         self.routing = RoutingStore(decode_configuration, CONFIGURATION_NAME)
+        self.metrics.configuration_revision.set_function(self._read_revision)
         self.engines = EngineTable(decode_registration, clock, self.metrics)
         configuration = Replica(CONFIGURATION_KIND)
         engines = Replica(ENGINES_KIND)
@@ -197,8 +198,10 @@
         generator = random.Random(profile.host)
         session = self._keep_session(make_upstream_session(profile.address))
         dialect = DIALECTS[platform_dialect.PlatformDialect.name]
+        quarantine = Quarantine(clock)
+        self.metrics.quarantined.set_function(lambda: len(quarantine))
         crashes = CrashWatch(
-            self.engines, Quarantine(clock), self.gossip, session, dialect, clock
+            self.engines, quarantine, self.gossip, session, dialect, clock
         )
         self.monitor = EngineMonitor(self.engines, crashes, session, dialect, clock)
         policy = PLACEMENTS[PLACEMENT](generator)
@@ -237,6 +240,10 @@
         current = self.routing.current
         return current.limits if current else CallerLimits()
 
+    def _read_revision(self):
+        current = self.routing.current
+        return current.revision if current else 0
+
     def _make_web(self, endpoint, path, handler):
         application = web.Application()
         application.add_routes([web.get(path, handler)])
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -67,6 +67,8 @@
         What this host has under way there.
     others : EngineLoadCell
         What other hosts say they have.
+    told_at_s : float or None
+        Monotonic time at which another host last said so.
     attempts : set of EngineAttempt
         This host's attempts there.
     heard_at_s : float
@@ -86,6 +88,7 @@
     entry: object
     own: EngineLoadCell = field(default_factory=EngineLoadCell)
     others: EngineLoadCell = field(default_factory=EngineLoadCell)
+    told_at_s: float | None = None
     attempts: set = field(default_factory=set)
     heard_at_s: float = 0.0
     down_until_s: float = 0.0
--- a/src/sapphirerock/process/peers/loadsharing.py
+++ b/src/sapphirerock/process/peers/loadsharing.py
@@ -119,6 +119,7 @@
         """Bring others' loads of some engines up to date."""
         is_hub = self._peers.is_hub(self._own.host)
         own_zone = (self._own.availability_zone,)
+        now_s = self._clock.monotonic()
         for name in names:
             state = self._engines.get(name)
             if state is None:
@@ -127,6 +128,7 @@
             if is_hub:
                 total.add(self._hosts.sum_engine(name))
             state.others = total
+            state.told_at_s = now_s
 
     @Service.task
     async def _tell(self):
--- a/src/sapphirerock/request/call.py
+++ b/src/sapphirerock/request/call.py
@@ -82,6 +82,8 @@
         Monotonic time until which the caller waits.
     limit_s : float
         Monotonic time at which it is answered at the latest.
+    revision : int
+        Revision of the configuration that it was routed by.
     """
 
     method: str
@@ -95,3 +97,4 @@
     priority: int
     deadline_s: float
     limit_s: float
+    revision: int
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -79,9 +79,11 @@
             outcome = await self._send(state)
             self._note_outcome(state, outcome)
             if outcome is Outcome.ANSWERED:
+                self._log_answer(state)
                 await self._responder.pass_on(self._answer)
                 return
             if outcome is Outcome.TIME_IS_UP:
+                self._log.bind(engine=state.name, sends=self._sends).info("time is up")
                 problem = Problem(TIMED_OUT, "no answer within the route's time")
                 await self._responder.refuse(problem)
                 return
@@ -89,6 +91,14 @@
                 await self._give_up(outcome.value)
                 return
 
+    def _log_answer(self, state):
+        self._log.bind(
+            engine=state.name,
+            status=self._answer.head.status,
+            sends=self._sends,
+            revision=self._call.revision,
+        ).info("answered")
+
     def _choose_engine(self):
         """Return an engine that was not tried; else one that has answered."""
         fleet, service = self._runtime.fleet, self._call.service
@@ -115,7 +125,12 @@
         return self._runtime.budget.take(self._call.service)
 
     async def _give_up(self, cause):
-        self._log.bind(cause=cause, ran=self._ran, sends=self._sends).info("given up")
+        self._log.bind(
+            cause=cause,
+            ran=self._ran,
+            sends=self._sends,
+            revision=self._call.revision,
+        ).info("given up")
         if self._answer is not None and self._ran:
             await self._responder.pass_on(self._answer)
         elif self._ran:
--- a/src/sapphirerock/request/reception.py
+++ b/src/sapphirerock/request/reception.py
@@ -72,6 +72,7 @@
         runtime = self._runtime
         arrived_s = runtime.clock.monotonic()
         kind = "none"
+        call = None
         self.calls += 1
         try:
             with runtime.tracer.start_as_current_span(
@@ -81,9 +82,14 @@
                 if received.is_error():
                     await responder.refuse(received.error)
                 else:
-                    kind = received.ok.route.kind.value
-                    await self._answer(received.ok, responder)
+                    call = received.ok
+                    kind = call.route.kind.value
+                    await self._answer(call, responder)
         finally:
+            if call is not None and not responder.status:
+                logger.bind(request=call.terms.attempt_id, route=call.route.name).info(
+                    "caller left"
+                )
             self.calls -= 1
             elapsed_s = runtime.clock.monotonic() - arrived_s
             runtime.metrics.observe_call(kind, responder, elapsed_s)
@@ -129,6 +135,7 @@
                 priority=route.priority if priority is None else priority,
                 deadline_s=arrived_s + patience_s,
                 limit_s=arrived_s + min(patience_s, route.timeout_s),
+                revision=version.revision,
             )
         )
 
@@ -143,7 +150,12 @@
 
     def _refuse(self, terms, version, problem):
         logger.bind(
-            request=terms.attempt_id, status=problem.status, revision=version.revision
+            request=terms.attempt_id,
+            status=problem.status,
+            problem=problem.kind.name,
+            detail=problem.detail,
+            retry_after_s=problem.retry_after_s,
+            revision=version.revision,
         ).info("refused")
         return Error(problem)
 
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -201,7 +201,11 @@
         return ending
 
     def _log_placement(self, state, backup, copy, placement):
-        fields = {"engine": state.name, "backup": backup.name if backup else None}
+        fields = {
+            "engine": state.name,
+            "backup": backup.name if backup else None,
+            "revision": self._call.revision,
+        }
         if copy is not None:
             fields["copy_of"] = copy.source.name
         if self._progress.last_id is not None:
@@ -213,6 +217,9 @@
             fields["runs"] = view.runs
             fields["free_tokens"] = view.free_tokens
             fields["failing"] = round(view.failure_share, 2)
+            if state.told_at_s is not None:
+                age_s = self._runtime.clock.monotonic() - state.told_at_s
+                fields["told_s_ago"] = round(age_s, 2)
         self._log.bind(**fields).info("placed")
 
     async def _relay(self, attempt, continuation):
