--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -69,6 +69,17 @@
       | time is up | with a copy                          | give up                |
       | no engine  | without a copy                       | give up                |
 
+  Scenario Outline: What counts as a long stream follows the longest: <case>
+    When streams end after <lengths> seconds, <times> times over
+    Then a long stream takes <least> to <most> seconds
+
+    Examples:
+      | case         | lengths         | times | least | most |
+      | nothing yet  | 9               | 0     | 9     | 9    |
+      | all alike    | 3               | 200   | 3     | 3.2  |
+      | mixed        | 3 4 5 6 7 8     | 100   | 7     | 8    |
+      | one long     | 3 3 3 3 3 12    | 100   | 9     | 12   |
+
   Scenario Outline: Calls that lost the same engines never share the next: <case>
     Given <suspects> calls that lost the same two engines, and <engines> others
     When <hosts> hosts choose for each of them, with their own views of the load
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -9,7 +9,7 @@
 from sapphirerock.decisions.continuation import Ending, StreamView, choose_step
 from sapphirerock.decisions.conviction import Crash, choose_isolated, is_evidence
 from sapphirerock.decisions.health import FailureShare, leave_out_failing
-from sapphirerock.decisions.leaving import LeavingView
+from sapphirerock.decisions.leaving import LeavingView, StreamLength
 from sapphirerock.decisions.placement import EngineView
 from sapphirerock.decisions.refusal import choose_retry_after
 from sapphirerock.decisions.repeats import RepeatBudget, RepeatTerms
@@ -402,3 +402,16 @@
         if not any(view is other for other in kept)
     ]
     assert found == (left_out.split() if left_out != "none" else []), found
+
+
+@when("streams end after {lengths} seconds, {times:d} times over")
+def end_streams(context, lengths, times):
+    context.length = StreamLength()
+    for _ in range(times):
+        for seconds in lengths.split():
+            context.length.note_end(float(seconds))
+
+
+@then("a long stream takes {least:g} to {most:g} seconds")
+def check_long_stream(context, least, most):
+    assert least <= context.length.long_s <= most, context.length.long_s
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -112,6 +112,18 @@
     assert GRACE_S * 5 / 6 <= context.ended_s < GRACE_S, context.ended_s
 
 
+@when("an edge without calls has to stop")
+def stop_idle(context):
+    context.started_s = time.monotonic()
+    context.world.cluster.processes[LEAVING].signal(signal.SIGTERM)
+
+
+@then("it has ended by itself within {bound:g} seconds")
+def check_ended(context, bound):
+    process = context.world.cluster.processes[LEAVING].popen
+    assert process.wait(bound - (time.monotonic() - context.started_s)) == 0
+
+
 @then("the rest of the stream comes whole from another host")
 def check_rest(context):
     (former,) = context.callers
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -13,8 +13,14 @@
     Given a shared platform with 2 edges and 2 engines of each service in 1 zone
     When an edge is told to stop while it relays a stream of 400 events
     Then the stream ends without looking complete just before the host is killed
+    And it ends by itself before it would be killed
     And the rest of the stream comes whole from another host
 
+  Scenario: A host without calls ends once it is out of rotation
+    Given a shared platform with 2 edges and 1 engine of each service in 1 zone
+    When an edge without calls has to stop
+    Then it has ended by itself within 3 seconds
+
   Scenario: Hosts that are restarted in turn lose no request on kept connections
     Given a shared platform with 3 edges and 2 engines of each service in 1 zone
     When callers press 3 edges over kept connections while each is restarted in turn
--- a/src/sapphirerock/decisions/leaving.py
+++ b/src/sapphirerock/decisions/leaving.py
@@ -8,21 +8,37 @@
 
 # Without any finished stream to learn from.
 DEFAULT_STREAM_S = 6.0
+DEFAULT_LONG_STREAM_S = 9.0
 # Weight of the newest stream in the typical length.
 SMOOTHING = 0.1
+# Weights of a stream that is longer than the long ones, and of one that is shorter:
+# about one stream in twenty stays longer.
+LONG_RISE = 0.4
+LONG_FALL = 0.02
 
 
 class StreamLength:
-    """Typical time of a whole stream, smoothed over those that ended."""
+    """Times of whole streams, smoothed over those that ended.
 
-    __slots__ = ("seconds",)
+    Attributes
+    ----------
+    seconds : float
+        Time of a typical stream.
+    long_s : float
+        Time that nearly all streams stay below, in seconds.
+    """
+
+    __slots__ = ("seconds", "long_s")
 
     def __init__(self):
         self.seconds = DEFAULT_STREAM_S
+        self.long_s = DEFAULT_LONG_STREAM_S
 
     def note_end(self, seconds):
         """Learn from a stream that was served to its end."""
         self.seconds += SMOOTHING * (seconds - self.seconds)
+        beyond_s = seconds - self.long_s
+        self.long_s += (LONG_RISE if beyond_s > 0 else LONG_FALL) * beyond_s
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/request/reception.py
+++ b/src/sapphirerock/request/reception.py
@@ -145,7 +145,7 @@
             return True
         view = LeavingView(now_s - self._leaving_since_s, self._allowed_s)
         if route.kind is RouteKind.STREAMING:
-            return view.takes(self._runtime.stream_length.seconds)
+            return view.takes(self._runtime.stream_length.long_s)
         return view.takes(route.timeout_s)
 
     def _refuse(self, terms, version, problem):
