One budget of repeats: checks use the same as calls of the platform

The former budget gave a tenth of the requests and up to 20; the same comes from half of a fifth and of 40, shared by live hosts.

--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -21,6 +21,7 @@
 from sapphirerock.connection.store import StoreClient
 from sapphirerock.connection.values import VersionedValues
 from sapphirerock.decisions.quarantine import Quarantine
+from sapphirerock.decisions.repeats import RepeatBudget, RepeatTerms
 from sapphirerock.platform.names import (
     CLAIMS_KIND,
     ENGINES_KIND,
@@ -56,6 +57,9 @@
 DRAIN_POLL_S = 0.05
 # Callers' balancers need a moment to see that this host is not ready any more.
 DRAIN_GRACE_S = 0.2
+# Half of it is spent: retries and hedges of checks add a tenth to the requests, and
+# twenty more where there are few.
+CHECK_REPEATS = RepeatTerms(ratio=0.2, slack=40.0, window_s=10.0)
 
 
 class RouterService(Service):
@@ -151,6 +155,9 @@
         )
         self.limits = LimitTable(self.peers, self.gossip, clock)
 
+    def _count_hosts(self):
+        return 1 + len(self.peers.hosts.list_live())
+
     def _build_requests(self):
         """Build what requests use."""
         settings, clock = self.settings, self.clock
@@ -181,6 +188,7 @@
             ledger=Ledger(
                 VersionedValues(self.platform, CLAIMS_KIND), self.peers, clock
             ),
+            budget=RepeatBudget(CHECK_REPEATS, self._count_hosts, clock),
         )
         self.generations = GenerationTable(self.runtime)
         self.gateway = Gateway(self.runtime, self.generations, self.limits)
--- a/src/sapphirerock/process/runtime.py
+++ b/src/sapphirerock/process/runtime.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from sapphirerock.process.budget import RetryBudget
 from sapphirerock.process.peers.gossip import CrashNews, SuspectNews
 from sapphirerock.process.tasks import BackgroundTasks
 
@@ -41,6 +40,8 @@
         Write-ahead of tokens.
     ledger : Ledger
         Claims of orders.
+    budget : RepeatBudget
+        Bounds retries and hedges of checks.
     """
 
     clock: object
@@ -55,7 +56,7 @@
     dispatcher: object
     journal: object
     ledger: object
-    budget: RetryBudget = field(default_factory=RetryBudget)
+    budget: object
     random: Random = field(default_factory=Random)
     tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
--- a/src/sapphirerock/request/check.py
+++ b/src/sapphirerock/request/check.py
@@ -44,7 +44,7 @@
         -------
         PlainAnswer or Problem
         """
-        self._runtime.budget.add_request()
+        self._runtime.budget.add_call(self._choice.service.name)
         try:
             return await self._race()
         finally:
@@ -84,7 +84,7 @@
             return False
         if self._runtime.clock.monotonic() >= self._deadline_s:
             return False
-        if not self._runtime.budget.take():
+        if not self._runtime.budget.take(self._choice.service.name):
             self._runtime.metrics.retries_denied.inc()
             return False
         if not done:
