--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -36,21 +36,8 @@
 JSON
 }
 
-host_entry() {  # HOST ZONE CALLER_PORT PEER_PORT
-    printf '{"host":"%s","availability_zone":"%s","region":"highlands",' "$1" "$2"
-    printf '"address":"127.0.0.1","caller_port":%s,"peer_port":%s}' "$3" "$4"
-}
-
 echo "1. the platform, two zones with two routers and two engines each"
-{
-    printf '['
-    host_entry router-1a altiplano 18111 18211; printf ','
-    host_entry router-1b altiplano 18112 18212; printf ','
-    host_entry router-2a sur-andino 18121 18221; printf ','
-    host_entry router-2b sur-andino 18122 18222
-    printf ']'
-} >"$RUN/hosts.json"
-start platform "$BIN/sapphirerock-standin" platform --port 18100 --hosts "$RUN/hosts.json"
+start platform "$BIN/sapphirerock-standin" platform --port 18100
 for engine in 1 2 3 4; do
     start "engine-$engine" "$BIN/sapphirerock-standin" engine \
         --name "engine-$engine" --port "1813$engine" --model pattern-critique \
@@ -98,4 +85,7 @@
 
 echo "5. a router is told to stop; spans of each hop are in $RUN/*.spans"
 kill "$(cat "$RUN/router-1b.pid")"
+
+echo "6. the same on a shared platform: python -m tools.platformdemo"
+"$BIN/python" -m tools.platformdemo
 echo "all well"
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -7,8 +7,8 @@
 
 from behave import given, then, when
 from tools.rawclient import RawAnswer, RawConnection, encode_request
+from tools.sharedcaller import make_head
 from tools.sharedcluster import (
-    HOST,
     KEY,
     ORGANISATION,
     SharedCluster,
@@ -17,7 +17,6 @@
 
 ZONES = (("zone-a", "region-a"), ("zone-b", "region-a"), ("zone-c", "region-b"))
 SERVICES = ("model", "shop")
-PROMPT = ("Sapphirerock-Prompt-Prefix", "5c1e07a2:80,91bd3f06:410")
 CALL = re.compile(
     r"(?P<method>[A-Z]+) (?P<target>\S+)(?: with (?P<size>\d+) bytes)?"
     r"(?P<chunked> in chunks)?(?P<manner> (?:with|without|to) .*)?$"
@@ -57,17 +56,6 @@
     return True
 
 
-def make_head(number, events=0, *extra, key=KEY, host=HOST, patience_ms=8000):
-    """Return the head of a call."""
-    headers = [("Host", host), ("Sapphirerock-Attempt-Id", f"{number:016x}")]
-    headers.append(("Sapphirerock-Deadline-Ms", str(patience_ms)))
-    if key:
-        headers.append(("Authorization", f"Token {key}"))
-    if events:
-        headers += [("Sapphirerock-Token-Usage", f"490,{events}"), PROMPT]
-    return [*headers, *extra]
-
-
 @given("a shared platform with {edges:d} edge and {engines:d} engine of each service")
 def start_single(context, edges, engines):
     context.run(start_cluster(context, edges, engines))
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -6,9 +6,10 @@
 from aiohttp import ClientSession
 from behave import given, then, when
 from tools.rawclient import RawConnection
+from tools.sharedcaller import make_head
 from tools.sharedcluster import KEY, SharedCluster, make_configuration, make_route
 
-from features.steps.edge_steps import list_all_runs, make_head, start_cluster
+from features.steps.edge_steps import list_all_runs, start_cluster
 from sapphirerock.decisions.rendezvous import rank_candidates
 from sapphirerock.platform.names import ENGINES_KIND
 from sapphirerock.platform.storewire import make_path
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -12,11 +12,11 @@
 from loguru import logger
 from tools.localcluster import BIN
 from tools.rawclient import RawConnection
+from tools.sharedcaller import StreamCaller, make_head
 from tools.sharedcluster import GRACE_S, SharedCluster, make_configuration
 
-from features.steps.edge_steps import make_head, start_cluster
+from features.steps.edge_steps import start_cluster
 from features.steps.replica_steps import call_once
-from features.steps.stream_steps import StreamCaller
 from sapphirerock.process.clock import ManualClock
 from sapphirerock.process.telemetry.logs import LineSink
 
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -4,9 +4,10 @@
 import time
 
 from behave import given, then, when
-from tools.rawclient import RawAnswer, RawConnection
+from tools.rawclient import RawConnection
+from tools.sharedcaller import StreamCaller, make_head
 
-from features.steps.edge_steps import list_all_runs, make_head, start_cluster
+from features.steps.edge_steps import list_all_runs, start_cluster
 
 TROUBLES = {}
 POISON = b"a pattern that no loom takes"
@@ -22,37 +23,6 @@
     return register
 
 
-class StreamCaller:
-    """A caller that reads one stream and notes when events came."""
-
-    def __init__(self, edge, number, events, after=0):
-        self.edge = edge
-        self.attempt_id = f"{number:016x}"
-        self.events = events
-        self.answer = RawAnswer()
-        self.longest_pause_s = 0.0
-        self._number = number
-        self._after = after
-        self.task = asyncio.ensure_future(self._read())
-
-    async def _read(self):
-        extra = [("Last-Event-Id", str(self._after))] if self._after else []
-        head = make_head(self._number, self.events, *extra, patience_ms=30_000)
-        async with RawConnection(self.edge) as connection:
-            connection.send("POST", f"/review/{self._number}", head, b"pattern")
-            try:
-                await connection.read_some_events(self.answer, 1)
-                last_s, count = time.monotonic(), len(self.answer.events)
-                while count < self.events - self._after:
-                    await connection.read_some_chunk(self.answer)
-                    now_s = time.monotonic()
-                    self.longest_pause_s = max(self.longest_pause_s, now_s - last_s)
-                    last_s, count = now_s, len(self.answer.events)
-            except (asyncio.IncompleteReadError, OSError, ValueError):
-                return
-            await connection.read_rest(self.answer, 5.0)
-
-
 async def start_engines(context, edges, engines, zones, **options):
     await start_cluster(context, edges, engines, zones, **options)
     context.callers = []
--- /dev/null
+++ b/tools/platformdemo.py
@@ -0,0 +1,117 @@
+"""Shows the path of calls on the shared platform, against the stand-ins.
+
+Two availability zones with two entry hosts and two model engines each. A stream
+survives the death of its engine, a lookup and an order are answered, and a change of
+the configuration that only one host could read from the store reaches all others.
+"""
+
+import asyncio
+import time
+
+from tools.rawclient import RawConnection
+from tools.sharedcaller import StreamCaller, make_head
+from tools.sharedcluster import SharedCluster, make_configuration
+
+ZONES = ("zone-a", "zone-b")
+REGION = "region-a"
+EVENTS = 150
+EVENTS_BEFORE_KILL = 30
+CHANGED_VERSION = 2
+BOUND_S = 5.0
+
+
+async def wait_until(is_true, what):
+    """Wait until a coroutine function returns something true."""
+    end_s = time.monotonic() + BOUND_S
+    while not await is_true():
+        assert time.monotonic() < end_s, f"not in time: {what}"
+        await asyncio.sleep(0.05)
+
+
+async def start(cluster):
+    """Start the store, the engines and the hosts."""
+    cluster.add_platform()
+    await cluster.wait_ready("platform")
+    for number in range(4):
+        zone = ZONES[number % 2]
+        cluster.plan_edge(f"host-{number}", zone, REGION)
+        cluster.add_shared_engine(f"model-{number}", "model", zone)
+        cluster.add_shared_engine(f"shop-{number}", "shop", zone)
+    await cluster.put_configuration(make_configuration())
+    for name in cluster.edges:
+        cluster.start_edge(name)
+    await cluster.wait_edges()
+    await asyncio.sleep(1.0)
+
+
+async def show_stream(cluster):
+    """Kill the engine of a stream and read the stream to its end."""
+    caller = StreamCaller(cluster.edges["host-0"], 1, EVENTS)
+
+    async def has_begun():
+        return len(caller.answer.events) >= EVENTS_BEFORE_KILL
+
+    await wait_until(has_begun, "the stream's first events")
+    runs = await cluster.list_runs(waits=False)
+    engine = next(
+        name
+        for name, found in runs.items()
+        if any(run["attempt_id"] == caller.attempt_id for run in found)
+    )
+    print(f"   killing {engine}")
+    cluster.processes[engine].kill()
+    await caller.task
+    assert caller.answer.events == list(range(1, EVENTS + 1))
+    assert caller.answer.is_whole
+    print(f"   {EVENTS} events, longest pause {caller.longest_pause_s:.3f} s")
+
+
+async def show_calls(cluster):
+    """Send a lookup and an order."""
+    async with RawConnection(cluster.edges["host-1"]) as connection:
+        for number, (method, target) in enumerate(
+            (("GET", "/stock/1"), ("POST", "/order/1")), 10
+        ):
+            answer = await connection.ask(method, target, make_head(number), b"")
+            print(f"   {method} {target}: {answer.status}")
+            assert answer.status == 200
+
+
+async def show_change(cluster):
+    """Change the configuration while the store turns most hosts away."""
+    addresses = [cluster.edges[f"host-{number}"].address for number in (1, 2, 3)]
+    await cluster.inject(
+        "platform", "down", manner="busy", source=",".join(addresses), seconds=10
+    )
+    await cluster.put_configuration(make_configuration(CHANGED_VERSION))
+    started_s = time.monotonic()
+
+    async def is_in_force():
+        return all(
+            any(
+                event["event"] == "configuration in force"
+                and event["version"] == CHANGED_VERSION
+                for event in cluster.read_events(name)
+            )
+            for name in cluster.edges
+        )
+
+    await wait_until(is_in_force, "the change on every host")
+    print(f"   in force on all hosts after {time.monotonic() - started_s:.2f} s")
+
+
+async def run():
+    """Run the demo from its start to its end."""
+    cluster = SharedCluster("demo")
+    try:
+        print("   two zones, two hosts and two model engines in each")
+        await start(cluster)
+        await show_stream(cluster)
+        await show_calls(cluster)
+        await show_change(cluster)
+    finally:
+        cluster.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(run())
