--- a/src/sapphirerock/decisions/quarantine.py
+++ b/src/sapphirerock/decisions/quarantine.py
@@ -49,12 +49,12 @@
     def __len__(self):
         return len(self._evidence)
 
-    def apply_news(self, news):
-        """Take over a crash that somebody saw; doubled news change nothing."""
+    def apply_update(self, update):
+        """Take over a crash that somebody saw; doubled updates change nothing."""
         now_s = self._clock.monotonic()
-        evidence = self._evidence.setdefault(news.fingerprint, Evidence())
-        evidence.crashes.add((news.upstream, news.incarnation))
-        evidence.convicted = evidence.convicted or news.convicted
+        evidence = self._evidence.setdefault(update.fingerprint, Evidence())
+        evidence.crashes.add((update.upstream, update.incarnation))
+        evidence.convicted = evidence.convicted or update.convicted
         evidence.touched_s = now_s
         if len(self._evidence) > EVIDENCE_LIMIT:
             self._evidence.pop(next(iter(self._evidence)))
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -17,7 +17,7 @@
     is_evidence,
 )
 from sapphirerock.decisions.quarantine import make_fingerprint
-from sapphirerock.process.peers.gossip import CrashNews, EngineDownNews
+from sapphirerock.process.peers.gossip import CrashUpdate, EngineDownUpdate
 from sapphirerock.process.tasks import BackgroundTasks
 
 # Two ways between regions and back, with room for a busy engine.
@@ -85,8 +85,8 @@
         self._crashes = deque(maxlen=CRASHES_REMEMBERED)
         self._inquiries = {}
         self._tasks = BackgroundTasks()
-        gossip.subscribe(CrashNews, quarantine.apply_news)
-        gossip.subscribe(EngineDownNews, self._take_down)
+        gossip.subscribe(CrashUpdate, quarantine.apply_update)
+        gossip.subscribe(EngineDownUpdate, self._take_down)
 
     def is_convicted(self, call):
         """Return whether a call crashes the engines that run it."""
@@ -173,7 +173,7 @@
         crash = Crash(entry.name, entry.availability_zone, now_s, suspects)
         self._crashes.append(crash)
         self._gossip.spread(
-            EngineDownNews(entry.name, entry.born_ms, entry.availability_zone, cause)
+            EngineDownUpdate(entry.name, entry.born_ms, entry.availability_zone, cause)
         )
         return crash
 
@@ -183,7 +183,7 @@
             entry = state.entry
             self._engines.mark_replaced(state)
             self._gossip.spread(
-                EngineDownNews(
+                EngineDownUpdate(
                     entry.name, entry.born_ms, entry.availability_zone, REPLACED
                 )
             )
@@ -206,25 +206,25 @@
             engine=state.name, suspects=len(crash.suspects), against=len(against)
         ).info("crash examined")
         for fingerprint in against:
-            self._gossip.spread(CrashNews(fingerprint, state.name, start, False))
+            self._gossip.spread(CrashUpdate(fingerprint, state.name, start, False))
 
-    def _take_down(self, news):
+    def _take_down(self, update):
         """Take over that a peer found an engine down, unless it speaks to us."""
         now_s = self._clock.monotonic()
-        state = self._engines.get(news.engine)
-        if news.cause == REPLACED:
-            if state is not None and state.entry.born_ms == news.born_ms:
+        state = self._engines.get(update.engine)
+        if update.cause == REPLACED:
+            if state is not None and state.entry.born_ms == update.born_ms:
                 self._engines.mark_replaced(state)
             return
-        self._crashes.append(Crash(news.engine, news.availability_zone, now_s))
-        if state is None or state.entry.born_ms != news.born_ms:
+        self._crashes.append(Crash(update.engine, update.availability_zone, now_s))
+        if state is None or state.entry.born_ms != update.born_ms:
             return
         if not self._engines.is_usable(state):
             return
-        if news.cause != "crashed" and now_s - state.heard_at_s < TOGETHER_S:
-            logger.bind(engine=state.name, cause=news.cause).info("peer contradicted")
+        if update.cause != "crashed" and now_s - state.heard_at_s < TOGETHER_S:
+            logger.bind(engine=state.name, cause=update.cause).info("peer contradicted")
             return
-        self._end_attempts(state, news.cause)
+        self._end_attempts(state, update.cause)
 
 
 def fingerprint_call(call):
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -67,7 +67,7 @@
         What this host has under way there.
     others : EngineLoadCell
         What other hosts say they have.
-    told_at_s : float or None
+    loads_heard_s : float or None
         Monotonic time at which another host last said so.
     attempts : set of EngineAttempt
         This host's attempts there.
@@ -88,7 +88,7 @@
     entry: object
     own: EngineLoadCell = field(default_factory=EngineLoadCell)
     others: EngineLoadCell = field(default_factory=EngineLoadCell)
-    told_at_s: float | None = None
+    loads_heard_s: float | None = None
     attempts: set = field(default_factory=set)
     heard_at_s: float = 0.0
     down_until_s: float = 0.0
--- a/src/sapphirerock/process/engines/upstreams.py
+++ b/src/sapphirerock/process/engines/upstreams.py
@@ -5,7 +5,7 @@
 
 from sapphirerock.connection.engine import EngineClient
 from sapphirerock.connection.messages import LoadSample
-from sapphirerock.process.peers.gossip import UpstreamNews
+from sapphirerock.process.peers.gossip import UpstreamUpdate
 
 SUSPECTED_FOR_S = 2.0
 MAX_SAMPLE_AGE_S = 10.0
@@ -25,8 +25,8 @@
         Name, address and place.
     client : EngineClient
         Calls to it.
-    news_at : float
-        Wall time of the last news, in seconds since the epoch.
+    updated_at : float
+        Wall time of the last update, in seconds since the epoch.
     in_flight : int
         Calls of this host that are under way.
     sent_since_report : int
@@ -47,7 +47,7 @@
     queued: int = 0
     capacity: int = DEFAULT_CAPACITY
     models: list | None = None
-    news_at: float = 0.0
+    updated_at: float = 0.0
     in_flight: int = 0
     sent_since_report: int = 0
     down_until_s: float = 0.0
@@ -134,24 +134,24 @@
         """Return all states."""
         return list(self._states.values())
 
-    def apply_news(self, news: UpstreamNews):
+    def apply_update(self, update: UpstreamUpdate):
         """Take over what a watcher saw.
 
         `leaving` never goes back within an incarnation.
         """
-        state = self._states.get(news.upstream)
-        if state is None or news.sampled_at < state.news_at:
+        state = self._states.get(update.upstream)
+        if state is None or update.sampled_at < state.updated_at:
             return
-        state.news_at = news.sampled_at
-        if not news.alive:
-            self.mark_down(news.upstream)
+        state.updated_at = update.sampled_at
+        if not update.alive:
+            self.mark_down(update.upstream)
             return
-        was_leaving = state.leaving and state.incarnation == news.incarnation
-        if state.incarnation != news.incarnation:
+        was_leaving = state.leaving and state.incarnation == update.incarnation
+        if state.incarnation != update.incarnation:
             state.down_until_s = 0.0
-        state.incarnation = news.incarnation
-        state.leaving = news.leaving or was_leaving
-        state.models = news.models
+        state.incarnation = update.incarnation
+        state.leaving = update.leaving or was_leaving
+        state.models = update.models
         self._notify()
 
     def apply_sample(self, sample: LoadSample):
--- a/src/sapphirerock/process/engines/watchers.py
+++ b/src/sapphirerock/process/engines/watchers.py
@@ -10,7 +10,7 @@
 
 from sapphirerock.connection.messages import LoadSample
 from sapphirerock.decisions.rendezvous import pick_candidate
-from sapphirerock.process.peers.gossip import EVERYWHERE, UpstreamNews
+from sapphirerock.process.peers.gossip import EVERYWHERE, UpstreamUpdate
 
 POLL_INTERVAL_S = 0.8
 POLL_BOUND_S = 1.0
@@ -29,7 +29,7 @@
     peers : PeerTable
         Live hosts of the zone.
     gossip : Gossip
-        Carries the news.
+        Carries updates.
     clock : Clock
         Source of time.
     """
@@ -41,10 +41,10 @@
         self._peers = peers
         self._gossip = gossip
         self._clock = clock
-        self._told = {}
-        self._told_at_s = {}
-        gossip.subscribe(UpstreamNews, upstreams.apply_news)
-        peers.on_connect.append(self._tell_newcomer)
+        self._published = {}
+        self._published_at_s = {}
+        gossip.subscribe(UpstreamUpdate, upstreams.apply_update)
+        peers.on_connect.append(self._send_known)
 
     def _list_watched(self):
         """Return the upstreams of the zone that this host is to watch.
@@ -74,15 +74,15 @@
         read = await state.client.read_load(POLL_BOUND_S)
         if read.is_error():
             now = self._clock.now().timestamp()
-            news = UpstreamNews(
+            update = UpstreamUpdate(
                 state.name, state.incarnation, state.leaving, False, [], now
             )
         else:
-            news = self._take_report(read.ok, state)
-        self._tell(state, news)
+            update = self._take_report(read.ok, state)
+        self._publish(state, update)
 
     def _take_report(self, report, state):
-        """Pass the load on; return the rest as news."""
+        """Pass the load on; return the rest as an update."""
         self._loads.record(
             LoadSample(
                 state.name,
@@ -92,7 +92,7 @@
                 report.capacity,
             )
         )
-        return UpstreamNews(
+        return UpstreamUpdate(
             state.name,
             report.incarnation,
             report.leaving,
@@ -101,31 +101,31 @@
             report.sampled_at,
         )
 
-    def _tell(self, state, news):
-        """Spread news that differ from the last; the same only now and then."""
-        previous = self._told.get(news.upstream)
+    def _publish(self, state, update):
+        """Spread updates that differ from the last; the same only now and then."""
+        previous = self._published.get(update.upstream)
         now_s = self._clock.monotonic()
-        told_at_s = self._told_at_s.get(news.upstream, -REFRESH_S)
-        if not is_news(previous, news) and now_s - told_at_s < REFRESH_S:
-            self._upstreams.apply_news(news)
+        published_at_s = self._published_at_s.get(update.upstream, -REFRESH_S)
+        if not has_changed(previous, update) and now_s - published_at_s < REFRESH_S:
+            self._upstreams.apply_update(update)
             return
-        self._told[news.upstream] = news
-        self._told_at_s[news.upstream] = now_s
-        leaves = news.leaving and not (previous and previous.leaving)
+        self._published[update.upstream] = update
+        self._published_at_s[update.upstream] = now_s
+        leaves = update.leaving and not (previous and previous.leaving)
         zone = state.settings.availability_zone
-        self._gossip.spread(news, EVERYWHERE if leaves else zone)
+        self._gossip.spread(update, EVERYWHERE if leaves else zone)
 
-    def _tell_newcomer(self, stream):
+    def _send_known(self, stream):
         """Tell a new peer what this host watches, and who is leaving."""
         own_zone = self._peers.hosts.own.availability_zone
-        for news in list(self._told.values()):
-            if news.leaving:
-                self._gossip.spread(news)
+        for update in list(self._published.values()):
+            if update.leaving:
+                self._gossip.spread(update)
             elif stream.hello.availability_zone == own_zone:
-                self._gossip.spread(news, own_zone)
+                self._gossip.spread(update, own_zone)
 
 
-def is_news(previous, news):
+def has_changed(previous, update):
     """Return whether a report differs from the last in more than its time."""
     if previous is None:
         return True
@@ -134,4 +134,4 @@
         previous.leaving,
         previous.alive,
         previous.models,
-    ) != (news.incarnation, news.leaving, news.alive, news.models)
+    ) != (update.incarnation, update.leaving, update.alive, update.models)
--- a/src/sapphirerock/process/peers/gossip.py
+++ b/src/sapphirerock/process/peers/gossip.py
@@ -30,13 +30,13 @@
 
 @register_topic("upstream")
 @dataclass(slots=True, frozen=True)
-class UpstreamNews:
+class UpstreamUpdate:
     """What a watcher saw of an upstream, but for its load.
 
     Parameters
     ----------
     sampled_at : float
-        Wall time of the report, in seconds since the epoch; newer news win.
+        Wall time of the report, in seconds since the epoch; newer updates win.
     """
 
     upstream: str
@@ -49,7 +49,7 @@
 
 @register_topic("crash")
 @dataclass(slots=True, frozen=True)
-class CrashNews:
+class CrashUpdate:
     """A request was under way on an upstream that crashed.
 
     Parameters
@@ -70,7 +70,7 @@
 
 @register_topic("engine-down")
 @dataclass(slots=True, frozen=True)
-class EngineDownNews:
+class EngineDownUpdate:
     """A host found an engine crashed or silent.
 
     Parameters
@@ -93,7 +93,7 @@
 
 @register_topic("placement-of-suspect")
 @dataclass(slots=True, frozen=True)
-class SuspectNews:
+class SuspectUpdate:
     """A suspect starts or ends on an upstream."""
 
     fingerprint: bytes
@@ -103,7 +103,7 @@
 
 @register_topic("demand")
 @dataclass(slots=True, frozen=True)
-class DemandNews:
+class DemandUpdate:
     """What an availability zone asks of an organisation's limit."""
 
     organisation: str
@@ -129,29 +129,29 @@
         self._listeners = {}
         peers.register_handler(Rumour, self._take)
 
-    def subscribe(self, news_type, listener):
-        """Call a function with each piece of news of a type, own ones included."""
-        self._listeners.setdefault(news_type.topic, []).append(listener)
+    def subscribe(self, update_type, listener):
+        """Call a function with each update of a type, own ones included."""
+        self._listeners.setdefault(update_type.topic, []).append(listener)
 
-    def spread(self, news, scope=EVERYWHERE):
+    def spread(self, update, scope=EVERYWHERE):
         """Tell all hosts of a scope."""
         rumour = Rumour(
-            news.topic,
+            update.topic,
             scope,
             self._peers.hosts.own.host,
             self._peers.incarnation,
             next(self._numbers),
-            [getattr(news, name) for name in news.names],
+            [getattr(update, name) for name in update.names],
         )
         self._remember(rumour)
         self._pass_on(rumour, None)
-        self._tell(rumour)
+        self._notify_listeners(rumour)
 
     def _take(self, stream, rumour):
         if rumour.topic not in TOPICS or not self._remember(rumour):
             return
         self._pass_on(rumour, stream)
-        self._tell(rumour)
+        self._notify_listeners(rumour)
 
     def _remember(self, rumour):
         identity = (rumour.origin, rumour.incarnation, rumour.number)
@@ -170,7 +170,7 @@
 
         self._peers.send_all(rumour, rumour.topic, accepts)
 
-    def _tell(self, rumour):
-        news = TOPICS[rumour.topic](*rumour.content)
+    def _notify_listeners(self, rumour):
+        update = TOPICS[rumour.topic](*rumour.content)
         for listener in self._listeners.get(rumour.topic, ()):
-            listener(news)
+            listener(update)
--- a/src/sapphirerock/process/peers/limits.py
+++ b/src/sapphirerock/process/peers/limits.py
@@ -12,7 +12,7 @@
 
 from sapphirerock.connection.messages import ShareReply, ShareRequest
 from sapphirerock.decisions.rendezvous import pick_candidate
-from sapphirerock.process.peers.gossip import DemandNews
+from sapphirerock.process.peers.gossip import DemandUpdate
 
 SHARE_INTERVAL_S = 1.0
 SHARE_BOUND_S = 0.3
@@ -21,7 +21,7 @@
 BURST_S = 1.0
 # A caller may send this many at once to one host of many.
 MIN_BURST = 5.0
-TELL_INTERVAL_S = 20.0
+REPORT_INTERVAL_S = 20.0
 TOLD_LIFE_S = 60.0
 # A zone without demand keeps this part of a limit, so that its first requests
 # need not wait for a share.
@@ -29,7 +29,7 @@
 # A host that uses less of its equal share does not ask for another one. All hosts
 # together can exceed a limit by no more than this.
 QUIET_SHARE = 0.1
-# Smaller changes of a zone's demand are not told.
+# Smaller changes of a zone's demand are not reported.
 MIN_CHANGE_SHARE = 0.05
 
 
@@ -70,17 +70,17 @@
     Parameters
     ----------
     by_host : dict of str to (float, float)
-        Demand of hosts of the own zone, and when it was told.
+        Demand of hosts of the own zone, and when it was reported.
     """
 
     by_host: dict = field(default_factory=dict)
 
     def forget_idle(self, now_s):
-        """Drop hosts that have not told their demand lately."""
+        """Drop hosts that have not reported their demand lately."""
         self.by_host = {
-            host: (demand, told_s)
-            for host, (demand, told_s) in self.by_host.items()
-            if now_s - told_s < IDLE_LIFE_S
+            host: (demand, reported_s)
+            for host, (demand, reported_s) in self.by_host.items()
+            if now_s - reported_s < IDLE_LIFE_S
         }
 
     @property
@@ -90,11 +90,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ToldDemand:
-    """Demand of a zone as its owner told it, and when."""
+class ReportedDemand:
+    """Demand of a zone as its owner reported it, and when."""
 
     demand_per_s: float
-    told_at_s: float
+    reported_at_s: float
 
 
 class LimitTable(Service):
@@ -119,7 +119,7 @@
         self._owned = {}
         self._zones_demand = {}
         peers.register_handler(ShareRequest, self._answer_share)
-        gossip.subscribe(DemandNews, self._take_demand)
+        gossip.subscribe(DemandUpdate, self._take_demand)
 
     def admit(self, organisation):
         """Return None when a request is within the rate, else seconds to wait."""
@@ -175,7 +175,7 @@
             # A former owner must not speak for the one that took over.
             is_owner = self._find_owner(name) == self._peers.hosts.own.host
             if is_owner and zone in self._zones_demand.get(name, ()):
-                self._gossip.spread(DemandNews(name, zone, 0.0))
+                self._gossip.spread(DemandUpdate(name, zone, 0.0))
 
     def _find_owner(self, name):
         """Return the host of the zone that shares out an organisation's limit."""
@@ -232,9 +232,9 @@
     def _find_zone_share(self, name, demand_per_s):
         """Return the own zone's part of a limit, between 0 and 1."""
         zone = self._peers.hosts.own.availability_zone
-        told = self._zones_demand.get(name, {}).get(zone)
-        if told is None or self._needs_telling(told, demand_per_s):
-            self._gossip.spread(DemandNews(name, zone, demand_per_s))
+        reported = self._zones_demand.get(name, {}).get(zone)
+        if reported is None or self._needs_report(reported, demand_per_s):
+            self._gossip.spread(DemandUpdate(name, zone, demand_per_s))
         zones = self._list_zones()
         demands = self._list_demands(name, zones)
         demands[zone] = demand_per_s
@@ -244,28 +244,31 @@
             return 1 / len(zones)
         return MIN_ZONE_SHARE + spare * demand_per_s / total
 
-    def _needs_telling(self, told, demand_per_s):
+    def _needs_report(self, reported, demand_per_s):
         """Return whether other zones know too little of the own zone's demand."""
-        change = abs(told.demand_per_s - demand_per_s)
-        age_s = self._clock.monotonic() - told.told_at_s
-        return change > MIN_CHANGE_SHARE * told.demand_per_s or age_s > TELL_INTERVAL_S
+        change = abs(reported.demand_per_s - demand_per_s)
+        age_s = self._clock.monotonic() - reported.reported_at_s
+        return (
+            change > MIN_CHANGE_SHARE * reported.demand_per_s
+            or age_s > REPORT_INTERVAL_S
+        )
 
     def _list_demands(self, name, zones):
         """Return what zones demand; old words count only of zones that are cut off."""
         live = {address.availability_zone for address in self._peers.hosts.list_live()}
         limit_s = self._clock.monotonic() - TOLD_LIFE_S
         return {
-            zone: told.demand_per_s
-            for zone, told in self._zones_demand.get(name, {}).items()
-            if zone in zones and (told.told_at_s > limit_s or zone not in live)
+            zone: reported.demand_per_s
+            for zone, reported in self._zones_demand.get(name, {}).items()
+            if zone in zones and (reported.reported_at_s > limit_s or zone not in live)
         }
 
-    def _take_demand(self, news):
-        known = self._zones_demand.setdefault(news.organisation, {})
+    def _take_demand(self, update):
+        known = self._zones_demand.setdefault(update.organisation, {})
         now_s = self._clock.monotonic()
-        known[news.availability_zone] = ToldDemand(news.demand_per_s, now_s)
-        if all(told.demand_per_s <= 0 for told in known.values()):
-            del self._zones_demand[news.organisation]
+        known[update.availability_zone] = ReportedDemand(update.demand_per_s, now_s)
+        if all(reported.demand_per_s <= 0 for reported in known.values()):
+            del self._zones_demand[update.organisation]
 
 
 def refill(local, now_s):
--- a/src/sapphirerock/process/peers/loadsharing.py
+++ b/src/sapphirerock/process/peers/loadsharing.py
@@ -14,8 +14,8 @@
 from sapphirerock.process.engines.table import EngineLoadCell
 
 # Well under the time that an engine takes to read a prompt.
-TELL_INTERVAL_S = 0.1
-# Everything is told again now and then, for messages lost with their stream.
+PUBLISH_INTERVAL_S = 0.1
+# Everything is published again now and then, for messages lost with their stream.
 REFRESH_S = 3.0
 # What a host or zone said counts no longer when it has been silent.
 FORGET_AFTER_S = 8.0
@@ -89,9 +89,9 @@
         # Of hosts of the own zone, which only its hubs keep, and of zones.
         self._hosts = LoadTable()
         self._zones = LoadTable()
-        self._told = {}
-        self._zone_told = {}
-        self._told_all_s = -REFRESH_S
+        self._published = {}
+        self._zone_published = {}
+        self._published_all_s = -REFRESH_S
         peers.register_handler(HostLoads, self._take_host)
         peers.register_handler(ZoneLoads, self._take_zone)
 
@@ -128,23 +128,23 @@
             if is_hub:
                 total.add(self._hosts.sum_engine(name))
             state.others = total
-            state.told_at_s = now_s
+            state.loads_heard_s = now_s
 
     @Service.task
-    async def _tell(self):
+    async def _publish(self):
         while not self.should_stop:
-            await self._clock.sleep(TELL_INTERVAL_S)
+            await self._clock.sleep(PUBLISH_INTERVAL_S)
             now_s = self._clock.monotonic()
             touched = self._hosts.forget_silent(now_s)
             touched |= self._zones.forget_silent(now_s)
             self._refresh(touched)
-            tells_all = now_s - self._told_all_s > REFRESH_S
-            if tells_all:
-                self._told_all_s = now_s
+            is_full = now_s - self._published_all_s > REFRESH_S
+            if is_full:
+                self._published_all_s = now_s
             if self._peers.is_hub(self._own.host):
-                self._tell_zone(tells_all)
+                self._publish_zone(is_full)
             else:
-                self._tell_hubs(tells_all)
+                self._publish_to_hubs(is_full)
 
     def _collect_own(self):
         """Return this host's load of each engine that it uses."""
@@ -154,11 +154,11 @@
             if state.own.is_loaded
         }
 
-    def _tell_hubs(self, tells_all):
+    def _publish_to_hubs(self, is_full):
         current = self._collect_own()
-        cells = find_changed(self._told, current, tells_all)
-        self._told = current
-        if not cells and not tells_all:
+        cells = find_changed(self._published, current, is_full)
+        self._published = current
+        if not cells and not is_full:
             return
         message = HostLoads(cells)
         for host in self._peers.zone_hubs:
@@ -166,7 +166,7 @@
             if stream is not None:
                 self._peers.count_bytes(stream, "load", stream.send(message))
 
-    def _tell_zone(self, tells_all):
+    def _publish_zone(self, is_full):
         """Add up the zone and tell other zones, and each host what is not its own."""
         own = self._collect_own()
         names = self._hosts.list_engines() | own.keys()
@@ -176,9 +176,9 @@
             if name in own:
                 total.add(EngineLoadCell(*own[name]))
             current[name] = total.to_numbers()
-        cells = find_changed(self._zone_told, current, tells_all)
-        self._zone_told = current
-        if not cells and not tells_all:
+        cells = find_changed(self._zone_published, current, is_full)
+        self._zone_published = current
+        if not cells and not is_full:
             return
         if not self._peers.is_first_hub(self._own.host):
             return
@@ -212,15 +212,15 @@
                 self._peers.count_bytes(stream, "load", stream.send(message))
 
 
-def find_changed(told, current, tells_all):
-    """Return [engine, numbers...] of what differs from what was told."""
-    if tells_all:
-        names = told.keys() | current.keys()
+def find_changed(published, current, is_full):
+    """Return [engine, numbers...] of what differs from what was published."""
+    if is_full:
+        names = published.keys() | current.keys()
     else:
         names = {
             name
-            for name in told.keys() | current.keys()
-            if told.get(name) != current.get(name)
+            for name in published.keys() | current.keys()
+            if published.get(name) != current.get(name)
         }
     nothing = EngineLoadCell().to_numbers()
     return [[name, *current.get(name, nothing)] for name in names]
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -17,7 +17,7 @@
 HEARTBEAT_S = 0.5
 SILENCE_BOUND_S = 2.0
 DIAL_BOUND_S = 0.5
-# One may be lost without a step of news getting lost with it.
+# One may be lost without an update getting lost with it.
 HUBS_PER_ZONE = 2
 IDLE_CLOSE_S = 30.0
 
@@ -322,7 +322,7 @@
         """Return the hosts that this one keeps streams to.
 
         Each host reaches the hubs of its availability zone, and each hub those of
-        the other zones, so that news cross any number of hosts in three steps.
+        the other zones, so that updates cross any number of hosts in three steps.
         """
         own = self.hosts.own
         zones = {own.availability_zone: [own.host]}
@@ -341,7 +341,7 @@
         return sorted(neighbours - {own.host})
 
     def is_hub(self, host):
-        """Return whether a host passes news on for its zone."""
+        """Return whether a host passes updates on for its zone."""
         return host in self._all_hubs
 
     def is_first_hub(self, host):
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -39,7 +39,7 @@
 from sapphirerock.process.journals.generations import GenerationTable
 from sapphirerock.process.journals.store import JournalStore
 from sapphirerock.process.orders.ledger import Ledger
-from sapphirerock.process.peers.gossip import CrashNews, Gossip, SuspectNews
+from sapphirerock.process.peers.gossip import CrashUpdate, Gossip, SuspectUpdate
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.limits import LimitTable
 from sapphirerock.process.peers.loads import LoadSpread
@@ -194,7 +194,7 @@
         self.gateway = Gateway(self.runtime, self.generations, self.limits)
 
     def _register_handlers(self):
-        """Connect messages, news and settings with the parts that take them."""
+        """Connect messages, updates and settings with the parts that take them."""
         store = self.journal_store
         register = self.peers.register_handler
         register(JournalOpen, self._open_journal)
@@ -202,9 +202,9 @@
         register(JournalAppend, lambda stream, message: store.append(message))
         register(JournalBackfill, lambda stream, message: store.backfill(message))
         register(JournalClose, lambda stream, message: store.close(message))
-        self.gossip.subscribe(CrashNews, self.runtime.quarantine.apply_news)
-        self.gossip.subscribe(SuspectNews, self.runtime.apply_suspect)
-        self.peers.on_connect.append(self._tell_crashes)
+        self.gossip.subscribe(CrashUpdate, self.runtime.quarantine.apply_update)
+        self.gossip.subscribe(SuspectUpdate, self.runtime.apply_suspect)
+        self.peers.on_connect.append(self._send_crashes)
         self.store.subscribe(self._apply_snapshot)
 
     def _apply_snapshot(self, snapshot):
@@ -220,9 +220,9 @@
             if decoded.is_ok() and decoded.ok.is_leaving:
                 self.runtime.upstreams.mark_leaving(change.name)
 
-    def _tell_crashes(self, stream):
+    def _send_crashes(self, stream):
         for crash in self.runtime.quarantine.list_crashes():
-            self.gossip.spread(CrashNews(*crash))
+            self.gossip.spread(CrashUpdate(*crash))
 
     def _open_journal(self, stream, message):
         """Answer a driver; what this host itself drives is handed over."""
--- a/src/sapphirerock/process/runtime.py
+++ b/src/sapphirerock/process/runtime.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from sapphirerock.process.peers.gossip import CrashNews, SuspectNews
+from sapphirerock.process.peers.gossip import CrashUpdate, SuspectUpdate
 from sapphirerock.process.tasks import BackgroundTasks
 
 # By the distance of an upstream.
@@ -67,19 +67,19 @@
 
     def announce_crash(self, fingerprint, upstream, incarnation, convicted):
         """Record a crash here and tell all hosts."""
-        self.gossip.spread(CrashNews(fingerprint, upstream, incarnation, convicted))
+        self.gossip.spread(CrashUpdate(fingerprint, upstream, incarnation, convicted))
         self.metrics.quarantined.set(len(self.quarantine.list_convicted()))
 
     def announce_suspect(self, fingerprint, upstream, running):
         """Record where a suspect runs and tell all hosts."""
-        self.gossip.spread(SuspectNews(fingerprint, upstream, running))
+        self.gossip.spread(SuspectUpdate(fingerprint, upstream, running))
 
-    def apply_suspect(self, news):
+    def apply_suspect(self, update):
         """Take over where a suspect runs."""
-        state = self.upstreams.get(news.upstream)
+        state = self.upstreams.get(update.upstream)
         if state is None:
             return
-        if news.running:
-            state.suspects.add(news.fingerprint)
+        if update.running:
+            state.suspects.add(update.fingerprint)
         else:
-            state.suspects.discard(news.fingerprint)
+            state.suspects.discard(update.fingerprint)
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -217,9 +217,9 @@
             fields["runs"] = view.runs
             fields["free_tokens"] = view.free_tokens
             fields["failing"] = round(view.failure_share, 2)
-            if state.told_at_s is not None:
-                age_s = self._runtime.clock.monotonic() - state.told_at_s
-                fields["told_s_ago"] = round(age_s, 2)
+            if state.loads_heard_s is not None:
+                age_s = self._runtime.clock.monotonic() - state.loads_heard_s
+                fields["load_age_s"] = round(age_s, 2)
         self._log.bind(**fields).info("placed")
 
     async def _relay(self, attempt, continuation):
