Count an engine's failed orders when engines are chosen

Cause: an order that an engine answers with a failure counted as served, so an engine that fails at once was always free and got the next one. Test first: 60 of 60 orders went to the one failing engine of three; after: at most 12.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -138,3 +138,8 @@
       | call_seconds_count{kind="streaming"}                             | 1        |
       | configuration_revision                                           | 1        |
       | engines                                                          | 2        |
+
+  Scenario: An engine that fails its orders is left out for a while
+    Given a shared platform with 1 edge and 3 engines of each service
+    When 60 orders meet one engine that fails each of them
+    Then at most 12 orders are answered 500, and none ran twice
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -283,6 +283,30 @@
     context.run(run())
 
 
+@when("{count:d} orders meet one engine that fails each of them")
+def send_failed_orders(context, count):
+    cluster = context.world.cluster
+
+    async def run():
+        await cluster.inject("shop-0", "spoil", manner="failed", amount=count)
+        context.answers = {}
+        async with RawConnection(cluster.edges["edge-0"]) as connection:
+            for number in range(count):
+                answer = await connection.ask(
+                    "POST", f"/order/{number}", make_head(number), b"wool"
+                )
+                context.answers[f"{number:016x}"] = answer.status
+
+    context.run(run())
+
+
+@then("at most {most:d} orders are answered 500, and none ran twice")
+def check_failed_orders(context, most):
+    failed = [status for status in context.answers.values() if status == 500]
+    assert len(failed) <= most, len(failed)
+    check_once(context)
+
+
 @then("no order ran twice")
 def check_once(context):
     runs = [run["attempt_id"] for run in context.run(list_all_runs(context))]
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -110,8 +110,10 @@
     def _note_outcome(self, state, outcome):
         runtime = self._runtime
         runtime.metrics.observe_attempt(self._call.route.kind.value, outcome)
-        has_answered = outcome is Outcome.ANSWERED
-        runtime.fleet.note_outcome(state, not has_answered)
+        has_served = outcome is Outcome.ANSWERED
+        if has_served:
+            has_served = self._answer.head.status < SERVER_ERROR
+        runtime.fleet.note_outcome(state, not has_served)
 
     def _may_send_again(self, outcome):
         if outcome is Outcome.FAILED:
