--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -1,6 +1,8 @@
 """Steps on decisions that neither read nor write."""
 
+from pathlib import Path
 from random import Random
+from tempfile import TemporaryDirectory
 
 from behave import given, then, when
 from click.testing import CliRunner
@@ -89,7 +91,9 @@
 
 @when("the replay command compares policies under {pattern} and draws a plot")
 def run_replay_command(context, pattern):
-    context.plot = context.run_directory / "replay.svg"
+    folder = TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.plot = Path(folder.name) / "replay.svg"
     arguments = [pattern, "--seeds", "2", "--plot", str(context.plot)]
     for policy in ("least-prompt-tokens", "no copies"):
         arguments += ["--policy", policy]
