Crash evidence: log each investigation, record and send of a suspect request

Before, the logs didn't show which evidence a host holds, when it got it, why a suspect was cleared, nor what a probe answered. New events: engine investigated (probe's answer), crash evidence added (fingerprint, engine, count), suspect request sent, fingerprint in poison request refused, simultaneous crashes in engine crash evidence collected. New counters crash_evidence_total and suspect_sends_total.

--- a/src/sapphirerock/decisions/poisonrequests.py
+++ b/src/sapphirerock/decisions/poisonrequests.py
@@ -47,6 +47,15 @@
     suspects: set = field(default_factory=set)
 
 
+def is_simultaneous(other, crash):
+    """Return whether two engines of a zone crashed within ``CORRELATED_CRASH_S``."""
+    return (
+        other.engine != crash.engine
+        and other.availability_zone == crash.availability_zone
+        and abs(other.at_s - crash.at_s) < CORRELATED_CRASH_S
+    )
+
+
 def can_be_caused_by(crash, fingerprint, crashes):
     """Return whether a crash can be caused by a call.
 
@@ -65,11 +74,7 @@
     # A crash is reported by each host that observed it, with the suspects of that host.
     ran_call = {}
     for other in crashes:
-        if (
-            other.engine != crash.engine
-            and other.availability_zone == crash.availability_zone
-            and abs(other.at_s - crash.at_s) < CORRELATED_CRASH_S
-        ):
+        if is_simultaneous(other, crash):
             ran_call.setdefault(other.engine, False)
             ran_call[other.engine] |= fingerprint in other.suspects
     return all(ran_call.values())
--- a/src/sapphirerock/decisions/quarantine.py
+++ b/src/sapphirerock/decisions/quarantine.py
@@ -73,14 +73,22 @@
         ----------
         update : CrashUpdate
             The crash and the request that was in flight.
+
+        Returns
+        -------
+        bool
+            Whether the crash was not known.
         """
         now_s = self._clock.monotonic()
         evidence = self._evidence.setdefault(update.fingerprint, Evidence())
-        evidence.crashes.add((update.upstream, update.incarnation))
+        crash = (update.upstream, update.incarnation)
+        is_new = crash not in evidence.crashes
+        evidence.crashes.add(crash)
         evidence.blocked = evidence.blocked or update.convicted
         evidence.updated_at_s = now_s
         if len(self._evidence) > MAX_TRACKED_REQUESTS:
             self._evidence.pop(next(iter(self._evidence)))
+        return is_new
 
     def prune(self):
         """Drop expired evidence."""
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -214,7 +214,13 @@
         quarantine = Quarantine(clock)
         self.metrics.quarantined.set_function(lambda: len(quarantine))
         crash_watch = CrashWatch(
-            self.engines, quarantine, self.gossip, session, dialect, clock
+            self.engines,
+            quarantine,
+            self.gossip,
+            session,
+            dialect,
+            clock,
+            self.metrics,
         )
         self.monitor = EngineMonitor(self.engines, crash_watch, session, dialect, clock)
         policy = PLACEMENTS[PLACEMENT_POLICY](generator)
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -15,6 +15,7 @@
     Crash,
     can_be_caused_by,
     choose_isolated_engine,
+    is_simultaneous,
 )
 from sapphirerock.decisions.quarantine import make_fingerprint
 from sapphirerock.process.peers.gossip import CrashUpdate, EngineDownUpdate
@@ -61,6 +62,8 @@
         Protocol of the engines.
     clock : Clock
         Source of time.
+    metrics : EdgeMetrics
+        Counts evidence and sends of suspect requests.
     """
 
     __slots__ = (
@@ -70,22 +73,24 @@
         "_session",
         "_dialect",
         "_clock",
+        "_metrics",
         "_recent_crashes",
         "_investigations",
         "_tasks",
     )
 
-    def __init__(self, engines, quarantine, gossip, session, dialect, clock):
+    def __init__(self, engines, quarantine, gossip, session, dialect, clock, metrics):
         self._engines = engines
         self._quarantine = quarantine
         self._gossip = gossip
         self._session = session
         self._dialect = dialect
         self._clock = clock
+        self._metrics = metrics
         self._recent_crashes = deque(maxlen=MAX_RECENT_CRASHES)
         self._investigations = {}
         self._tasks = BackgroundTasks()
-        gossip.subscribe(CrashUpdate, quarantine.apply_update)
+        gossip.subscribe(CrashUpdate, self._apply_crash)
         gossip.subscribe(EngineDownUpdate, self._apply_engine_down)
 
     def is_blocked(self, call):
@@ -95,6 +100,21 @@
         crashes = self._quarantine.count_crashes(fingerprint_call(call))
         return crashes >= BLOCKING_CRASHES
 
+    def log_send(self, state, call):
+        """Log that a call with evidence against it is sent to an engine."""
+        if not len(self._quarantine):
+            return
+        fingerprint = fingerprint_call(call)
+        crashes = self._quarantine.count_crashes(fingerprint)
+        if crashes:
+            self._metrics.suspect_sends.inc()
+            logger.bind(
+                request=call.metadata.attempt_id,
+                fingerprint=fingerprint.hex(),
+                engine=state.name,
+                crashes=crashes,
+            ).info("suspect request sent")
+
     def investigate(self, state, call):
         """Investigate an engine whose connection broke, with a call as a suspect.
 
@@ -165,9 +185,19 @@
         )
         if reply.is_error():
             failure = reply.error
-            return isinstance(failure, UpstreamUnreachable) and failure.refused
-        born_ms = self._dialect.decode_start_ms(reply.ok)
-        return bool(entry.born_ms and born_ms and born_ms != entry.born_ms)
+            has_crashed = isinstance(failure, UpstreamUnreachable) and failure.refused
+            outcome = repr(failure)
+        else:
+            born_ms = self._dialect.decode_start_ms(reply.ok)
+            has_crashed = bool(entry.born_ms and born_ms and born_ms != entry.born_ms)
+            outcome = f"started at {born_ms} ms"
+        logger.bind(
+            engine=entry.name,
+            born_ms=entry.born_ms,
+            probe=outcome,
+            crashed=has_crashed,
+        ).info("engine investigated")
+        return has_crashed
 
     def report_down(self, state, cause, suspects=()):
         """Mark an engine down, interrupt this host's attempts on it and notify peers.
@@ -212,11 +242,29 @@
             if can_be_caused_by(crash, fingerprint, self._recent_crashes)
         ]
         logger.bind(
-            engine=state.name, suspects=len(crash.suspects), against=len(implicated)
+            engine=state.name,
+            suspects=len(crash.suspects),
+            against=len(implicated),
+            simultaneous=[
+                other.engine
+                for other in self._recent_crashes
+                if is_simultaneous(other, crash)
+            ],
         ).info("engine crash evidence collected")
         for fingerprint in implicated:
             self._gossip.broadcast(CrashUpdate(fingerprint, state.name, start, False))
 
+    def _apply_crash(self, update):
+        """Add a crash that this host or a peer reported to the evidence."""
+        if self._quarantine.apply_update(update):
+            self._metrics.crash_evidence.inc()
+            logger.bind(
+                fingerprint=update.fingerprint.hex(),
+                engine=update.upstream,
+                start=update.incarnation,
+                crashes=self._quarantine.count_crashes(update.fingerprint),
+            ).info("crash evidence added")
+
     def _apply_engine_down(self, update):
         """Apply a peer's report that an engine is down or was replaced.
 
--- a/src/sapphirerock/process/telemetry/edgemetrics.py
+++ b/src/sapphirerock/process/telemetry/edgemetrics.py
@@ -28,6 +28,8 @@
         "engines",
         "configuration_revision",
         "quarantined",
+        "crash_evidence",
+        "suspect_sends",
     )
 
     def __init__(self):
@@ -67,6 +69,12 @@
             "configuration_revision", "Revision of the configuration in force"
         )
         self.quarantined = gauge("quarantined", "Requests with evidence of crashes")
+        self.crash_evidence = counter(
+            "crash_evidence", "Crashes of engines recorded against requests"
+        )
+        self.suspect_sends = counter(
+            "suspect_sends", "Attempts at requests with evidence of crashes"
+        )
 
     def observe_call(self, kind, responder, seconds):
         """Record an answer; status 0 means that the caller disconnected before it."""
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -8,6 +8,7 @@
 from sapphirerock.connection.responder import Responder
 from sapphirerock.decisions.leaving import ShutdownView
 from sapphirerock.platform.ingress import decode_call_metadata, select_request_headers
+from sapphirerock.process.engines.crashwatch import fingerprint_call
 from sapphirerock.process.telemetry.tracing import extract_trace_context
 from sapphirerock.request.call import RoutedCall
 from sapphirerock.request.plaincall import PlainCall
@@ -191,9 +192,10 @@
     async def _serve_call(self, call, responder):
         """Run a call, unless it is blocked as a poison request."""
         if self._runtime.crash_watch.is_blocked(call):
-            logger.bind(request=call.metadata.attempt_id).warning(
-                "poison request refused"
-            )
+            logger.bind(
+                request=call.metadata.attempt_id,
+                fingerprint=fingerprint_call(call).hex(),
+            ).warning("poison request refused")
             detail = "it crashed every engine that ran it"
             problem = Problem(CRASHES_ENGINES, detail, BLOCKED_RETRY_AFTER_S)
             await responder.send_problem(problem)
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -131,6 +131,7 @@
         expression.Result of ResponseHead or ConnectionFailure
         """
         call, entry, runtime = self._call, self.state.entry, self._runtime
+        runtime.crash_watch.log_send(self.state, call)
         headers = runtime.dialect.make_headers(
             call,
             entry,
