Verdict: recognise listed examples of scenario outlines

behave ends the name of an outline example with a space, which no entry of KNOWN-RED.txt can contain, so a listed example counted as failed. The new scenario failed before (6 passed, 1 failed).

--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -1,7 +1,11 @@
 """Steps on the verdict over test results."""
 
+import json
+import tempfile
+from pathlib import Path
+
 from behave import given, then
-from tools.verdict import KnownFault, ScenarioResult, count_results
+from tools.verdict import KnownFault, ScenarioResult, count_results, read_results
 
 FEATURE, NAME = "features/some.feature", "some scenario"
 
@@ -19,6 +23,18 @@
     context.verdict = count_results([], [])
 
 
+@given("a results file with a failed example of an outline that is listed")
+def count_outline_example(context):
+    scenario = {"type": "scenario", "name": f"{NAME} -- @1.2 ", "status": "failed"}
+    document = [{"location": f"{FEATURE}:1", "elements": [scenario]}]
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "results.json")
+        path.write_text(json.dumps(document))
+        results = read_results(path)
+    fault = KnownFault(FEATURE, f"{NAME} -- @1.2", "seen")
+    context.verdict = count_results(results, [fault])
+
+
 @then("{passed:d} passed and {failed:d} failed, and {note} is printed")
 def check_verdict(context, passed, failed, note):
     verdict = context.verdict
--- a/features/verdict.feature
+++ b/features/verdict.feature
@@ -15,3 +15,7 @@
   Scenario: A run without results is a failure
     Given a run without results
     Then 0 passed and 1 failed, and no scenario was run is printed
+
+  Scenario: A listed example of an outline is recognised in the results of a run
+    Given a results file with a failed example of an outline that is listed
+    Then 0 passed and 0 failed, and known fault: is printed
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -111,7 +111,10 @@
         return []
     return [
         ScenarioResult(
-            feature["location"].rsplit(":", 1)[0], scenario["name"], scenario["status"]
+            feature["location"].rsplit(":", 1)[0],
+            # behave ends the names of outline examples with a space.
+            scenario["name"].strip(),
+            scenario["status"],
         )
         for feature in features
         for scenario in feature.get("elements", ())
