Poison requests: judge crashes from the observations of all hosts

What callers saw: a request went on crashing engines although its crashes were seen. Cause: each host decided alone, from its own calls, whether another engine of the zone explained a crash, and passed on only the verdict. It took reports of silence for crashes, didn't know which calls of other hosts ran on the other engine (two hosts with the same request cleared each other), and nothing bounded how often a request was cleared.

Why this works: hosts exchange observations, that is crashes and the requests that ran on the engines. CrashLog decides from all of them when it is asked, so hosts with the same observations agree. Only crashes explain crashes. A request under which six engines crashed is blocked whatever coincided with them, which bounds the harm in every case.

--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -13,13 +13,13 @@
 from features.steps.edge_steps import list_all_runs
 from features.steps.stream_steps import POISON_PROMPT
 from sapphirerock.connection.upstream import make_upstream_session
-from sapphirerock.decisions.quarantine import Quarantine
+from sapphirerock.decisions.crashlog import CrashLog
 from sapphirerock.platform.dialect import PlatformDialect
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.engines.crashwatch import CrashWatch, fingerprint_call
 from sapphirerock.process.engines.monitor import EngineMonitor
 from sapphirerock.process.engines.table import EngineTable
-from sapphirerock.process.peers.gossip import CrashUpdate, EngineDownUpdate
+from sapphirerock.process.peers.gossip import CrashSuspectsUpdate, EngineDownUpdate
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.version.engineentry import EngineEntry
@@ -165,12 +165,12 @@
         self.engines = EngineTable(
             lambda name, spec: Ok(spec), self.clock, self.metrics
         )
-        self.quarantine = Quarantine(self.clock)
+        self.crash_log = CrashLog(self.clock)
         self.session = make_upstream_session("127.0.0.1")
         dialect = PlatformDialect()
         self.crash_watch = CrashWatch(
             self.engines,
-            self.quarantine,
+            self.crash_log,
             self.gossip,
             self.session,
             dialect,
@@ -198,8 +198,8 @@
         return self.add_engine(name, f"127.0.0.1:{listener.getsockname()[1]}")
 
     def count_crashes(self, call):
-        """Return the number of crashes recorded against a call."""
-        return self.quarantine.count_crashes(fingerprint_call(call))
+        """Return the number of crashes that count against a call."""
+        return self.crash_log.count_evidence(fingerprint_call(call))
 
     async def close(self):
         """Close the client session and the engines' sockets."""
@@ -292,7 +292,7 @@
     state = host.add_engine("e2")
     report_crash(host, state)
     host.gossip.broadcast(
-        CrashUpdate(fingerprint_call(call), state.name, str(BORN_MS), False)
+        CrashSuspectsUpdate(state.name, BORN_MS, "zone-a", 0, [fingerprint_call(call)])
     )
 
 
--- /dev/null
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -0,0 +1,269 @@
+"""Log of engine crashes and of the requests that ran on the engines.
+
+Handles a request that is retried after each crash and so crashes one engine after
+another. The log holds observations only; which of them are evidence against a request
+is decided when it is asked, from all observations of all hosts. Adding an observation
+twice or in another order changes nothing, so hosts can merge their logs.
+"""
+
+import hashlib
+from dataclasses import dataclass, replace
+
+from sapphirerock.decisions.poisonrequests import (
+    BLOCKING_CRASHES,
+    CORRELATED_CRASH_S,
+    MAX_CRASHES,
+    Crash,
+    can_be_caused_by,
+)
+from sapphirerock.decisions.quarantine import (
+    EVIDENCE_TTL_S,
+    ISOLATION_CRASHES,
+    SUSPECT_TTL_S,
+)
+
+# An observation that is about to expire is not copied from another host, where it may
+# expire a little later.
+MIN_COPIED_LIFETIME_S = 10.0
+MAX_LOGGED_CRASHES = 1_000
+MAX_BLOCKED_REQUESTS = 10_000
+DIGEST_BYTES = 7
+MS_PER_S = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class CrashLogRecords:
+    """All observations of a log, as hosts exchange them.
+
+    Parameters
+    ----------
+    crashes : list of [str, int, str, int, list of bytes]
+        Engine, its start time in Unix milliseconds, its availability zone, age of the
+        observation in milliseconds, fingerprints of the requests that ran on it.
+    blocked : list of [bytes, int]
+        Fingerprint of a blocked request, and time since it was blocked, in
+        milliseconds.
+    """
+
+    crashes: list
+    blocked: list
+
+
+class CrashLog:
+    """Crashes of engines, the requests that ran on them, and the blocked requests.
+
+    A crash is identified by the engine and its start time.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_clock", "_crashes", "_crashes_by_request", "_blocked", "_digest")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._crashes = {}
+        self._crashes_by_request = {}
+        self._blocked = {}
+        self._digest = 0
+
+    def __len__(self):
+        return len(self._crashes_by_request.keys() | self._blocked.keys())
+
+    @property
+    def is_empty(self):
+        """Whether nothing was observed."""
+        return not self._crashes and not self._blocked
+
+    def describe(self):
+        """Return a digest of the log, equal for equal logs, and its size."""
+        return self._digest, len(self._crashes) + len(self._blocked)
+
+    def has_crash(self, engine, born_ms):
+        """Return whether a crash is known."""
+        return (engine, born_ms) in self._crashes
+
+    def add_crash(self, engine, born_ms, availability_zone, at_s):
+        """Add a crash unless it is known; return whether it is new.
+
+        Parameters
+        ----------
+        at_s : float
+            Monotonic time of the crash, in seconds; the earliest one is kept.
+        """
+        key = (engine, born_ms)
+        known = self._crashes.get(key)
+        if known is not None:
+            if at_s < known.at_s:
+                self._crashes[key] = replace(known, at_s=at_s)
+            return False
+        self._crashes[key] = Crash(engine, availability_zone, at_s, set())
+        self._toggle(key)
+        while len(self._crashes) > MAX_LOGGED_CRASHES:
+            self._remove_crash(min(self._crashes, key=self._get_time))
+        return True
+
+    def _get_time(self, key):
+        return self._crashes[key].at_s
+
+    def add_suspects(self, engine, born_ms, fingerprints):
+        """Add requests that ran on an engine when it crashed.
+
+        Returns
+        -------
+        list of bytes
+            The fingerprints that were not known for this crash.
+        """
+        key = (engine, born_ms)
+        crash = self._crashes.get(key)
+        if crash is None:
+            return []
+        added = [item for item in fingerprints if item not in crash.suspects]
+        for fingerprint in added:
+            crash.suspects.add(fingerprint)
+            self._crashes_by_request.setdefault(fingerprint, set()).add(key)
+            self._toggle((*key, fingerprint))
+        return added
+
+    def add_blocked(self, fingerprint, at_s):
+        """Block a request; return whether it was not blocked.
+
+        Parameters
+        ----------
+        at_s : float
+            Monotonic time at which it was blocked, in seconds.
+        """
+        if fingerprint in self._blocked:
+            return False
+        self._blocked[fingerprint] = at_s
+        self._toggle(fingerprint)
+        while len(self._blocked) > MAX_BLOCKED_REQUESTS:
+            self._remove_blocked(min(self._blocked, key=self._blocked.get))
+        return True
+
+    def _toggle(self, item):
+        """Add an observation to the digest, or remove it."""
+        digest = hashlib.blake2b(repr(item).encode(), digest_size=DIGEST_BYTES)
+        self._digest ^= int.from_bytes(digest.digest())
+
+    def _remove_crash(self, key):
+        crash = self._crashes.pop(key)
+        self._toggle(key)
+        for fingerprint in crash.suspects:
+            self._toggle((*key, fingerprint))
+            keys = self._crashes_by_request[fingerprint]
+            keys.discard(key)
+            if not keys:
+                del self._crashes_by_request[fingerprint]
+
+    def _remove_blocked(self, fingerprint):
+        del self._blocked[fingerprint]
+        self._toggle(fingerprint)
+
+    def prune(self):
+        """Remove expired observations."""
+        oldest_s = self._clock.monotonic() - EVIDENCE_TTL_S
+        for key, crash in list(self._crashes.items()):
+            if crash.at_s < oldest_s:
+                self._remove_crash(key)
+        for fingerprint, at_s in list(self._blocked.items()):
+            if at_s < oldest_s:
+                self._remove_blocked(fingerprint)
+
+    def count_crashes(self, fingerprint):
+        """Return the number of crashes during which a request was running."""
+        return len(self._crashes_by_request.get(fingerprint, ()))
+
+    def count_evidence(self, fingerprint):
+        """Return the number of crashes that a request can have caused.
+
+        A crash counts only once other engines that crashed with it are known.
+        """
+        return len(self._list_evidence(fingerprint))
+
+    def _list_evidence(self, fingerprint):
+        latest_s = self._clock.monotonic() - CORRELATED_CRASH_S
+        crashes = [
+            self._crashes[key] for key in self._crashes_by_request.get(fingerprint, ())
+        ]
+        return [
+            crash
+            for crash in crashes
+            if crash.at_s <= latest_s
+            and can_be_caused_by(crash, fingerprint, self._crashes.values())
+        ]
+
+    def measure_settling_s(self, fingerprint):
+        """Return the time until all known crashes of a request can count."""
+        keys = self._crashes_by_request.get(fingerprint, ())
+        latest_s = max((self._crashes[key].at_s for key in keys), default=0.0)
+        return max(0.0, latest_s + CORRELATED_CRASH_S - self._clock.monotonic())
+
+    def must_run_alone(self, fingerprint):
+        """Return whether a request must run as the only suspect on its engine."""
+        return self.count_evidence(fingerprint) >= ISOLATION_CRASHES
+
+    def list_suspects(self):
+        """Return the requests that currently have to run as only suspects."""
+        oldest_s = self._clock.monotonic() - SUSPECT_TTL_S
+        suspects = []
+        for fingerprint in self._crashes_by_request:
+            evidence = self._list_evidence(fingerprint)
+            is_recent = any(crash.at_s >= oldest_s for crash in evidence)
+            if len(evidence) == ISOLATION_CRASHES and is_recent:
+                suspects.append(fingerprint)
+        return suspects
+
+    def is_blocked(self, fingerprint):
+        """Return whether a request must not run any more."""
+        if fingerprint in self._blocked:
+            return True
+        if self.count_crashes(fingerprint) < BLOCKING_CRASHES:
+            return False
+        return (
+            self.count_evidence(fingerprint) >= BLOCKING_CRASHES
+            or self.count_crashes(fingerprint) >= MAX_CRASHES
+        )
+
+    def list_records(self):
+        """Return all observations, to be merged into the log of another host.
+
+        Returns
+        -------
+        CrashLogRecords
+        """
+        now_s = self._clock.monotonic()
+        return CrashLogRecords(
+            [
+                [
+                    engine,
+                    born_ms,
+                    crash.availability_zone,
+                    int((now_s - crash.at_s) * MS_PER_S),
+                    list(crash.suspects),
+                ]
+                for (engine, born_ms), crash in self._crashes.items()
+            ],
+            [
+                [fingerprint, int((now_s - at_s) * MS_PER_S)]
+                for fingerprint, at_s in self._blocked.items()
+            ],
+        )
+
+    def merge(self, records):
+        """Add the observations of another host's log; return how many were new."""
+        now_s = self._clock.monotonic()
+        oldest_s = now_s - EVIDENCE_TTL_S + MIN_COPIED_LIFETIME_S
+        added = 0
+        for engine, born_ms, availability_zone, age_ms, suspects in records.crashes:
+            at_s = now_s - age_ms / MS_PER_S
+            if at_s >= oldest_s:
+                added += self.add_crash(engine, born_ms, availability_zone, at_s)
+                added += len(self.add_suspects(engine, born_ms, suspects))
+        for fingerprint, age_ms in records.blocked:
+            at_s = now_s - age_ms / MS_PER_S
+            if at_s >= oldest_s:
+                added += self.add_blocked(fingerprint, at_s)
+        return added
--- a/src/sapphirerock/decisions/poisonrequests.py
+++ b/src/sapphirerock/decisions/poisonrequests.py
@@ -14,6 +14,9 @@
 # encounters this many by chance only if zones fail one after the other, since the
 # crashes of one zone count as a single crash.
 BLOCKING_CRASHES = 3
+# Crashes after which a request is blocked even if each of them coincided with another.
+# A harmless request loses fewer engines than this to failures of zones.
+MAX_CRASHES = 6
 # Engines that a call may lose before it has to wait: from this number on, it is sent to
 # another engine only after the causes of the losses have been determined.
 SUSPECT_LOSSES = 2
@@ -27,7 +30,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Crash:
-    """Crash of an engine as observed by one host.
+    """Crash of an engine.
 
     Parameters
     ----------
@@ -36,9 +39,9 @@
     availability_zone : str
         Availability zone of the engine.
     at_s : float
-        Monotonic time of the observation, in seconds.
+        Monotonic time of the crash, in seconds.
     suspects : set of bytes
-        Fingerprints of the calls that the observing host had on the engine.
+        Fingerprints of the calls that ran on the engine.
     """
 
     engine: str
@@ -71,7 +74,7 @@
     crashes : iterable of Crash
         All known crashes, with or without the one to examine.
     """
-    # A crash is reported by each host that observed it, with the suspects of that host.
+    # A crash may be listed once for each host that observed it.
     ran_call = {}
     for other in crashes:
         if is_simultaneous(other, crash):
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -20,9 +20,9 @@
 from sapphirerock.connection.sessions import make_session
 from sapphirerock.connection.store import StoreClient
 from sapphirerock.connection.upstream import make_upstream_session
+from sapphirerock.decisions.crashlog import CrashLog
 from sapphirerock.decisions.leaving import StreamDurations
 from sapphirerock.decisions.placement import PLACEMENTS
-from sapphirerock.decisions.quarantine import Quarantine
 from sapphirerock.decisions.retrybudget import RetryBudget, RetryLimits
 from sapphirerock.platform import dialect as platform_dialect
 from sapphirerock.platform.configuration import decode_configuration
@@ -211,11 +211,11 @@
         generator = random.Random(profile.host)
         session = self._register_session(make_upstream_session(profile.address))
         dialect = DIALECTS[platform_dialect.PlatformDialect.name]
-        quarantine = Quarantine(clock)
-        self.metrics.quarantined.set_function(lambda: len(quarantine))
+        crash_log = CrashLog(clock)
+        self.metrics.quarantined.set_function(lambda: len(crash_log))
         crash_watch = CrashWatch(
             self.engines,
-            quarantine,
+            crash_log,
             self.gossip,
             session,
             dialect,
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -1,46 +1,45 @@
-"""Investigates whether an engine crashed, and which requests may have caused it."""
+"""Establishes which engines crashed, and which requests ran on them."""
 
 import asyncio
 import hashlib
-from collections import deque
 
 from loguru import logger
 
 from sapphirerock.connection.errors import UpstreamUnreachable
 from sapphirerock.connection.upstream import probe
 from sapphirerock.decisions.poisonrequests import (
-    BLOCKING_CRASHES,
     CORRELATED_CRASH_S,
     CRASH_GOSSIP_DELAY_S,
-    Crash,
-    can_be_caused_by,
     choose_isolated_engine,
-    is_simultaneous,
 )
-from sapphirerock.decisions.quarantine import make_fingerprint
-from sapphirerock.process.peers.gossip import CrashUpdate, EngineDownUpdate
+from sapphirerock.decisions.quarantine import ISOLATION_CRASHES, make_fingerprint
+from sapphirerock.process.peers.gossip import CrashSuspectsUpdate, EngineDownUpdate
 from sapphirerock.process.tasks import BackgroundTasks
 
 # Two round trips between regions, with room for a busy engine.
 PROBE_TIMEOUT_S = 0.3
-MAX_RECENT_CRASHES = 256
+CRASHED = "crashed"
 REPLACED = "replaced"
+MS_PER_S = 1000
 
 
-class CrashInvestigation:
-    """Investigation of why the connections to one engine broke.
+class EngineLoss:
+    """Loss of the connections to one engine, whose cause is investigated.
 
     Attributes
     ----------
+    at_s : float
+        Monotonic time of the first loss, in seconds.
     suspects : set of bytes
         Fingerprints of the calls whose connections broke.
     task : asyncio.Task or None
         Runs the investigation.
     """
 
-    __slots__ = ("suspects", "task")
+    __slots__ = ("at_s", "suspects", "task")
 
-    def __init__(self):
+    def __init__(self, at_s):
+        self.at_s = at_s
         self.suspects = set()
         self.task = None
 
@@ -52,8 +51,8 @@
     ----------
     engines : EngineTable
         Registered engines.
-    quarantine : Quarantine
-        Evidence against requests.
+    crash_log : CrashLog
+        Crashes and the requests that ran on the engines.
     gossip : Gossip
         Exchanges crash updates with peers.
     session : aiohttp.ClientSession
@@ -68,44 +67,41 @@
 
     __slots__ = (
         "_engines",
-        "_quarantine",
+        "_crash_log",
         "_gossip",
         "_session",
         "_dialect",
         "_clock",
         "_metrics",
-        "_recent_crashes",
-        "_investigations",
+        "_losses",
         "_tasks",
     )
 
-    def __init__(self, engines, quarantine, gossip, session, dialect, clock, metrics):
+    def __init__(self, engines, crash_log, gossip, session, dialect, clock, metrics):
         self._engines = engines
-        self._quarantine = quarantine
+        self._crash_log = crash_log
         self._gossip = gossip
         self._session = session
         self._dialect = dialect
         self._clock = clock
         self._metrics = metrics
-        self._recent_crashes = deque(maxlen=MAX_RECENT_CRASHES)
-        self._investigations = {}
+        self._losses = {}
         self._tasks = BackgroundTasks()
-        gossip.subscribe(CrashUpdate, self._apply_crash)
+        gossip.subscribe(CrashSuspectsUpdate, self._apply_suspects)
         gossip.subscribe(EngineDownUpdate, self._apply_engine_down)
 
     def is_blocked(self, call):
         """Return whether a call is blocked because it crashes its engines."""
-        if not len(self._quarantine):
+        if self._crash_log.is_empty:
             return False
-        crashes = self._quarantine.count_crashes(fingerprint_call(call))
-        return crashes >= BLOCKING_CRASHES
+        return self._crash_log.is_blocked(fingerprint_call(call))
 
     def log_send(self, state, call):
         """Log that a call with evidence against it is sent to an engine."""
-        if not len(self._quarantine):
+        if self._crash_log.is_empty:
             return
         fingerprint = fingerprint_call(call)
-        crashes = self._quarantine.count_crashes(fingerprint)
+        crashes = self._crash_log.count_crashes(fingerprint)
         if crashes:
             self._metrics.suspect_sends.inc()
             logger.bind(
@@ -113,6 +109,7 @@
                 fingerprint=fingerprint.hex(),
                 engine=state.name,
                 crashes=crashes,
+                evidence=self._crash_log.count_evidence(fingerprint),
             ).info("suspect request sent")
 
     def investigate(self, state, call):
@@ -120,29 +117,27 @@
 
         A call that loses its connection during an investigation joins the suspects.
         """
-        investigation = self._investigations.get(state)
-        if investigation is None:
-            investigation = self._investigations[state] = CrashInvestigation()
-            investigation.task = self._tasks.spawn(
-                self._investigate(state, investigation.suspects)
-            )
-        investigation.suspects.add(fingerprint_call(call))
+        key = (state.name, state.entry.born_ms)
+        loss = self._losses.get(key)
+        if loss is None:
+            loss = self._losses[key] = EngineLoss(self._clock.monotonic())
+            loss.task = self._tasks.spawn(self._investigate(state, loss))
+        loss.suspects.add(fingerprint_call(call))
 
     async def wait_for_investigations(self, call):
-        """Wait for the investigations of all engines that a call lost.
+        """Wait until the evidence of the engines that a call lost is complete.
 
         A call with enough crashes to run alone also waits until other hosts have the
         same evidence.
         """
         fingerprint = fingerprint_call(call)
         pending = [
-            investigation.task
-            for investigation in self._investigations.values()
-            if fingerprint in investigation.suspects
+            loss.task for loss in self._losses.values() if fingerprint in loss.suspects
         ]
         if pending:
             await asyncio.wait(pending)
-        if self._quarantine.must_run_alone(fingerprint):
+        await self._clock.sleep(self._crash_log.measure_settling_s(fingerprint))
+        if self._crash_log.must_run_alone(fingerprint):
             await self._clock.sleep(CRASH_GOSSIP_DELAY_S)
 
     def choose_isolated_engine(self, call, views):
@@ -154,9 +149,9 @@
             None if the call is not a suspect request or there is no engine.
         """
         fingerprint = fingerprint_call(call)
-        if not self._quarantine.must_run_alone(fingerprint):
+        if not self._crash_log.must_run_alone(fingerprint):
             return None
-        suspects = self._quarantine.list_suspects()
+        suspects = self._crash_log.list_suspects()
         view = choose_isolated_engine(views, fingerprint, suspects)
         logger.bind(
             request=call.metadata.attempt_id,
@@ -165,13 +160,12 @@
         ).info("suspect request isolated")
         return view
 
-    async def _investigate(self, state, suspects):
+    async def _investigate(self, state, loss):
         try:
             if await self._has_crashed(state):
-                crash = self.report_down(state, "crashed", suspects)
-                await self._collect_evidence(state, crash)
+                self.report_down(state, CRASHED)
         finally:
-            del self._investigations[state]
+            self._losses.pop((state.name, state.entry.born_ms), None)
 
     async def _has_crashed(self, state):
         """Probe an engine; return whether it refuses connections or has restarted."""
@@ -199,100 +193,95 @@
         ).info("engine investigated")
         return has_crashed
 
-    def report_down(self, state, cause, suspects=()):
-        """Mark an engine down, interrupt this host's attempts on it and notify peers.
-
-        Returns
-        -------
-        Crash
-        """
-        self._mark_down_and_interrupt(state, cause)
+    def report_down(self, state, cause):
+        """Report to all hosts, this one included, that an engine is down."""
         entry = state.entry
-        now_s = self._clock.monotonic()
-        crash = Crash(entry.name, entry.availability_zone, now_s, suspects)
-        self._recent_crashes.append(crash)
         self._gossip.broadcast(
             EngineDownUpdate(entry.name, entry.born_ms, entry.availability_zone, cause)
         )
-        return crash
 
     def report_replaced(self, state):
         """Remove an engine at whose address another one answers, and notify peers."""
         if not state.is_removed:
-            entry = state.entry
-            self._engines.mark_replaced(state)
-            self._gossip.broadcast(
-                EngineDownUpdate(
-                    entry.name, entry.born_ms, entry.availability_zone, REPLACED
-                )
-            )
-
-    def _mark_down_and_interrupt(self, state, cause):
-        self._engines.mark_down(state, cause)
-        for attempt in list(state.attempts):
-            attempt.interrupt(cause)
-
-    async def _collect_evidence(self, state, crash):
-        """Wait for reports of simultaneous crashes, then send the evidence to peers."""
-        await self._clock.sleep(CORRELATED_CRASH_S)
-        start = str(state.entry.born_ms)
-        implicated = [
-            fingerprint
-            for fingerprint in crash.suspects
-            if can_be_caused_by(crash, fingerprint, self._recent_crashes)
-        ]
-        logger.bind(
-            engine=state.name,
-            suspects=len(crash.suspects),
-            against=len(implicated),
-            simultaneous=[
-                other.engine
-                for other in self._recent_crashes
-                if is_simultaneous(other, crash)
-            ],
-        ).info("engine crash evidence collected")
-        for fingerprint in implicated:
-            self._gossip.broadcast(CrashUpdate(fingerprint, state.name, start, False))
-
-    def _apply_crash(self, update):
-        """Add a crash that this host or a peer reported to the evidence."""
-        if self._quarantine.apply_update(update):
-            self._metrics.crash_evidence.inc()
-            logger.bind(
-                fingerprint=update.fingerprint.hex(),
-                engine=update.upstream,
-                start=update.incarnation,
-                crashes=self._quarantine.count_crashes(update.fingerprint),
-            ).info("crash evidence added")
+            self.report_down(state, REPLACED)
 
     def _apply_engine_down(self, update):
-        """Apply a peer's report that an engine is down or was replaced.
+        """Apply a report of this host or a peer that an engine is down or replaced.
 
-        A report other than of a crash is ignored if the engine sent data to this host
-        within the last `CORRELATED_CRASH_S`.
+        A report of silence is ignored if the engine sent data to this host within the
+        last `CORRELATED_CRASH_S`.
         """
-        now_s = self._clock.monotonic()
         state = self._engines.get(update.engine)
+        if state is not None and state.entry.born_ms != update.born_ms:
+            state = None
         if update.cause == REPLACED:
-            if state is not None and state.entry.born_ms == update.born_ms:
+            if state is not None:
                 self._engines.mark_replaced(state)
             return
-        self._recent_crashes.append(
-            Crash(update.engine, update.availability_zone, now_s)
-        )
-        if state is None or state.entry.born_ms != update.born_ms:
-            return
-        if not self._engines.is_usable(state):
+        if update.cause == CRASHED:
+            self._record_crash(update)
+        if state is None or not self._engines.is_usable(state):
             return
-        if (
-            update.cause != "crashed"
-            and now_s - state.last_received_s < CORRELATED_CRASH_S
-        ):
+        age_s = self._clock.monotonic() - state.last_received_s
+        if update.cause != CRASHED and age_s < CORRELATED_CRASH_S:
             logger.bind(engine=state.name, cause=update.cause).info(
                 "engine down report ignored"
             )
             return
-        self._mark_down_and_interrupt(state, update.cause)
+        self._engines.mark_down(state, update.cause)
+        for attempt in list(state.attempts):
+            attempt.interrupt(update.cause)
+
+    def _record_crash(self, update):
+        """Add a crash to the log, and send this host's suspects to its peers."""
+        now_s = self._clock.monotonic()
+        loss = self._losses.get((update.engine, update.born_ms))
+        at_s = loss.at_s if loss else now_s
+        self._crash_log.add_crash(
+            update.engine, update.born_ms, update.availability_zone, at_s
+        )
+        if loss is not None and loss.suspects:
+            self._gossip.broadcast(
+                CrashSuspectsUpdate(
+                    update.engine,
+                    update.born_ms,
+                    update.availability_zone,
+                    int((now_s - at_s) * MS_PER_S),
+                    list(loss.suspects),
+                )
+            )
+
+    def _apply_suspects(self, update):
+        """Add the suspects that this host or a peer had on a crashed engine."""
+        log = self._crash_log
+        at_s = self._clock.monotonic() - update.age_ms / MS_PER_S
+        log.add_crash(update.engine, update.born_ms, update.availability_zone, at_s)
+        added = log.add_suspects(update.engine, update.born_ms, update.suspects)
+        if not added:
+            return
+        self._metrics.crash_evidence.inc(len(added))
+        logger.bind(
+            engine=update.engine, start=update.born_ms, suspects=len(added)
+        ).info("crash evidence added")
+        self._tasks.spawn(self._block_when_settled(added))
+
+    async def _block_when_settled(self, fingerprints):
+        """Block the requests whose evidence suffices once it is complete."""
+        for fingerprint in fingerprints:
+            await self._clock.sleep(self._crash_log.measure_settling_s(fingerprint))
+            crashes = self._crash_log.count_crashes(fingerprint)
+            evidence = self._crash_log.count_evidence(fingerprint)
+            if crashes < ISOLATION_CRASHES:
+                continue
+            is_blocked = self._crash_log.is_blocked(fingerprint)
+            if is_blocked:
+                self._crash_log.add_blocked(fingerprint, self._clock.monotonic())
+            logger.bind(
+                fingerprint=fingerprint.hex(),
+                crashes=crashes,
+                evidence=evidence,
+                blocked=is_blocked,
+            ).warning("request suspected of crashing engines")
 
 
 def fingerprint_call(call):
--- a/src/sapphirerock/process/peers/gossip.py
+++ b/src/sapphirerock/process/peers/gossip.py
@@ -91,6 +91,32 @@
     cause: str
 
 
+@register_topic("crash-suspects")
+@dataclass(slots=True, frozen=True)
+class CrashSuspectsUpdate:
+    """Requests that a host was running on an engine when the engine crashed.
+
+    Parameters
+    ----------
+    engine : str
+        The engine's id.
+    born_ms : int
+        Start time in Unix milliseconds.
+    availability_zone : str
+        Zone of the engine.
+    age_ms : int
+        Time since the crash when the update was sent, in milliseconds.
+    suspects : list of bytes
+        Fingerprints of the requests.
+    """
+
+    engine: str
+    born_ms: int
+    availability_zone: str
+    age_ms: int
+    suspects: list
+
+
 @register_topic("placement-of-suspect")
 @dataclass(slots=True, frozen=True)
 class SuspectUpdate:
