Poison requests: a crash is evidence however it is established

What callers saw: a request crashed more engines than it may. Cause: evidence depended on which host established the crash, and how. A call that a peer's report interrupted was no suspect; nor one whose stream ended in an orderly way; a probe that timed out was final; the monitor took an engine that refuses connections, or answers with another start time, for a silent or a running one, so that a call could also wait for a run that had ended.

Why this works: a crash belongs to one run of an engine. Whoever establishes it (a probe, the monitor, a peer, a later registration), each host adds the calls that it has on this run or lost with it, and they are kept for 15 s until the cause is known. One prober serves the investigation and the monitor. Draining engines that crash interrupt their calls as well.

--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -18,6 +18,7 @@
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.engines.crashwatch import CrashWatch, fingerprint_call
 from sapphirerock.process.engines.monitor import EngineMonitor
+from sapphirerock.process.engines.prober import EngineProber
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.peers.gossip import CrashSuspectsUpdate, EngineDownUpdate
 from sapphirerock.process.replicas.replica import ReplicaChange
@@ -167,19 +168,16 @@
         )
         self.crash_log = CrashLog(self.clock)
         self.session = make_upstream_session("127.0.0.1")
-        dialect = PlatformDialect()
+        prober = EngineProber(self.session, PlatformDialect())
         self.crash_watch = CrashWatch(
             self.engines,
             self.crash_log,
             self.gossip,
-            self.session,
-            dialect,
+            prober,
             self.clock,
             self.metrics,
         )
-        self.monitor = EngineMonitor(
-            self.engines, self.crash_watch, self.session, dialect, self.clock
-        )
+        self.monitor = EngineMonitor(self.engines, self.crash_watch, prober, self.clock)
         self._silent = []
         self._revision = 0
 
--- a/src/sapphirerock/decisions/crashlog.py
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -31,6 +31,25 @@
 MS_PER_S = 1000
 
 
+@dataclass(slots=True, frozen=True)
+class EngineRun:
+    """One run of an engine's process, from its start to its end.
+
+    Parameters
+    ----------
+    engine : str
+        The engine's id.
+    born_ms : int
+        Start time in Unix milliseconds.
+    availability_zone : str
+        Zone of the engine.
+    """
+
+    engine: str
+    born_ms: int
+    availability_zone: str
+
+
 @dataclass(slots=True, frozen=True)
 class CrashLogRecords:
     """All observations of a log, as hosts exchange them.
@@ -52,8 +71,6 @@
 class CrashLog:
     """Crashes of engines, the requests that ran on them, and the blocked requests.
 
-    A crash is identified by the engine and its start time.
-
     Parameters
     ----------
     clock : Clock
@@ -81,34 +98,35 @@
         """Return a digest of the log, equal for equal logs, and its size."""
         return self._digest, len(self._crashes) + len(self._blocked)
 
-    def has_crash(self, engine, born_ms):
-        """Return whether a crash is known."""
-        return (engine, born_ms) in self._crashes
+    def has_crash(self, run):
+        """Return whether the crash of an engine's run is known."""
+        return run in self._crashes
 
-    def add_crash(self, engine, born_ms, availability_zone, at_s):
+    def add_crash(self, run, at_s):
         """Add a crash unless it is known; return whether it is new.
 
         Parameters
         ----------
+        run : EngineRun
+            The run that ended.
         at_s : float
             Monotonic time of the crash, in seconds; the earliest one is kept.
         """
-        key = (engine, born_ms)
-        known = self._crashes.get(key)
+        known = self._crashes.get(run)
         if known is not None:
             if at_s < known.at_s:
-                self._crashes[key] = replace(known, at_s=at_s)
+                self._crashes[run] = replace(known, at_s=at_s)
             return False
-        self._crashes[key] = Crash(engine, availability_zone, at_s, set())
-        self._toggle(key)
+        self._crashes[run] = Crash(run.engine, run.availability_zone, at_s, set())
+        self._toggle(run)
         while len(self._crashes) > MAX_LOGGED_CRASHES:
             self._remove_crash(min(self._crashes, key=self._get_time))
         return True
 
-    def _get_time(self, key):
-        return self._crashes[key].at_s
+    def _get_time(self, run):
+        return self._crashes[run].at_s
 
-    def add_suspects(self, engine, born_ms, fingerprints):
+    def add_suspects(self, run, fingerprints):
         """Add requests that ran on an engine when it crashed.
 
         Returns
@@ -116,15 +134,14 @@
         list of bytes
             The fingerprints that were not known for this crash.
         """
-        key = (engine, born_ms)
-        crash = self._crashes.get(key)
+        crash = self._crashes.get(run)
         if crash is None:
             return []
         added = [item for item in fingerprints if item not in crash.suspects]
         for fingerprint in added:
             crash.suspects.add(fingerprint)
-            self._crashes_by_request.setdefault(fingerprint, set()).add(key)
-            self._toggle((*key, fingerprint))
+            self._crashes_by_request.setdefault(fingerprint, set()).add(run)
+            self._toggle((run, fingerprint))
         return added
 
     def add_blocked(self, fingerprint, at_s):
@@ -148,14 +165,14 @@
         digest = hashlib.blake2b(repr(item).encode(), digest_size=DIGEST_BYTES)
         self._digest ^= int.from_bytes(digest.digest())
 
-    def _remove_crash(self, key):
-        crash = self._crashes.pop(key)
-        self._toggle(key)
+    def _remove_crash(self, run):
+        crash = self._crashes.pop(run)
+        self._toggle(run)
         for fingerprint in crash.suspects:
-            self._toggle((*key, fingerprint))
-            keys = self._crashes_by_request[fingerprint]
-            keys.discard(key)
-            if not keys:
+            self._toggle((run, fingerprint))
+            runs = self._crashes_by_request[fingerprint]
+            runs.discard(run)
+            if not runs:
                 del self._crashes_by_request[fingerprint]
 
     def _remove_blocked(self, fingerprint):
@@ -165,9 +182,9 @@
     def prune(self):
         """Remove expired observations."""
         oldest_s = self._clock.monotonic() - EVIDENCE_TTL_S
-        for key, crash in list(self._crashes.items()):
+        for run, crash in list(self._crashes.items()):
             if crash.at_s < oldest_s:
-                self._remove_crash(key)
+                self._remove_crash(run)
         for fingerprint, at_s in list(self._blocked.items()):
             if at_s < oldest_s:
                 self._remove_blocked(fingerprint)
@@ -186,7 +203,7 @@
     def _list_evidence(self, fingerprint):
         latest_s = self._clock.monotonic() - CORRELATED_CRASH_S
         crashes = [
-            self._crashes[key] for key in self._crashes_by_request.get(fingerprint, ())
+            self._crashes[run] for run in self._crashes_by_request.get(fingerprint, ())
         ]
         return [
             crash
@@ -197,8 +214,8 @@
 
     def measure_settling_s(self, fingerprint):
         """Return the time until all known crashes of a request can count."""
-        keys = self._crashes_by_request.get(fingerprint, ())
-        latest_s = max((self._crashes[key].at_s for key in keys), default=0.0)
+        runs = self._crashes_by_request.get(fingerprint, ())
+        latest_s = max((self._crashes[run].at_s for run in runs), default=0.0)
         return max(0.0, latest_s + CORRELATED_CRASH_S - self._clock.monotonic())
 
     def must_run_alone(self, fingerprint):
@@ -238,13 +255,13 @@
         return CrashLogRecords(
             [
                 [
-                    engine,
-                    born_ms,
-                    crash.availability_zone,
+                    run.engine,
+                    run.born_ms,
+                    run.availability_zone,
                     int((now_s - crash.at_s) * MS_PER_S),
                     list(crash.suspects),
                 ]
-                for (engine, born_ms), crash in self._crashes.items()
+                for run, crash in self._crashes.items()
             ],
             [
                 [fingerprint, int((now_s - at_s) * MS_PER_S)]
@@ -260,8 +277,9 @@
         for engine, born_ms, availability_zone, age_ms, suspects in records.crashes:
             at_s = now_s - age_ms / MS_PER_S
             if at_s >= oldest_s:
-                added += self.add_crash(engine, born_ms, availability_zone, at_s)
-                added += len(self.add_suspects(engine, born_ms, suspects))
+                run = EngineRun(engine, born_ms, availability_zone)
+                added += self.add_crash(run, at_s)
+                added += len(self.add_suspects(run, suspects))
         for fingerprint, age_ms in records.blocked:
             at_s = now_s - age_ms / MS_PER_S
             if at_s >= oldest_s:
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -41,6 +41,7 @@
 from sapphirerock.process.engines.crashwatch import CrashWatch
 from sapphirerock.process.engines.fleet import Fleet
 from sapphirerock.process.engines.monitor import EngineMonitor
+from sapphirerock.process.engines.prober import EngineProber
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.peers.gossip import Gossip
 from sapphirerock.process.peers.hosts import HostTable
@@ -211,18 +212,18 @@
         generator = random.Random(profile.host)
         session = self._register_session(make_upstream_session(profile.address))
         dialect = DIALECTS[platform_dialect.PlatformDialect.name]
+        prober = EngineProber(session, dialect)
         crash_log = CrashLog(clock)
         self.metrics.quarantined.set_function(lambda: len(crash_log))
         crash_watch = CrashWatch(
             self.engines,
             crash_log,
             self.gossip,
-            session,
-            dialect,
+            prober,
             clock,
             self.metrics,
         )
-        self.monitor = EngineMonitor(self.engines, crash_watch, session, dialect, clock)
+        self.monitor = EngineMonitor(self.engines, crash_watch, prober, clock)
         policy = PLACEMENTS[PLACEMENT_POLICY](generator)
         retry_limits = make_retry_limits(self.profile.bounds)
         self.retry_budget = RetryBudget(retry_limits, self._count_hosts, clock)
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -5,19 +5,26 @@
 
 from loguru import logger
 
-from sapphirerock.connection.errors import UpstreamUnreachable
-from sapphirerock.connection.upstream import probe
+from sapphirerock.decisions.crashlog import EngineRun
 from sapphirerock.decisions.poisonrequests import (
     CORRELATED_CRASH_S,
     CRASH_GOSSIP_DELAY_S,
     choose_isolated_engine,
 )
 from sapphirerock.decisions.quarantine import ISOLATION_CRASHES, make_fingerprint
+from sapphirerock.process.engines.prober import ProbeOutcome
 from sapphirerock.process.peers.gossip import CrashSuspectsUpdate, EngineDownUpdate
 from sapphirerock.process.tasks import BackgroundTasks
 
 # Two round trips between regions, with room for a busy engine.
 PROBE_TIMEOUT_S = 0.3
+# An engine that doesn't answer is probed again, since a lost packet, a busy engine or a
+# network partition hides a crash.
+PROBE_RETRIES = 3
+PROBE_RETRY_INTERVAL_S = 0.5
+# Time for which the calls of an engine that was lost for an unknown cause are kept.
+# An engine that crashed has registered again within this time.
+LOSS_TTL_S = 15.0
 CRASHED = "crashed"
 REPLACED = "replaced"
 MS_PER_S = 1000
@@ -33,7 +40,7 @@
     suspects : set of bytes
         Fingerprints of the calls whose connections broke.
     task : asyncio.Task or None
-        Runs the investigation.
+        Runs the first probe.
     """
 
     __slots__ = ("at_s", "suspects", "task")
@@ -55,10 +62,8 @@
         Crashes and the requests that ran on the engines.
     gossip : Gossip
         Exchanges crash updates with peers.
-    session : aiohttp.ClientSession
-        Connections to engines.
-    dialect : EngineDialect
-        Protocol of the engines.
+    prober : EngineProber
+        Probes engines.
     clock : Clock
         Source of time.
     metrics : EdgeMetrics
@@ -69,26 +74,25 @@
         "_engines",
         "_crash_log",
         "_gossip",
-        "_session",
-        "_dialect",
+        "_prober",
         "_clock",
         "_metrics",
         "_losses",
         "_tasks",
     )
 
-    def __init__(self, engines, crash_log, gossip, session, dialect, clock, metrics):
+    def __init__(self, engines, crash_log, gossip, prober, clock, metrics):
         self._engines = engines
         self._crash_log = crash_log
         self._gossip = gossip
-        self._session = session
-        self._dialect = dialect
+        self._prober = prober
         self._clock = clock
         self._metrics = metrics
         self._losses = {}
         self._tasks = BackgroundTasks()
         gossip.subscribe(CrashSuspectsUpdate, self._apply_suspects)
         gossip.subscribe(EngineDownUpdate, self._apply_engine_down)
+        engines.on_restart.append(self._apply_restart)
 
     def is_blocked(self, call):
         """Return whether a call is blocked because it crashes its engines."""
@@ -113,16 +117,27 @@
             ).info("suspect request sent")
 
     def investigate(self, state, call):
-        """Investigate an engine whose connection broke, with a call as a suspect.
+        """Investigate an engine that a call was lost with, with the call as a suspect.
 
-        A call that loses its connection during an investigation joins the suspects.
+        A call that is lost later with the same run of the engine joins the suspects.
         """
-        key = (state.name, state.entry.born_ms)
-        loss = self._losses.get(key)
+        run = make_run(state)
+        fingerprint = fingerprint_call(call)
+        if self._crash_log.has_crash(run):
+            self._send_suspects(run, self._clock.monotonic(), [fingerprint])
+            return
+        self._drop_old_losses()
+        loss = self._losses.get(run)
         if loss is None:
-            loss = self._losses[key] = EngineLoss(self._clock.monotonic())
+            loss = self._losses[run] = EngineLoss(self._clock.monotonic())
             loss.task = self._tasks.spawn(self._investigate(state, loss))
-        loss.suspects.add(fingerprint_call(call))
+        loss.suspects.add(fingerprint)
+
+    def _drop_old_losses(self):
+        oldest_s = self._clock.monotonic() - LOSS_TTL_S
+        for run, loss in list(self._losses.items()):
+            if loss.at_s < oldest_s:
+                del self._losses[run]
 
     async def wait_for_investigations(self, call):
         """Wait until the evidence of the engines that a call lost is complete.
@@ -161,37 +176,39 @@
         return view
 
     async def _investigate(self, state, loss):
-        try:
-            if await self._has_crashed(state):
-                self.report_down(state, CRASHED)
-        finally:
-            self._losses.pop((state.name, state.entry.born_ms), None)
-
-    async def _has_crashed(self, state):
-        """Probe an engine; return whether it refuses connections or has restarted."""
+        """Probe an engine once, and in the background again if it doesn't answer."""
+        outcome = await self._probe(state, loss)
+        if outcome is ProbeOutcome.NO_ANSWER:
+            self._tasks.spawn(self._probe_again(state, loss))
+
+    async def _probe_again(self, state, loss):
+        for _ in range(PROBE_RETRIES):
+            await self._clock.sleep(PROBE_RETRY_INTERVAL_S)
+            if self._crash_log.has_crash(make_run(state)):
+                return
+            if await self._probe(state, loss) is not ProbeOutcome.NO_ANSWER:
+                return
+
+    async def _probe(self, state, loss):
         entry = state.entry
-        reply = await probe(
-            self._session,
-            entry.name,
-            entry.address,
-            self._dialect.report_path,
-            PROBE_TIMEOUT_S,
-        )
-        if reply.is_error():
-            failure = reply.error
-            has_crashed = isinstance(failure, UpstreamUnreachable) and failure.refused
-            outcome = repr(failure)
-        else:
-            born_ms = self._dialect.decode_start_ms(reply.ok)
-            has_crashed = bool(entry.born_ms and born_ms and born_ms != entry.born_ms)
-            outcome = f"started at {born_ms} ms"
+        result = await self._prober.probe(entry, PROBE_TIMEOUT_S)
         logger.bind(
             engine=entry.name,
             born_ms=entry.born_ms,
-            probe=outcome,
-            crashed=has_crashed,
+            outcome=result.outcome.value,
+            detail=result.detail,
+            suspects=len(loss.suspects),
         ).info("engine investigated")
-        return has_crashed
+        if result.outcome is ProbeOutcome.ENDED:
+            self.report_crash(state)
+        elif result.outcome is ProbeOutcome.RUNNING:
+            self._losses.pop(make_run(state), None)
+        return result.outcome
+
+    def report_crash(self, state):
+        """Report to all hosts that the run of an engine has ended."""
+        if not self._crash_log.has_crash(make_run(state)):
+            self.report_down(state, CRASHED)
 
     def report_down(self, state, cause):
         """Report to all hosts, this one included, that an engine is down."""
@@ -219,44 +236,63 @@
                 self._engines.mark_replaced(state)
             return
         if update.cause == CRASHED:
-            self._record_crash(update)
-        if state is None or not self._engines.is_usable(state):
-            return
-        age_s = self._clock.monotonic() - state.last_received_s
-        if update.cause != CRASHED and age_s < CORRELATED_CRASH_S:
-            logger.bind(engine=state.name, cause=update.cause).info(
-                "engine down report ignored"
-            )
+            run = EngineRun(update.engine, update.born_ms, update.availability_zone)
+            self._record_crash(run, state)
+        elif not self._can_be_silent(state, update.cause):
             return
-        self._engines.mark_down(state, update.cause)
+        if state is not None:
+            self._mark_down_and_interrupt(state, update.cause)
+
+    def _apply_restart(self, state):
+        """Record the crash of an engine that registered again, if calls ran on it.
+
+        All hosts get the registration, so peers need no report of the crash.
+        """
+        run = make_run(state)
+        if run in self._losses or state.attempts:
+            self._record_crash(run, state)
+            self._mark_down_and_interrupt(state, CRASHED)
+
+    def _mark_down_and_interrupt(self, state, cause):
+        self._engines.mark_down(state, cause)
         for attempt in list(state.attempts):
-            attempt.interrupt(update.cause)
-
-    def _record_crash(self, update):
-        """Add a crash to the log, and send this host's suspects to its peers."""
-        now_s = self._clock.monotonic()
-        loss = self._losses.get((update.engine, update.born_ms))
-        at_s = loss.at_s if loss else now_s
-        self._crash_log.add_crash(
-            update.engine, update.born_ms, update.availability_zone, at_s
-        )
-        if loss is not None and loss.suspects:
-            self._gossip.broadcast(
-                CrashSuspectsUpdate(
-                    update.engine,
-                    update.born_ms,
-                    update.availability_zone,
-                    int((now_s - at_s) * MS_PER_S),
-                    list(loss.suspects),
-                )
+            attempt.interrupt(cause)
+
+    def _can_be_silent(self, state, cause):
+        """Return whether a report of silence can be true of a usable engine."""
+        if state is None or not self._engines.is_usable(state):
+            return False
+        if self._clock.monotonic() - state.last_received_s >= CORRELATED_CRASH_S:
+            return True
+        logger.bind(engine=state.name, cause=cause).info("engine down report ignored")
+        return False
+
+    def _record_crash(self, run, state):
+        """Add a crash to the log, with the calls that this host had on the engine."""
+        loss = self._losses.pop(run, None)
+        at_s = loss.at_s if loss else self._clock.monotonic()
+        self._crash_log.add_crash(run, at_s)
+        suspects = set(loss.suspects) if loss else set()
+        if state is not None:
+            suspects |= {fingerprint_call(attempt.call) for attempt in state.attempts}
+        if suspects:
+            self._send_suspects(run, at_s, suspects)
+
+    def _send_suspects(self, run, at_s, suspects):
+        """Send the requests that this host had on a crashed engine to all hosts."""
+        age_ms = int((self._clock.monotonic() - at_s) * MS_PER_S)
+        self._gossip.broadcast(
+            CrashSuspectsUpdate(
+                run.engine, run.born_ms, run.availability_zone, age_ms, list(suspects)
             )
+        )
 
     def _apply_suspects(self, update):
         """Add the suspects that this host or a peer had on a crashed engine."""
-        log = self._crash_log
+        run = EngineRun(update.engine, update.born_ms, update.availability_zone)
         at_s = self._clock.monotonic() - update.age_ms / MS_PER_S
-        log.add_crash(update.engine, update.born_ms, update.availability_zone, at_s)
-        added = log.add_suspects(update.engine, update.born_ms, update.suspects)
+        self._crash_log.add_crash(run, at_s)
+        added = self._crash_log.add_suspects(run, update.suspects)
         if not added:
             return
         self._metrics.crash_evidence.inc(len(added))
@@ -284,6 +320,12 @@
             ).warning("request suspected of crashing engines")
 
 
+def make_run(state):
+    """Return the run of an engine that a state describes."""
+    entry = state.entry
+    return EngineRun(entry.name, entry.born_ms, entry.availability_zone)
+
+
 def fingerprint_call(call):
     """Return the digest of a call's path, organisation and body."""
     digest = hashlib.blake2b(call.target.encode("utf-8", "surrogateescape"))
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -1,9 +1,9 @@
-"""Detects engines that go silent while they run attempts of this host."""
+"""Detects engines that crash or go silent while they run attempts of this host."""
 
 from loguru import logger
 from mode import Service
 
-from sapphirerock.connection.upstream import probe
+from sapphirerock.process.engines.prober import ProbeOutcome
 
 CHECK_INTERVAL_S = 0.05
 # Even a busy engine sends its events within about 200 ms of each other.
@@ -12,7 +12,7 @@
 
 
 class EngineMonitor(Service):
-    """Probes silent engines and reports those that do not reply as down.
+    """Probes silent engines and reports those that ended or don't reply as down.
 
     Parameters
     ----------
@@ -20,20 +20,17 @@
         All engines.
     crash_watch : CrashWatch
         Receives the reports.
-    session : aiohttp.ClientSession
-        Connections to engines.
-    dialect : EngineDialect
-        Protocol of the engines.
+    prober : EngineProber
+        Probes engines.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, engines, crash_watch, session, dialect, clock, **kwargs):
+    def __init__(self, engines, crash_watch, prober, clock, **kwargs):
         super().__init__(**kwargs)
         self._engines = engines
         self._crash_watch = crash_watch
-        self._session = session
-        self._dialect = dialect
+        self._prober = prober
         self._clock = clock
 
     @Service.task
@@ -51,20 +48,17 @@
     async def _probe(self, state):
         """Probe an engine; report it down unless it replies or sends other data."""
         probed_at_s = self._clock.monotonic()
-        reply = await probe(
-            self._session,
-            state.name,
-            state.entry.address,
-            self._dialect.report_path,
-            PROBE_TIMEOUT_S,
-        )
+        result = await self._prober.probe(state.entry, PROBE_TIMEOUT_S)
         state.is_probe_pending = False
-        if reply.is_ok():
+        if result.outcome is ProbeOutcome.RUNNING:
             state.last_received_s = self._clock.monotonic()
             return
         if state.last_received_s > probed_at_s:
             return
-        logger.bind(engine=state.name, cause=repr(reply.error)).info(
-            "engine probe failed"
-        )
-        self._crash_watch.report_down(state, "silent")
+        logger.bind(
+            engine=state.name, outcome=result.outcome.value, detail=result.detail
+        ).info("engine probe failed")
+        if result.outcome is ProbeOutcome.ENDED:
+            self._crash_watch.report_crash(state)
+        else:
+            self._crash_watch.report_down(state, "silent")
--- /dev/null
+++ b/src/sapphirerock/process/engines/prober.py
@@ -0,0 +1,73 @@
+"""Probes whether the run of an engine that a host called still exists."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from sapphirerock.connection.errors import UpstreamUnreachable
+from sapphirerock.connection.upstream import probe
+
+
+class ProbeOutcome(Enum):
+    """What a probe shows about an engine."""
+
+    RUNNING = "running"
+    # The port refuses connections, or an engine with another start time answers.
+    ENDED = "ended"
+    NO_ANSWER = "no answer"
+
+
+@dataclass(slots=True, frozen=True)
+class ProbeResult:
+    """Outcome of a probe, and the answer or failure that shows it."""
+
+    outcome: ProbeOutcome
+    detail: str
+
+
+class EngineProber:
+    """Asks engines for their reports, each on a new connection.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Connections to engines.
+    dialect : EngineDialect
+        Protocol of the engines.
+    """
+
+    __slots__ = ("_session", "_dialect")
+
+    def __init__(self, session, dialect):
+        self._session = session
+        self._dialect = dialect
+
+    async def probe(self, entry, timeout_s):
+        """Probe a registered engine.
+
+        Parameters
+        ----------
+        entry : EngineEntry
+            The engine's registration.
+        timeout_s : float
+            Time for connection and answer, in seconds.
+
+        Returns
+        -------
+        ProbeResult
+        """
+        reply = await probe(
+            self._session,
+            entry.name,
+            entry.address,
+            self._dialect.report_path,
+            timeout_s,
+        )
+        if reply.is_error():
+            failure = reply.error
+            is_refused = isinstance(failure, UpstreamUnreachable) and failure.refused
+            outcome = ProbeOutcome.ENDED if is_refused else ProbeOutcome.NO_ANSWER
+            return ProbeResult(outcome, repr(failure))
+        born_ms = self._dialect.decode_start_ms(reply.ok)
+        is_other_run = bool(entry.born_ms and born_ms and born_ms != entry.born_ms)
+        outcome = ProbeOutcome.ENDED if is_other_run else ProbeOutcome.RUNNING
+        return ProbeResult(outcome, f"started at {born_ms} ms")
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -121,11 +121,18 @@
         Source of time.
     metrics : EdgeMetrics
         Counts engines.
+
+    Attributes
+    ----------
+    on_restart : list of callable
+        Called with the state of a run that ended, when a later run is registered under
+        the same id or at the same address.
     """
 
-    __slots__ = ("_decode", "_clock", "_metrics", "_states")
+    __slots__ = ("on_restart", "_decode", "_clock", "_metrics", "_states")
 
     def __init__(self, decode, clock, metrics):
+        self.on_restart = []
         self._decode = decode
         self._clock = clock
         self._metrics = metrics
@@ -153,12 +160,21 @@
         if known is not None and is_same_start(known.entry, entry):
             known.entry = entry
             return
+        ended = [] if known is None else [known]
         self._remove(entry.name)
         for state in self._states.values():
             # An address has one engine; the older entry has not expired yet.
             if state.entry.address == entry.address:
                 state.is_removed = True
+                ended.append(state)
         self._states[entry.name] = EngineState(entry)
+        for state in ended:
+            if 0 < state.entry.born_ms < entry.born_ms:
+                self._notify_of_restart(state)
+
+    def _notify_of_restart(self, state):
+        for notify in self.on_restart:
+            notify(state)
 
     def _remove(self, name):
         known = self._states.pop(name, None)
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -283,6 +283,7 @@
         """Return the outcome of a stream whose connection ended without an error."""
         if splitter.has_partial_event or not self._responder.has_begun:
             self._log.bind(engine=attempt.state.name).info("stream truncated by engine")
+            self._runtime.crash_watch.investigate(attempt.state, self._call)
             return StreamOutcome.LOST
         return StreamOutcome.COMPLETE
 
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -42,11 +42,11 @@
     """
 
     __slots__ = (
+        "call",
         "state",
         "backup",
         "head",
         "_runtime",
-        "_call",
         "_prompt_tokens",
         "_memory_tokens",
         "_response",
@@ -61,7 +61,7 @@
         self.backup = backup
         self.head = None
         self._runtime = runtime
-        self._call = call
+        self.call = call
         self._prompt_tokens = prompt_tokens
         self._memory_tokens = memory_tokens
         self._response = None
@@ -130,7 +130,7 @@
         -------
         expression.Result of ResponseHead or ConnectionFailure
         """
-        call, entry, runtime = self._call, self.state.entry, self._runtime
+        call, entry, runtime = self.call, self.state.entry, self._runtime
         runtime.crash_watch.log_send(self.state, call)
         headers = runtime.dialect.make_headers(
             call,
@@ -207,7 +207,7 @@
             return Error(AttemptInterrupted(self.state.name, self._interrupt_cause))
         try:
             async with asyncio.timeout_at(
-                self._call.response_deadline_s
+                self.call.response_deadline_s
             ) as self._timeout:
                 return await coroutine
         except TimeoutError:
