Poison requests: hosts exchange their crash logs, not only new crashes

What callers saw: a request that had crashed three engines was sent to three more by each host that had started since, or whose streams were down when the crashes were reported. Cause: evidence was sent once, to the peers connected at that moment, and kept nowhere else; on the shared platform nothing gave it to a host that connects later (the router with own settings broadcasts it again).

Why this works: each heartbeat, also the first on a new stream, carries a digest of the sender's log; a host whose log differs pulls the whole log and merges it. Merging in any order gives equal logs (new scenarios), so a lost update is made up for at the next heartbeat. Observations keep their age: an expired one doesn't come back. Hosts of an older build ignore the view.

--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -40,3 +40,26 @@
     Given a host with a call on an engine that crashes
     When 6 engines crash under the call, each together with another of its zone
     Then the call is blocked
+
+  Scenario Outline: Crash logs become equal when hosts merge them: <case>
+    Given two hosts with crash logs: <case>
+    When each host merges the log of the other
+    Then both logs have the same digest and <crashes> crashes of the request
+
+    Examples:
+      | case                                     | crashes |
+      | one is empty                             | 1       |
+      | each has another crash                   | 2       |
+      | both have the crash with other requests  | 1       |
+      | one has blocked the request              | 0       |
+      | each has the crash at another time       | 1       |
+
+  Scenario: An expired crash does not return from the log of another host
+    Given two hosts with crash logs: one is empty
+    When the crash has all but expired and each host merges the log of the other
+    Then the empty log is still empty
+
+  Scenario: A full crash log drops the oldest crashes and stays consistent
+    Given a host with a full crash log
+    When 10 more engines crash
+    Then its log has its former size, without the 10 oldest crashes
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -13,9 +13,14 @@
 from features.steps.edge_steps import list_all_runs
 from features.steps.stream_steps import POISON_PROMPT
 from sapphirerock.connection.upstream import make_upstream_session
-from sapphirerock.decisions.crashlog import CrashLog
+from sapphirerock.decisions.crashlog import (
+    MAX_LOGGED_CRASHES,
+    CrashLog,
+    EngineRun,
+)
+from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.platform.dialect import PlatformDialect
-from sapphirerock.process.clock import SystemClock
+from sapphirerock.process.clock import ManualClock, SystemClock
 from sapphirerock.process.engines.crashwatch import CrashWatch, fingerprint_call
 from sapphirerock.process.engines.monitor import EngineMonitor
 from sapphirerock.process.engines.prober import EngineProber
@@ -328,3 +333,103 @@
 @then("the call is blocked")
 def check_blocked(context):
     assert context.host.crash_watch.is_blocked(context.call)
+
+
+LOGS = {}
+REQUEST = b"request"
+RUNS = [EngineRun(f"e{number}", BORN_MS, "zone-a") for number in range(2)]
+
+
+@register_in(LOGS, "one is empty")
+def fill_one(first, second):
+    first.add_crash(RUNS[0], 1.0)
+    first.add_suspects(RUNS[0], [REQUEST])
+
+
+@register_in(LOGS, "each has another crash")
+def fill_differently(first, second):
+    for log, run in zip((first, second), RUNS, strict=True):
+        log.add_crash(run, 1.0)
+        log.add_suspects(run, [REQUEST])
+
+
+@register_in(LOGS, "both have the crash with other requests")
+def fill_with_other_requests(first, second):
+    for log, request in ((first, REQUEST), (second, b"another")):
+        log.add_crash(RUNS[0], 1.0)
+        log.add_suspects(RUNS[0], [request])
+
+
+@register_in(LOGS, "one has blocked the request")
+def fill_blocked(first, second):
+    first.add_blocked(REQUEST, 1.0)
+
+
+@register_in(LOGS, "each has the crash at another time")
+def fill_at_other_times(first, second):
+    for log, at_s in ((first, 1.0), (second, 1.2)):
+        log.add_crash(RUNS[0], at_s)
+        log.add_suspects(RUNS[0], [REQUEST])
+
+
+@given("two hosts with crash logs: {case}")
+def make_logs(context, case):
+    context.clock = ManualClock(2.0)
+    context.logs = [CrashLog(context.clock), CrashLog(context.clock)]
+    LOGS[case](*context.logs)
+
+
+@when("each host merges the log of the other")
+def merge_logs(context):
+    first, second = context.logs
+    second.merge(first.list_records())
+    first.merge(second.list_records())
+
+
+@when("the crash has all but expired and each host merges the log of the other")
+def merge_expiring_logs(context):
+    context.clock.advance(EVIDENCE_TTL_S - 5.0)
+    merge_logs(context)
+
+
+@then("both logs have the same digest and {count:d} crashes of the request")
+def check_logs_equal(context, count):
+    first, second = context.logs
+    assert first.describe() == second.describe()
+    assert [log.count_crashes(REQUEST) for log in context.logs] == [count] * 2
+    assert first.is_blocked(REQUEST) == second.is_blocked(REQUEST)
+    # A second merge changes nothing.
+    assert not second.merge(first.list_records())
+
+
+@then("the empty log is still empty")
+def check_still_empty(context):
+    assert context.logs[1].is_empty
+
+
+def add_crashes(log, numbers):
+    for number in numbers:
+        run = EngineRun(f"e{number}", BORN_MS, "zone-a")
+        log.add_crash(run, float(number))
+        log.add_suspects(run, [REQUEST, f"{number}".encode()])
+
+
+@given("a host with a full crash log")
+def fill_log(context):
+    context.log = CrashLog(ManualClock(MAX_LOGGED_CRASHES + 100.0))
+    add_crashes(context.log, range(MAX_LOGGED_CRASHES))
+
+
+@when("{count:d} more engines crash")
+def add_more_crashes(context, count):
+    add_crashes(context.log, range(MAX_LOGGED_CRASHES, MAX_LOGGED_CRASHES + count))
+
+
+@then("its log has its former size, without the {count:d} oldest crashes")
+def check_full_log(context, count):
+    log, clock = context.log, ManualClock(MAX_LOGGED_CRASHES + 100.0)
+    expected = CrashLog(clock)
+    add_crashes(expected, range(count, MAX_LOGGED_CRASHES + count))
+    assert log.describe() == expected.describe()
+    assert log.count_crashes(b"0") == 0
+    assert log.count_crashes(REQUEST) == MAX_LOGGED_CRASHES
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -87,7 +87,7 @@
 @register_message(3)
 @dataclass(slots=True)
 class Heartbeat(Message):
-    """Heartbeat with the state of the sender's replicas.
+    """Heartbeat with views of the sender's replicated state.
 
     Parameters
     ----------
@@ -96,7 +96,8 @@
     views : list of [str, int, int, int, str]
         Kind of objects, highest revision that the sender's replica has applied,
         number of objects in it, milliseconds since a host was last in contact with
-        the store, and the name of that host.
+        the store, and the name of that host. For the crash log: its name, its digest,
+        its size, 0 and an empty string. A host ignores kinds that it doesn't know.
     """
 
     leaving: bool
@@ -299,6 +300,21 @@
     cells: list
 
 
+@register_message(26)
+@dataclass(slots=True)
+class CrashLogPull(Message):
+    """Request for the receiver's whole crash log, whose digest its heartbeat had."""
+
+
+@register_message(27)
+@dataclass(slots=True)
+class CrashLogContent(Message):
+    """A host's whole crash log; the fields are those of `CrashLogRecords`."""
+
+    crashes: list
+    blocked: list
+
+
 @register_message(30)
 @dataclass(slots=True)
 class GossipUpdate(Message):
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -43,6 +43,7 @@
 from sapphirerock.process.engines.monitor import EngineMonitor
 from sapphirerock.process.engines.prober import EngineProber
 from sapphirerock.process.engines.table import EngineTable
+from sapphirerock.process.peers.crashlogs import CrashLogExchange
 from sapphirerock.process.peers.gossip import Gossip
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.loadsharing import LoadSharing
@@ -108,6 +109,7 @@
             self.feed,
             self.membership,
             self.load_sharing,
+            self.crash_log_exchange,
             self.monitor,
             self.admission,
             self._make_web_service(
@@ -214,6 +216,9 @@
         dialect = DIALECTS[platform_dialect.PlatformDialect.name]
         prober = EngineProber(session, dialect)
         crash_log = CrashLog(clock)
+        self.crash_log_exchange = CrashLogExchange(
+            crash_log, self.peers, clock, self.metrics
+        )
         self.metrics.quarantined.set_function(lambda: len(crash_log))
         crash_watch = CrashWatch(
             self.engines,
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -66,8 +66,8 @@
         self.zone_hubs = []
         self._hubs = {}
         self._all_hubs = frozenset()
-        # Returns the views of replicas to send with heartbeats; the feed replaces it.
-        self.describe_views = list
+        # Functions that return views of this host's state to send with heartbeats.
+        self.view_sources = []
         self.on_heartbeat = []
         self.on_connect = []
         self._key = key.encode()
@@ -293,7 +293,8 @@
             stream.close()
 
     def _make_heartbeat(self):
-        return Heartbeat(self.is_shutting_down, self.describe_views())
+        views = [view for describe in self.view_sources for view in describe()]
+        return Heartbeat(self.is_shutting_down, views)
 
     def _send_heartbeat(self, stream, message):
         self.count_bytes(stream, "heartbeat", stream.send(message))
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -156,7 +156,7 @@
         peers.register_handler(ObjectDelta, self._handle_delta)
         peers.register_handler(ObjectPull, self._answer_pull)
         peers.on_heartbeat.append(self._compare_views)
-        peers.describe_views = self.describe_views
+        peers.view_sources.append(self.describe_views)
 
     async def on_start(self):
         """Start to replicate each kind."""
