Poison requests: wait until the cause of a suspect's loss is known

What callers saw: a poison request crashed a fourth engine. Cause: an engine that ends may still accept and reset a connection for a moment, so the first probe shows nothing; the request had waited for the first probe alone, and was sent to the next engine before the crash was known.

Evidence: seen once in a run of poisonrequests.feature (sends 4: the third engine's crash was established 0.5 s after its loss, when the fourth had crashed). The finding of the last landing in streams.feature ('then two more after 0.5 s') looks the same; it was not traced.

Why this works: a request with two crashes against it waits for the whole investigation, at most 2.7 s; probes are repeated after 0.1, 0.4 and 1 s. Other calls wait for the first probe as before.

--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -41,6 +41,11 @@
     When 6 engines crash under the call, each together with another of its zone
     Then the call is blocked
 
+  Scenario: A suspect request waits until the cause of its third loss is known
+    Given a host with a call on an engine that crashes
+    When the call has lost two engines, and a third resets the first probe
+    Then the call is blocked once its investigations have ended
+
   Scenario Outline: Crash logs become equal when hosts merge them: <case>
     Given two hosts with crash logs: <case>
     When each host merges the log of the other
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -183,7 +184,7 @@
             self.metrics,
         )
         self.monitor = EngineMonitor(self.engines, self.crash_watch, prober, self.clock)
-        self._silent = []
+        self.silent_engines = []
         self._revision = 0
 
     def add_engine(self, name, address=None, born_ms=BORN_MS):
@@ -197,7 +198,7 @@
     def add_unresponsive_engine(self, name):
         """Register an engine that accepts connections and never answers."""
         listener = socket.create_server(("127.0.0.1", 0))
-        self._silent.append(listener)
+        self.silent_engines.append(listener)
         return self.add_engine(name, f"127.0.0.1:{listener.getsockname()[1]}")
 
     def count_crashes(self, call):
@@ -207,7 +208,7 @@
     async def close(self):
         """Close the client session and the engines' sockets."""
         await self.session.close()
-        for listener in self._silent:
+        for listener in self.silent_engines:
             listener.close()
 
 
@@ -330,6 +331,45 @@
     context.run(run())
 
 
+async def reset_first_probe(listener):
+    """Reset the connections of a probe, then refuse all others.
+
+    The HTTP client repeats a request whose connection was reset once.
+    """
+    loop = asyncio.get_running_loop()
+    listener.setblocking(False)
+    linger = struct.pack("ii", 1, 0)
+    for _ in range(2):
+        connection, _ = await loop.sock_accept(listener)
+        # A close with a linger timeout of 0 s sends a reset.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+    listener.close()
+
+
+@when("the call has lost two engines, and a third resets the first probe")
+def lose_three_engines(context):
+    async def run():
+        host, call = context.host, context.call
+        for name in ("e1", "e2"):
+            host.crash_watch.investigate(host.add_engine(name), call)
+            await asyncio.sleep(0.5)
+        state = host.add_unresponsive_engine("e3")
+        reset = asyncio.ensure_future(reset_first_probe(host.silent_engines[-1]))
+        host.crash_watch.investigate(state, call)
+        await host.crash_watch.wait_for_investigations(call)
+        context.was_blocked = host.crash_watch.is_blocked(call)
+        await reset
+        await host.close()
+
+    context.run(run())
+
+
+@then("the call is blocked once its investigations have ended")
+def check_blocked_after_wait(context):
+    assert context.was_blocked
+
+
 @then("the call is blocked")
 def check_blocked(context):
     assert context.host.crash_watch.is_blocked(context.call)
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -20,8 +20,7 @@
 PROBE_TIMEOUT_S = 0.3
 # An engine that doesn't answer is probed again, since a lost packet, a busy engine or a
 # network partition hides a crash.
-PROBE_RETRIES = 3
-PROBE_RETRY_INTERVAL_S = 0.5
+PROBE_RETRY_DELAYS_S = (0.1, 0.4, 1.0)
 # Time for which the calls of an engine that was lost for an unknown cause are kept.
 # An engine that crashed has registered again within this time.
 LOSS_TTL_S = 15.0
@@ -39,15 +38,18 @@
         Monotonic time of the first loss, in seconds.
     suspects : set of bytes
         Fingerprints of the calls whose connections broke.
+    is_probed : asyncio.Event
+        Set after the first probe.
     task : asyncio.Task or None
-        Runs the first probe.
+        Runs the investigation.
     """
 
-    __slots__ = ("at_s", "suspects", "task")
+    __slots__ = ("at_s", "suspects", "is_probed", "task")
 
     def __init__(self, at_s):
         self.at_s = at_s
         self.suspects = set()
+        self.is_probed = asyncio.Event()
         self.task = None
 
 
@@ -142,19 +144,22 @@
     async def wait_for_investigations(self, call):
         """Wait until the evidence of the engines that a call lost is complete.
 
-        A call with enough crashes to run alone also waits until other hosts have the
-        same evidence.
+        A call with enough crashes to run alone also waits for engines that don't answer
+        a first probe, and until other hosts have the same evidence.
         """
         fingerprint = fingerprint_call(call)
-        pending = [
-            loss.task for loss in self._losses.values() if fingerprint in loss.suspects
-        ]
-        if pending:
-            await asyncio.wait(pending)
+        for loss in self._list_losses(fingerprint):
+            await loss.is_probed.wait()
         await self._clock.sleep(self._crash_log.measure_settling_s(fingerprint))
         if self._crash_log.must_run_alone(fingerprint):
+            for loss in self._list_losses(fingerprint):
+                await asyncio.wait([loss.task])
+            await self._clock.sleep(self._crash_log.measure_settling_s(fingerprint))
             await self._clock.sleep(CRASH_GOSSIP_DELAY_S)
 
+    def _list_losses(self, fingerprint):
+        return [loss for loss in self._losses.values() if fingerprint in loss.suspects]
+
     def choose_isolated_engine(self, call, views):
         """Return an engine for a suspect request, apart from other suspects.
 
@@ -176,18 +181,18 @@
         return view
 
     async def _investigate(self, state, loss):
-        """Probe an engine once, and in the background again if it doesn't answer."""
-        outcome = await self._probe(state, loss)
-        if outcome is ProbeOutcome.NO_ANSWER:
-            self._tasks.spawn(self._probe_again(state, loss))
-
-    async def _probe_again(self, state, loss):
-        for _ in range(PROBE_RETRIES):
-            await self._clock.sleep(PROBE_RETRY_INTERVAL_S)
-            if self._crash_log.has_crash(make_run(state)):
+        """Probe an engine until it is known whether it has ended."""
+        try:
+            outcome = await self._probe(state, loss)
+        finally:
+            loss.is_probed.set()
+        for delay_s in PROBE_RETRY_DELAYS_S:
+            if outcome is not ProbeOutcome.NO_ANSWER:
                 return
-            if await self._probe(state, loss) is not ProbeOutcome.NO_ANSWER:
+            await self._clock.sleep(delay_s)
+            if self._crash_log.has_crash(make_run(state)):
                 return
+            outcome = await self._probe(state, loss)
 
     async def _probe(self, state, loss):
         entry = state.entry
@@ -286,6 +291,7 @@
                 run.engine, run.born_ms, run.availability_zone, age_ms, list(suspects)
             )
         )
+        self._tasks.spawn(self._block_when_settled(suspects))
 
     def _apply_suspects(self, update):
         """Add the suspects that this host or a peer had on a crashed engine."""
@@ -299,10 +305,12 @@
         logger.bind(
             engine=update.engine, start=update.born_ms, suspects=len(added)
         ).info("crash evidence added")
-        self._tasks.spawn(self._block_when_settled(added))
 
     async def _block_when_settled(self, fingerprints):
-        """Block the requests whose evidence suffices once it is complete."""
+        """Block this host's suspects whose evidence suffices once it is complete.
+
+        Other hosts come to the same result from the same evidence.
+        """
         for fingerprint in fingerprints:
             await self._clock.sleep(self._crash_log.measure_settling_s(fingerprint))
             crashes = self._crash_log.count_crashes(fingerprint)
@@ -310,8 +318,9 @@
             if crashes < ISOLATION_CRASHES:
                 continue
             is_blocked = self._crash_log.is_blocked(fingerprint)
+            now_s = self._clock.monotonic()
             if is_blocked:
-                self._crash_log.add_blocked(fingerprint, self._clock.monotonic())
+                self._crash_log.add_blocked(fingerprint, now_s)
             logger.bind(
                 fingerprint=fingerprint.hex(),
                 crashes=crashes,
