Poison requests: check again before a waiting request is sent

What callers saw: a request that waited in the admission queue was sent to an engine after it had been blocked; and a call under which a request was blocked ended with 502, on which callers repeat at once, instead of the final 422 with Retry-After. Cause: the block was looked up on arrival only, and the final answer was chosen without it.

Evidence: the new scenario ('the request is sent to an engine') failed before.

The answer to a call that ran before the block says 'ran' as its outcome; one that didn't run says 'not-run'.

--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -19,6 +19,11 @@
     And all edges are killed at once and the poison request is sent once through every edge
     Then it crashed at most 3 engines, and every edge refused it
 
+  Scenario: A request that is blocked while it waits for an engine is not sent
+    Given a stream whose request is blocked while it waits for admission
+    When the stream is run
+    Then no engine gets it, and the caller gets a final refusal that says it did not run
+
   Scenario Outline: A block in the store is <outcome>: <block>
     Given a block in the store: <block>
     When a host decodes it
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -22,6 +22,7 @@
     EngineRun,
 )
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
+from sapphirerock.decisions.retrybudget import RetryBudget, RetryLimits
 from sapphirerock.platform.dialect import PlatformDialect
 from sapphirerock.process.clock import ManualClock, SystemClock
 from sapphirerock.process.engines.blockedrequests import decode_block
@@ -32,7 +33,10 @@
 from sapphirerock.process.peers.gossip import CrashSuspectsUpdate, EngineDownUpdate
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
+from sapphirerock.request.problem import CRASHES_ENGINES, NOT_RUN
+from sapphirerock.request.streamcall import StreamCall
 from sapphirerock.version.engineentry import EngineEntry
+from sapphirerock.version.routing import RouteKind
 
 POISON_TARGET = "/review/poison"
 REFUSED_STATUS = 422
@@ -518,3 +522,75 @@
     assert log.describe() == expected.describe()
     assert log.count_crashes(b"0") == 0
     assert log.count_crashes(REQUEST) == MAX_LOGGED_CRASHES
+
+
+class RecordingResponder:
+    """Keeps the problem that would be sent to the caller."""
+
+    has_begun = False
+    status = None
+    problem = None
+
+    async def send_problem(self, problem):
+        """Record the problem."""
+        self.problem = problem
+        self.status = problem.status
+
+
+class BlockingAdmission:
+    """Admits a call after another host has blocked its request."""
+
+    def __init__(self, crash_log):
+        self._crash_log = crash_log
+
+    async def admit(self, call):
+        """Block the request, then admit the call."""
+        self._crash_log.add_blocked(fingerprint_call(call), 0.0)
+        return Ok(SimpleNamespace(state=None))
+
+
+class UnusedFleet:
+    """Fails when an attempt begins."""
+
+    def choose_backup_engine(self, call, state):
+        """Fail: an attempt chooses its backup before it is sent."""
+        raise AssertionError("the request is sent to an engine")
+
+
+@given("a stream whose request is blocked while it waits for admission")
+def make_waiting_stream(context):
+    async def run():
+        host = context.host = HostUnderTest()
+        route = SimpleNamespace(
+            name="review", kind=RouteKind.STREAMING, may_retry=True, max_attempts=5
+        )
+        call = SimpleNamespace(
+            **vars(make_call()), route=route, service="model", revision=1
+        )
+        call.metadata.last_event_id = None
+        limits = RetryLimits(0.8, 150.0, 10.0)
+        runtime = SimpleNamespace(
+            clock=host.clock,
+            metrics=host.metrics,
+            crash_watch=host.crash_watch,
+            retry_budget=RetryBudget(limits, lambda: 1, host.clock),
+            admission=BlockingAdmission(host.crash_log),
+            fleet=UnusedFleet(),
+        )
+        context.responder = RecordingResponder()
+        context.stream_call = StreamCall(runtime, call, context.responder)
+
+    context.run(run())
+
+
+@when("the stream is run")
+def run_stream(context):
+    context.run(context.stream_call.run())
+
+
+@then("no engine gets it, and the caller gets a final refusal that says it did not run")
+def check_not_sent(context):
+    assert context.responder.problem.kind is CRASHES_ENGINES
+    assert context.responder.problem.retry_after_s == EVIDENCE_TTL_S
+    assert context.responder.problem.kind.outcome == NOT_RUN
+    context.run(context.host.close())
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -7,6 +7,7 @@
 from sapphirerock.connection.ingress import read_request_body
 from sapphirerock.connection.responder import Responder
 from sapphirerock.decisions.leaving import ShutdownView
+from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.platform.ingress import decode_call_metadata, select_request_headers
 from sapphirerock.process.engines.crashwatch import fingerprint_call
 from sapphirerock.process.telemetry.tracing import extract_trace_context
@@ -30,8 +31,6 @@
 # Other hosts accept the call at once. The delay keeps callers from retrying all at the
 # same time.
 SHUTDOWN_RETRY_AFTER_S = 0.1
-# A blocked call stays blocked for about this time.
-BLOCKED_RETRY_AFTER_S = 600.0
 
 
 class CallHandler:
@@ -196,8 +195,8 @@
                 request=call.metadata.attempt_id,
                 fingerprint=fingerprint_call(call).hex(),
             ).warning("poison request refused")
-            detail = "it crashed every engine that ran it"
-            problem = Problem(CRASHES_ENGINES, detail, BLOCKED_RETRY_AFTER_S)
+            detail = "engines crashed each time that they ran it"
+            problem = Problem(CRASHES_ENGINES, detail, EVIDENCE_TTL_S)
             await responder.send_problem(problem)
             return
         is_stream = call.route.kind is RouteKind.STREAMING
--- a/src/sapphirerock/request/problem.py
+++ b/src/sapphirerock/request/problem.py
@@ -99,6 +99,10 @@
 CRASHES_ENGINES = ProblemKind(
     "request-crashes-engines", 422, "The request crashed the engines that ran it"
 )
+# The same problem for a request that ran before it was blocked.
+CRASHED_ENGINES = ProblemKind(
+    CRASHES_ENGINES.name, CRASHES_ENGINES.status, CRASHES_ENGINES.title, outcome=RAN
+)
 RATE_LIMITED = ProblemKind("rate-limited", 429, "Over the organisation's rate")
 OVERLOADED = ProblemKind("overloaded", 429, "No capacity before the deadline")
 GENERATION_LOST = ProblemKind(
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -18,9 +18,12 @@
     choose_recovery_step,
 )
 from sapphirerock.decisions.poisonrequests import SUSPECT_LOSSES
+from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.request.backupkeeper import BackupKeeper
 from sapphirerock.request.problem import (
+    CRASHED_ENGINES,
+    CRASHES_ENGINES,
     TIMED_OUT,
     UNAVAILABLE,
     UPSTREAM_FAILED,
@@ -171,6 +174,8 @@
             if admitted.is_error():
                 await self._responder.send_problem(admitted.error)
                 return StreamOutcome.RELAYED
+            if self._runtime.crash_watch.is_blocked(self._call):
+                return StreamOutcome.NOT_RUN
             return await self._run_attempt(admitted.ok.state, None, admitted.ok)
         isolate = (
             self._runtime.crash_watch.choose_isolated_engine if self._losses else None
@@ -358,7 +363,11 @@
         if self._responder.has_begun:
             self._responder.abort()
             return
-        if outcome is StreamOutcome.DEADLINE_EXCEEDED:
+        if self._runtime.crash_watch.is_blocked(self._call):
+            kind = CRASHED_ENGINES if self._losses else CRASHES_ENGINES
+            detail = "engines crashed each time that they ran it"
+            problem = Problem(kind, detail, EVIDENCE_TTL_S)
+        elif outcome is StreamOutcome.DEADLINE_EXCEEDED:
             problem = Problem(TIMED_OUT, "no answer within the route's time")
         elif self._losses or self._failures:
             problem = Problem(UPSTREAM_FAILED, "no engine finished the call")
