Upstreams: bound the bytes of a response that never ends

What callers saw: an engine that sends a body without end made a host buffer it until the route's timeout, and a chunk line without end held a stream until its deadline. Cause: buffered bodies and reports had no limit on their size, and nothing counted bytes that belong to no body.

Heads, trailers and events were bounded before.

Why this works: a buffered response may have 4 MiB, a report 256 KiB, and a connection 256 KiB beyond twice its body; beyond that it is closed and the attempt counts as run. The clients of the project's own engines and plain services read through the same function.

--- a/src/sapphirerock/connection/engine.py
+++ b/src/sapphirerock/connection/engine.py
@@ -14,6 +14,7 @@
     UpstreamUnreachable,
 )
 from sapphirerock.connection.eventstream import EventStream
+from sapphirerock.connection.upstream import REPORT_LIMIT_BYTES, read_body
 from sapphirerock.process.telemetry.tracing import inject_trace_context
 
 # For calls that are not streamed.
@@ -179,7 +180,10 @@
             ) as response:
                 if response.status != 200:
                     return Error(UpstreamRefused(self._upstream.name, response.status))
-                return Ok(LoadReport(**orjson.loads(await response.read())))
+                read = await read_body(
+                    self._upstream.name, response, REPORT_LIMIT_BYTES
+                )
+                return read.map(lambda body: LoadReport(**orjson.loads(body)))
         except (TimeoutError, ClientError, OSError) as error:
             return Error(self._classify_error(error, timeout_s))
         except (ValueError, TypeError) as error:
@@ -212,8 +216,10 @@
                 json=body,
                 timeout=ClientTimeout(total=timeout_s),
             ) as response:
-                await response.read()
-                return Ok(response.status)
+                read = await read_body(
+                    self._upstream.name, response, REPORT_LIMIT_BYTES
+                )
+                return read.map(lambda body: response.status)
         except (TimeoutError, ClientError, OSError) as error:
             return Error(self._classify_error(error, timeout_s))
 
@@ -252,7 +258,8 @@
     """Read and close an error response; return whether the engine is draining."""
     try:
         async with asyncio.timeout(CALL_TIMEOUT_S):
-            document = orjson.loads(await response.read())
+            read = await read_body("", response, REPORT_LIMIT_BYTES)
+        document = orjson.loads(read.ok) if read.is_ok() else None
         return isinstance(document, dict) and document.get("leaving") is True
     except (ClientError, TimeoutError, OSError, ValueError):
         return False
--- a/src/sapphirerock/connection/plain.py
+++ b/src/sapphirerock/connection/plain.py
@@ -8,7 +8,7 @@
     ClientTimeout,
     ConnectionTimeoutError,
 )
-from expression import Error, Ok
+from expression import Error
 
 from sapphirerock.connection.errors import (
     UpstreamBroken,
@@ -16,6 +16,7 @@
     UpstreamUnreachable,
 )
 from sapphirerock.connection.sessions import CONNECT_TIMEOUT_S
+from sapphirerock.connection.upstream import read_body
 from sapphirerock.process.telemetry.tracing import inject_trace_context
 
 FORWARDED_HEADERS = ("Content-Type", "Accept", "Idempotency-Key")
@@ -86,8 +87,10 @@
             allow_redirects=False,
             middlewares=middlewares,
         ) as response:
-            body = await response.read()
-            return Ok(PlainResponse(response.status, response.content_type, body))
+            read = await read_body(upstream.name, response)
+            return read.map(
+                lambda body: PlainResponse(response.status, response.content_type, body)
+            )
     except ConnectionTimeoutError:
         return Error(UpstreamUnreachable(upstream.name, refused=False))
     except ClientConnectorError as error:
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -35,6 +35,14 @@
 # An event is a few hundred bytes long, a plain response a few thousand.
 READ_BUFFER_BYTES = 1 << 16
 HEAD_LIMIT_BYTES = 1 << 15
+# A buffered response of an upstream is at most as large as a caller's request may be
+# on the deployments known; a few of them fit into a host's memory.
+RESPONSE_LIMIT_BYTES = 4 << 20
+# A report lists the runs of an engine, at about 60 bytes each.
+REPORT_LIMIT_BYTES = 256 << 10
+# Bytes that may arrive without adding to a body: heads, chunk lines, trailers. Chunks
+# of small events may add as much as the events themselves.
+OVERHEAD_LIMIT_BYTES = 256 << 10
 
 
 class UpstreamProtocol(ResponseHandler):
@@ -43,8 +51,27 @@
     The end of the connection ends a response without a length. aiohttp also accepts a
     reset as this end, though the response may be incomplete; here it is an error.
     Closing does not wait for unsent bytes, which the upstream may never read.
+    A connection that receives many bytes that belong to no body is aborted.
     """
 
+    def __init__(self, loop):
+        super().__init__(loop)
+        self._received_bytes = 0
+
+    def data_received(self, data):
+        """Parse received bytes; fail if too many of them belong to no body."""
+        super().data_received(data)
+        self._received_bytes += len(data)
+        body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        if self._received_bytes > OVERHEAD_LIMIT_BYTES + 2 * body_bytes:
+            error = ClientPayloadError(
+                f"{self._received_bytes} bytes received, {body_bytes} of them a body"
+            )
+            if self._payload is not None:
+                self._payload.set_exception(error)
+            self.set_exception(error)
+            self.abort()
+
     def connection_lost(self, exc):
         """Fail the response in progress if the connection was reset."""
         payload = self._payload
@@ -141,22 +168,41 @@
         return Error(UpstreamBroken(upstream, repr(error)))
 
 
-async def read_body(upstream, response):
+async def read_body(upstream, response, limit_bytes=RESPONSE_LIMIT_BYTES):
     """Read the complete body of a response.
 
     Returns
     -------
     expression.Result of bytes or ConnectionFailure
+        `UpstreamBroken` for a body that exceeds the limit.
+
+    Raises
+    ------
+    TimeoutError
+        When a timeout that the request was made with expires.
     """
+    parts, size = [], 0
     try:
-        return Ok(await response.read())
+        async for part in response.content.iter_any():
+            size += len(part)
+            if size > limit_bytes:
+                response.close()
+                reason = f"the body exceeds {limit_bytes} bytes"
+                return Error(UpstreamBroken(upstream, reason))
+            parts.append(part)
+    except TimeoutError:
+        # A subclass of OSError; the timeout belongs to the caller of this function.
+        raise
     except (ClientError, OSError) as error:
         return Error(UpstreamBroken(upstream, repr(error)))
+    return Ok(b"".join(parts))
 
 
 async def send_request(session, upstream, address, request, timeout_s):
     """Send a request that the router makes on its own, and read the whole response.
 
+    The body may have `REPORT_LIMIT_BYTES`.
+
     Returns
     -------
     expression.Result of (int, bytes) or ConnectionFailure
@@ -170,7 +216,8 @@
             data=request.body or None,
             timeout=ClientTimeout(total=timeout_s),
         ) as response:
-            return Ok((response.status, await response.read()))
+            read = await read_body(upstream, response, REPORT_LIMIT_BYTES)
+            return read.map(lambda body: (response.status, body))
     except ClientConnectorError as error:
         refused = isinstance(error.os_error, ConnectionRefusedError)
         return Error(UpstreamUnreachable(upstream, refused))
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -147,6 +147,8 @@
         and resets their connections.
     skips_registration : bool
         Whether the engine stays out of the store.
+    has_endless_reports : bool
+        Whether reports are sent without end.
     """
 
     def __init__(self, traits):
@@ -161,6 +163,7 @@
         self.on_crash = None
         self.skips_registration = False
         self.has_crashed = False
+        self.has_endless_reports = False
         self._transports = set()
         self._silent = set()
         self._session = None
@@ -223,6 +226,9 @@
 
     async def _report(self, request):
         await self._hang_if_silenced(request)
+        if self.has_endless_reports:
+            start = b"HTTP/1.1 200 OK\r\n\r\n"
+            await write_endlessly(request.transport, start, FILLER)
         return web.Response(body=encode_report(self.started_ms, self.running))
 
     async def _list_runs(self, request):
@@ -614,3 +620,76 @@
             await self._runner.cleanup()
         if self._session is not None:
             await self._session.close()
+
+
+@dataclass(slots=True, frozen=True)
+class EndlessBytes:
+    """Bytes that are repeated until the caller closes, and what precedes them.
+
+    Parameters
+    ----------
+    start, filler : bytes
+        Bytes that are sent once, and bytes that are repeated.
+    header_lines : tuple of str or None
+        Lines added to the head of a valid response, which is sent first; None sends no
+        head.
+    """
+
+    start: bytes
+    filler: bytes
+    header_lines: tuple | None = None
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+EVENTS = "Content-Type: text/event-stream"
+FILLER = b"0123456789abcdef"
+ENDLESS_RESPONSES = {
+    "header lines": EndlessBytes(b"HTTP/1.1 200 OK\r\n", b"X-Filler: abcdef\r\n"),
+    "a header line": EndlessBytes(b"HTTP/1.1 200 OK\r\nX-Filler: ", FILLER),
+    "a status line": EndlessBytes(b"HTTP/1.1 200 ", FILLER),
+    "informational responses": EndlessBytes(b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "a body": EndlessBytes(b"", FILLER, ()),
+    "chunks": EndlessBytes(b"", b"10\r\n" + FILLER + b"\r\n", (CHUNKED,)),
+    "a chunk line": EndlessBytes(b"10;", FILLER, (CHUNKED, EVENTS)),
+    "trailers": EndlessBytes(b"0\r\n", b"X-Filler: abcdef\r\n", (CHUNKED,)),
+    "an event": EndlessBytes(b"id: 1\ndata: ", FILLER, (EVENTS,)),
+}
+ENDLESS_WRITE_BYTES = 1 << 16
+
+
+async def write_endlessly(transport, start, filler):
+    """Write bytes to a transport until the other end closes the connection."""
+    transport.write(start)
+    block = filler * (ENDLESS_WRITE_BYTES // len(filler))
+    while not transport.is_closing():
+        if transport.get_write_buffer_size() < len(block):
+            transport.write(block)
+        await asyncio.sleep(0.0005)
+
+
+def register_endless_response(name, endless):
+    """Register the response fault that repeats bytes until the caller closes."""
+
+    @register_response_fault(f"endless {name}")
+    async def send_endlessly(standin, request, request_head, run):
+        start = endless.start
+        if endless.header_lines is not None:
+            head = make_response_head(
+                standin, request_head, "200 OK", *endless.header_lines
+            )
+            start = head + start
+        try:
+            await write_endlessly(request.transport, start, endless.filler)
+        finally:
+            run.ended = "cut off"
+        return web.Response(status=500)
+
+
+for _name, _endless in ENDLESS_RESPONSES.items():
+    register_endless_response(_name, _endless)
+
+
+@register_fault("endless-reports")
+def send_reports_endlessly(standin, fault):
+    """Answer requests for the report with a body without end."""
+    standin.has_endless_reports = True
