Peers: loads of another zone no longer circulate between hosts

What callers saw: rolling restarts burnt the processor; hosts that were busy with it took engines for silent and moved their streams. Cause: a hub forwards another zone's loads to the hosts of its zone that it doesn't take for hubs. A host that is stopping and its peers disagree about the hubs for as long as it drains, so two hosts of the zone forwarded each message to each other without end. A killed host has no such time, which is why it cost less.

A profile of the stopping edge shows _forward_to_zone_hosts.

Why this works: only what comes from another zone is forwarded, so a message takes at most one step within a zone whatever its hosts believe.

--- a/src/sapphirerock/process/peers/loadsharing.py
+++ b/src/sapphirerock/process/peers/loadsharing.py
@@ -108,12 +108,18 @@
         self._update_remote_loads(affected)
 
     def _handle_zone_loads(self, stream, message):
-        if message.availability_zone == self._own_address.availability_zone:
+        own_zone = self._own_address.availability_zone
+        if message.availability_zone == own_zone:
             if self._peers.is_hub(self._own_address.host):
                 return
-        elif self._peers.is_hub(self._own_address.host):
+        elif (
+            self._peers.is_hub(self._own_address.host)
+            and stream.hello.availability_zone != own_zone
+        ):
             # Only the first hub of a zone publishes its sum, to the hubs of other
-            # zones, which forward it to their hosts.
+            # zones, which forward it to their hosts. What a host of this zone has
+            # forwarded is not forwarded again: while hosts disagree about the hubs, it
+            # would go back and forth.
             self._forward_to_zone_hosts(message)
         affected = self._zone_loads.apply_report(
             message.availability_zone, message.cells, self._clock.monotonic()
