Retry budget: hosts that lose each other keep dividing it

What callers saw: retries beyond the joint budget while hosts were cut off from each other, or had all just started. Cause: a host divided the budget by the hosts that it reached at that moment, so one that reached nobody took the whole of it for itself.

Why this works: a host that became unreachable counts for 60 s; one that deregistered doesn't. What remains: a host that restarts has forgotten what it spent in the window; one that stays cut off for over a minute takes more.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -156,6 +156,23 @@
     Given a service with a retry budget of 0.8 per call and 150 more in 10 s
     Then 9 hosts with 40 calls each never exceed the retry budget
 
+  Scenario Outline: Hosts that lose each other stay within their joint retry budget: <loss>
+    Given 9 hosts that share a retry budget of 0.8 per call and 150 more in 10 s
+    When <loss>, and each host retries as often as it may
+    Then all hosts together made at most 150 retries
+
+    Examples:
+      | loss                                |
+      | nothing happens                     |
+      | each host is cut off from all       |
+      | two hosts are cut off from the rest |
+      | all hosts were killed and restarted |
+
+  Scenario: A host that is gone for good leaves its share of the retry budget to others
+    Given 9 hosts that share a retry budget of 0.8 per call and 150 more in 10 s
+    When a host has been unreachable for 61 seconds
+    Then the others divide the retry budget by 8
+
   Scenario: Callers that are refused together do not return together
     When 200 callers are refused with a retry time of about 2 s
     Then their retry times are spread over at least 0.9 s, and none is below 2 s
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -27,6 +27,8 @@
 from sapphirerock.load.replay.policies import POLICIES
 from sapphirerock.load.replay.simulation import replay
 from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.peers.hosts import HostTable
+from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.version.routing import (
     CallerLimits,
     Route,
@@ -456,3 +458,73 @@
     assert least <= context.stream_durations.long_s <= most, (
         context.stream_durations.long_s
     )
+
+
+def make_host_table(number, count, clock):
+    """Return the table of one of several hosts, which knows all others."""
+    addresses = [
+        HostAddress(f"h{other}", "zone-a", "region-a", f"127.0.0.{other}", 1, 2)
+        for other in range(count)
+    ]
+    table = HostTable(addresses[number], (), clock)
+    for address in addresses:
+        if address.host != addresses[number].host:
+            table.update_from_registration(address)
+    return table
+
+
+@given(
+    "{count:d} hosts that share a retry budget of {ratio:g} per call and {slack:g} "
+    "more in {window:g} s"
+)
+def make_sharing_hosts(context, count, ratio, slack, window):
+    context.retry_limits = RetryLimits(ratio, slack, window)
+    context.clock = ManualClock(100.0)
+    context.tables = [
+        make_host_table(number, count, context.clock) for number in range(count)
+    ]
+
+
+def cut_off(tables, numbers):
+    """Cut some hosts off from all others."""
+    for number, table in enumerate(tables):
+        for other in range(len(tables)):
+            if other != number and (number in numbers or other in numbers):
+                table.mark_dead(f"h{other}")
+
+
+LOSSES = {
+    "nothing happens": (),
+    "each host is cut off from all": range(9),
+    "two hosts are cut off from the rest": range(2),
+    # The first connections fail, since the others are starting as well.
+    "all hosts were killed and restarted": range(9),
+}
+
+
+@when("{loss}, and each host retries as often as it may")
+def retry_after_loss(context, loss):
+    cut_off(context.tables, LOSSES[loss])
+    context.retries = 0
+    for table in context.tables:
+        budget = RetryBudget(
+            context.retry_limits, table.count_possibly_running, context.clock
+        )
+        while budget.try_spend("s", is_resumption=True):
+            context.retries += 1
+
+
+@then("all hosts together made at most {bound:d} retries")
+def check_joint_retries(context, bound):
+    assert 0 < context.retries <= bound, context.retries
+
+
+@when("a host has been unreachable for {seconds:g} seconds")
+def lose_host_for_good(context, seconds):
+    cut_off(context.tables, [8])
+    context.clock.advance(seconds)
+
+
+@then("the others divide the retry budget by {count:d}")
+def check_divisor(context, count):
+    assert context.tables[0].count_possibly_running() == count
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -235,7 +235,9 @@
         self.monitor = EngineMonitor(self.engines, crash_watch, prober, clock)
         policy = PLACEMENTS[PLACEMENT_POLICY](generator)
         retry_limits = make_retry_limits(self.profile.bounds)
-        self.retry_budget = RetryBudget(retry_limits, self._count_hosts, clock)
+        self.retry_budget = RetryBudget(
+            retry_limits, self.hosts.count_possibly_running, clock
+        )
         fleet = Fleet(
             self.engines, self.routing, policy, profile.availability_zone, clock
         )
--- a/src/sapphirerock/process/peers/hosts.py
+++ b/src/sapphirerock/process/peers/hosts.py
@@ -5,6 +5,8 @@
 from sapphirerock.process.settings.hostsettings import HostAddress
 
 DEAD_HOST_COOLDOWN_S = 3.0
+# A host that can't be reached may be cut off and go on for this time or longer.
+UNREACHABLE_HOST_TTL_S = 60.0
 
 
 @dataclass(slots=True)
@@ -19,11 +21,14 @@
         Whether the host is shutting down.
     dead_until_s : float
         Monotonic time until which the host is considered dead.
+    unreachable_since_s : float or None
+        Monotonic time since which no connection to the host could be made.
     """
 
     address: HostAddress
     is_shutting_down: bool = False
     dead_until_s: float = 0.0
+    unreachable_since_s: float | None = None
 
 
 class HostTable:
@@ -74,15 +79,19 @@
 
     def mark_dead(self, host):
         """Consider a host dead for `DEAD_HOST_COOLDOWN_S`."""
-        if host in self._hosts:
-            self._hosts[host].dead_until_s = (
-                self._clock.monotonic() + DEAD_HOST_COOLDOWN_S
-            )
+        known = self._hosts.get(host)
+        if known is None:
+            return
+        now_s = self._clock.monotonic()
+        known.dead_until_s = now_s + DEAD_HOST_COOLDOWN_S
+        if known.unreachable_since_s is None:
+            known.unreachable_since_s = now_s
 
     def mark_alive(self, host):
         """End the time for which a host is considered dead."""
         if host in self._hosts:
             self._hosts[host].dead_until_s = 0.0
+            self._hosts[host].unreachable_since_s = None
 
     def find(self, host):
         """Return the address of a host, or None."""
@@ -98,6 +107,21 @@
             if not known.is_shutting_down and known.dead_until_s <= now_s
         ]
 
+    def count_possibly_running(self):
+        """Return the number of hosts that may be running, this one included.
+
+        Hosts that became unreachable within `UNREACHABLE_HOST_TTL_S` count.
+        """
+        oldest_s = self._clock.monotonic() - UNREACHABLE_HOST_TTL_S
+        return 1 + sum(
+            not known.is_shutting_down
+            and (
+                known.unreachable_since_s is None
+                or known.unreachable_since_s >= oldest_s
+            )
+            for known in self._hosts.values()
+        )
+
     def list_known(self):
         """Return the addresses of all known hosts."""
         return [known.address for known in self._hosts.values()]
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -193,7 +193,9 @@
             ledger=Ledger(
                 VersionedValues(self.platform, CLAIMS_KIND), self.peers, clock
             ),
-            retry_budget=RetryBudget(CHECK_RETRY_LIMITS, self._count_hosts, clock),
+            retry_budget=RetryBudget(
+                CHECK_RETRY_LIMITS, self.peers.hosts.count_possibly_running, clock
+            ),
         )
         self.generations = GenerationTable(self.runtime)
         self.gateway = Gateway(self.runtime, self.generations, self.limits)
