Store: revisions compare within an era only

What callers would see: after the store came back from a copy some seconds old, it gives revisions out again; hosts took the new ones for old and ignored configurations and engines until the counter passed what they knew; entries of hosts stayed away; a conditional write could hit an object of another era.

Why this works: the client puts the era of each answer into the upper bits of its revisions, so all comparisons hold over eras; in era 0 nothing changes. A watch or a conditional write with a revision of another era fails without a call. When an era is seen, in an answer or through a peer, hosts write their entries and blocked requests again. A configuration with a lower version than the one in force is ignored, since the copy may show one of before.

Open: claims of orders that the store lost (the project's own router; the shared platform takes none): a key whose claim is gone may run again.

--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -7,11 +7,12 @@
     Then it crashed at most 3 engines, and every edge refused it
 
     Examples:
-      | fault                             |
-      | nothing else happens              |
-      | another edge is restarted         |
-      | the edges are restarted in turn   |
-      | all edges are killed at once      |
+      | fault                                                                |
+      | nothing else happens                                                 |
+      | another edge is restarted                                            |
+      | the edges are restarted in turn                                      |
+      | all edges are killed at once                                         |
+      | the store is restored from a copy of before and all edges are killed |
 
   Scenario: A request that was blocked while the store was down is refused after all hosts end
     Given a shared platform with 3 edges and 6 model engines in 3 zones that crash on a poison request
--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -109,3 +109,27 @@
     Given a shared platform with 1 edge and 1 engine of each service
     When the operator writes a malformed configuration
     Then calls are served, and the configuration was logged and refused
+
+  Scenario: After the store came back from an older copy, no host reverts and changes take effect
+    Given a shared platform with 4 edges and 1 engine of each service in 2 zones
+    When the operator adds a route
+    And the store comes back from a copy of before the route
+    Then every edge still serves the new route after 3 seconds
+    And a further route takes effect on every edge within 3 seconds
+    And no edge ever reverted to an older configuration
+
+  Scenario: After the store came back from an older copy, hosts register again
+    Given a shared platform with 4 edges and 1 engine of each service in 2 zones
+    When the store comes back from a copy of before the edges started
+    Then the entries of all edges are in the store within 4 seconds
+
+  Scenario Outline: A revision of an earlier era of the store is never used: <call>
+    Given a client of a store that came back from an older copy
+    When the client makes this call with a revision of before: <call>
+    Then the call fails as <failure>, and the store is unchanged
+
+    Examples:
+      | call    | failure       |
+      | watch   | HistoryGone   |
+      | replace | StoreConflict |
+      | delete  | StoreConflict |
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -154,6 +154,16 @@
     await restart_edges(context, [edge.name for edge in list_edges(context)])
 
 
+@register_in(
+    FAULTS, "the store is restored from a copy of before and all edges are killed"
+)
+async def restore_store(context):
+    # The request was blocked a second ago.
+    await context.world.cluster.inject("platform", "restore", seconds=1.5)
+    await asyncio.sleep(2.5)
+    await restart_all(context)
+
+
 @when("{fault} and the poison request is sent once through every edge")
 def inject_fault(context, fault):
     async def run():
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -15,9 +15,11 @@
 )
 
 from features.steps.edge_steps import list_all_runs, start_cluster
+from sapphirerock.connection.store import StoreClient
 from sapphirerock.decisions.rendezvous import rank_candidates
-from sapphirerock.platform.names import ENGINES_KIND
+from sapphirerock.platform.names import ENGINES_KIND, ROUTERS_KIND
 from sapphirerock.platform.storewire import make_path
+from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 
 FAULTS = {}
 # Longer than any scenario.
@@ -552,3 +554,106 @@
     foreign = [run for run in runs["shop-0"] if run["target"].startswith("/stock/")]
     assert not foreign, foreign
     assert context.run(list_all_runs(context))
+
+
+@when("the store comes back from a copy of before the route")
+def restore_before_route(context):
+    cluster = context.world.cluster
+
+    async def run():
+        for name in cluster.edges:
+            await wait_for_status(context, name, f"{NEW_PREFIX}1", 200, 3.0)
+        age_s = time.monotonic() - context.changed_at_s + 0.2
+        await cluster.inject("platform", "restore", seconds=age_s)
+
+    context.run(run())
+
+
+@then("every edge still serves the new route after {seconds:g} seconds")
+def check_route_kept(context, seconds):
+    async def run():
+        await asyncio.sleep(seconds)
+        for number, name in enumerate(context.world.cluster.edges):
+            status = await send_lookup(
+                context, name, f"{NEW_PREFIX}1", 2000 + number, CALLER_KEY
+            )
+            assert status == 200, (name, status)
+
+    context.run(run())
+
+
+@then("a further route takes effect on every edge within {bound:g} seconds")
+def check_further_route(context, bound):
+    document = make_configuration(version=10)
+    for prefix in (NEW_PREFIX, "/further/"):
+        document["routes"].append(make_route(prefix, prefix, "idempotent", "shop"))
+
+    async def run():
+        await context.world.cluster.put_configuration(document)
+        context.changed_at_s = time.monotonic()
+        for name in context.world.cluster.edges:
+            await wait_for_status(context, name, "/further/1", 200, bound)
+
+    context.run(run())
+
+
+@when("the store comes back from a copy of before the edges started")
+def restore_empty(context):
+    context.run(context.world.cluster.inject("platform", "restore", seconds=3600))
+
+
+@then("the entries of all edges are in the store within {bound:g} seconds")
+def check_registered(context, bound):
+    cluster = context.world.cluster
+
+    async def run():
+        store = StoreClient(
+            context.world.session, cluster.urls["platform"], EdgeMetrics()
+        )
+        deadline_s = time.monotonic() + bound
+        while True:
+            listed = await store.list_all(ROUTERS_KIND)
+            names = {item.name for item in listed.ok.objects}
+            if names == set(cluster.edges):
+                return
+            assert time.monotonic() < deadline_s, names
+            await asyncio.sleep(0.1)
+
+    context.run(run())
+
+
+STORE_CALLS = {
+    "watch": lambda client, revision: client.watch("kind", revision, 0.1),
+    "replace": lambda client, revision: client.replace("kind", "name", 2, revision),
+    "delete": lambda client, revision: client.delete("kind", "name", revision),
+}
+
+
+@given("a client of a store that came back from an older copy")
+def make_restored_store(context):
+    async def run():
+        cluster = context.world.cluster = SharedCluster("store")
+        cluster.add_platform()
+        await cluster.wait_ready("platform")
+        context.store = StoreClient(
+            context.world.session, cluster.urls["platform"], EdgeMetrics()
+        )
+        await context.store.create("kind", "name", 1)
+        # The store gives this revision out again after the restore.
+        context.revision = (await context.store.create("kind", "lost", 1)).ok.revision
+        await cluster.inject("platform", "restore", seconds=3600)
+        context.kept = (await context.store.create("kind", "other", 1)).ok
+        context.kept = (await context.store.create("kind", "name", 1)).ok
+
+    context.run(run())
+
+
+@when("the client makes this call with a revision of before: {call}")
+def call_with_old_revision(context, call):
+    context.result = context.run(STORE_CALLS[call](context.store, context.revision))
+
+
+@then("the call fails as {failure}, and the store is unchanged")
+def check_call_failed(context, failure):
+    assert type(context.result.error).__name__ == failure, context.result
+    assert context.run(context.store.read("kind", "name")).ok == context.kept
--- a/src/sapphirerock/connection/store.py
+++ b/src/sapphirerock/connection/store.py
@@ -2,6 +2,7 @@
 
 from aiohttp import ClientConnectorError, ClientError, ClientTimeout
 from expression import Error, Ok
+from loguru import logger
 from opentelemetry.trace import NoOpTracer, SpanKind
 
 from sapphirerock.connection.sendonce import SendOnceMiddleware
@@ -11,6 +12,7 @@
     ObjectPage,
     StoreConflict,
     StoreUnavailable,
+    get_era,
 )
 from sapphirerock.platform import storewire
 
@@ -29,6 +31,8 @@
 class StoreClient:
     """Client of the store.
 
+    The revisions that it takes and returns are qualified by the era of the store.
+
     Parameters
     ----------
     session : aiohttp.ClientSession
@@ -42,9 +46,23 @@
         Records a span for each call; None for no spans.
     timeout_s : float
         Timeout of all calls except watches, in seconds.
+
+    Attributes
+    ----------
+    on_restore : list of callable
+        Called without arguments when the store came back from an older copy, so that
+        what was written lately may be gone.
     """
 
-    __slots__ = ("_session", "url", "_metrics", "_tracer", "_timeout_s")
+    __slots__ = (
+        "url",
+        "on_restore",
+        "_session",
+        "_metrics",
+        "_tracer",
+        "_timeout_s",
+        "_era",
+    )
 
     def __init__(self, session, url, metrics, tracer=None, timeout_s=CALL_TIMEOUT_S):
         self._session = session
@@ -52,6 +70,8 @@
         self._metrics = metrics
         self._tracer = tracer or NoOpTracer()
         self._timeout_s = timeout_s
+        self.on_restore = []
+        self._era = None
 
     async def list_page(self, kind, after=None, allows_stale=False):
         """Read a page of a kind's objects.
@@ -89,6 +109,8 @@
             page = listed.ok
             objects.extend(page.objects)
             revision = page.revision if revision is None else revision
+            if get_era(page.revision) != get_era(revision):
+                return Error(StoreUnavailable("the store was restored meanwhile"))
             if not page.has_more or not page.objects:
                 return Ok(ObjectPage(tuple(objects), False, revision))
             after = page.objects[-1].name
@@ -111,7 +133,9 @@
             No events when nothing changed; `HistoryGone` when the store no longer has
             the changes after the revision, so that a list is needed.
         """
-        return await self._call(
+        if self._is_of_other_era(revision):
+            return Error(HistoryGone(revision))
+        watched = await self._call(
             "watch",
             "GET",
             storewire.make_path(kind),
@@ -119,6 +143,13 @@
             storewire.make_watch_query(revision, wait_s),
             timeout_s=wait_s + WATCH_MARGIN_S,
         )
+        if self._is_of_other_era(revision):
+            return Error(HistoryGone(revision))
+        return watched
+
+    def _is_of_other_era(self, revision):
+        """Return whether a revision is not one of the store's current era."""
+        return self._era is not None and get_era(revision) != self._era
 
     async def read(self, kind, name):
         """Read one object.
@@ -147,6 +178,8 @@
         -------
         expression.Result of StoredObject or StoreFailure
         """
+        if self._is_of_other_era(revision):
+            return Error(StoreConflict(None))
         body = storewire.encode_object(name, spec, revision)
         return await self._write("PUT", storewire.make_path(kind, name), body)
 
@@ -157,9 +190,13 @@
         -------
         expression.Result of None or StoreFailure
         """
+        if self._is_of_other_era(revision):
+            return Error(StoreConflict(None))
         path = storewire.make_path(kind, name)
         query = storewire.make_revision_query(revision)
-        return await self._write("DELETE", path, None, query, decode=lambda body: None)
+        return await self._write(
+            "DELETE", path, None, query, decode=lambda body, era: None
+        )
 
     async def _write(
         self, method, path, body, query=None, decode=storewire.decode_object_body
@@ -192,16 +229,38 @@
                     timeout=timeout,
                     **options,
                 ) as response:
+                    body = await response.read()
+                    era = storewire.decode_era(response.headers)
+                    if not self.observe_era(era):
+                        return Error(StoreUnavailable("answer of an earlier era"))
                     return decode_response(
-                        path, query, response.status, await response.read(), decode
+                        path, query, response.status, body, decode, era
                     )
             except ClientConnectorError as error:
                 return Error(StoreUnavailable(repr(error), may_have_run=False))
             except (TimeoutError, ClientError, OSError) as error:
                 return Error(StoreUnavailable(repr(error)))
 
+    def observe_era(self, era):
+        """Note an era of the store that an answer or a peer has shown.
+
+        Returns
+        -------
+        bool
+            False if the store has left this era.
+        """
+        previous = self._era
+        if previous is not None and era < previous:
+            return False
+        self._era = era
+        if previous is not None and era > previous:
+            logger.bind(era=era, previous=previous).warning("store restored from copy")
+            for notify in self.on_restore:
+                notify()
+        return True
+
 
-def decode_response(path, query, status, body, decode):
+def decode_response(path, query, status, body, decode, era=0):
     """Decode a response of the store.
 
     Parameters
@@ -215,7 +274,9 @@
     body : bytes
         Body of the response.
     decode : callable
-        Decodes the body of a successful response.
+        Decodes the body of a successful response, of which it gets the era as well.
+    era : int
+        Era of the store in which it responded.
 
     Returns
     -------
@@ -229,13 +290,13 @@
             return Error(HistoryGone(storewire.get_watched_revision(query)))
         if status == STATUS_CONFLICT:
             return Error(
-                StoreConflict(storewire.decode_object_body(body) if body else None)
+                StoreConflict(storewire.decode_object_body(body, era) if body else None)
             )
         if status >= 400:
             may_have_run = status not in NOT_EXECUTED_STATUSES
             return Error(
                 StoreUnavailable(f"status {status}", may_have_run=may_have_run)
             )
-        return Ok(decode(body))
+        return Ok(decode(body, era))
     except (ValueError, KeyError, TypeError) as error:
         return Error(StoreUnavailable(f"malformed answer: {error!r}"))
--- a/src/sapphirerock/connection/storeobjects.py
+++ b/src/sapphirerock/connection/storeobjects.py
@@ -4,6 +4,30 @@
 
 from sapphirerock.connection.errors import ConnectionFailure
 
+# Revisions of the store stay far below this power of two.
+REVISION_BITS = 40
+REVISION_MASK = (1 << REVISION_BITS) - 1
+
+
+def qualify_revision(era, revision):
+    """Return a revision that is comparable over the eras of the store.
+
+    A store that comes back from an older copy begins a new era and gives revisions out
+    again. A qualified revision of a later era is higher than all of earlier ones; in
+    era 0 it equals the store's own.
+    """
+    return era << REVISION_BITS | revision
+
+
+def get_era(revision):
+    """Return the era of a qualified revision."""
+    return revision >> REVISION_BITS
+
+
+def strip_era(revision):
+    """Return the store's own revision for a qualified one."""
+    return revision & REVISION_MASK
+
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
@@ -14,7 +38,8 @@
     name : str
         Name, unique among the objects of its kind.
     revision : int
-        Revision of its last change. All objects of the store share one counter.
+        Qualified revision of its last change. All objects of the store share one
+        counter.
     spec : object
         Content, decoded from JSON.
     """
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -8,6 +8,8 @@
 MOVE_PATH = "/sapphirerock/kv-move"
 OBJECTS_PATH = "/sapphirerock/objects"
 
+STORE_ERA = "Store-Era"
+
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 ENGINES_KIND = "servers"
--- a/src/sapphirerock/platform/storewire.py
+++ b/src/sapphirerock/platform/storewire.py
@@ -10,8 +10,10 @@
     ObjectEvents,
     ObjectPage,
     StoredObject,
+    qualify_revision,
+    strip_era,
 )
-from sapphirerock.platform.names import OBJECTS_PATH
+from sapphirerock.platform.names import OBJECTS_PATH, STORE_ERA
 
 MS_PER_S = 1000
 
@@ -34,7 +36,10 @@
 
 def make_watch_query(revision, wait_s):
     """Return the query that waits for changes after a revision."""
-    return {"watch": str(revision), "wait_ms": str(int(wait_s * MS_PER_S))}
+    return {
+        "watch": str(strip_era(revision)),
+        "wait_ms": str(int(wait_s * MS_PER_S)),
+    }
 
 
 def get_watched_revision(query):
@@ -44,7 +49,7 @@
 
 def make_revision_query(revision):
     """Return the query that makes a deletion conditional on a revision."""
-    return {"revision": str(revision)}
+    return {"revision": str(strip_era(revision))}
 
 
 def encode_object(name, spec, revision=None):
@@ -57,7 +62,7 @@
     """
     metadata = {"name": name}
     if revision is not None:
-        metadata["revision"] = revision
+        metadata["revision"] = strip_era(revision)
     return orjson.dumps({"metadata": metadata, "spec": spec})
 
 
@@ -151,8 +156,14 @@
     )
 
 
-def decode_object(document):
-    """Decode an object from a JSON document of the store.
+def decode_era(headers):
+    """Return the era in an answer of the store; 0 if it states none."""
+    text = headers.get(STORE_ERA, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def decode_object(document, era=0):
+    """Decode an object from a JSON document of the store in an era.
 
     Raises
     ------
@@ -160,34 +171,33 @@
         The document does not describe an object.
     """
     metadata = document["metadata"]
-    return StoredObject(
-        metadata["name"], int(metadata["revision"]), document.get("spec")
-    )
+    revision = qualify_revision(era, int(metadata["revision"]))
+    return StoredObject(metadata["name"], revision, document.get("spec"))
 
 
-def decode_object_body(body):
+def decode_object_body(body, era=0):
     """Decode the body of a response with one object."""
-    return decode_object(orjson.loads(body))
+    return decode_object(orjson.loads(body), era)
 
 
-def decode_page_body(body):
+def decode_page_body(body, era=0):
     """Decode the body of one page of a list."""
     document = orjson.loads(body)
     return ObjectPage(
-        tuple(decode_object(item) for item in document["items"]),
+        tuple(decode_object(item, era) for item in document["items"]),
         bool(document["has_more"]),
         # `at` is a revision of the store, not a time.
-        int(document["at"]),
+        qualify_revision(era, int(document["at"])),
     )
 
 
-def decode_events_body(body):
+def decode_events_body(body, era=0):
     """Decode the body of a response to a watch."""
     document = orjson.loads(body)
     return ObjectEvents(
         tuple(
-            ObjectEvent(decode_object(event["object"]), bool(event["deleted"]))
+            ObjectEvent(decode_object(event["object"], era), bool(event["deleted"]))
             for event in document["events"]
         ),
-        int(document["at"]),
+        qualify_revision(era, int(document["at"])),
     )
--- a/src/sapphirerock/process/engines/blockedrequests.py
+++ b/src/sapphirerock/process/engines/blockedrequests.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from datetime import UTC, datetime
+from datetime import UTC, datetime, timedelta
 from functools import partial
 
 from loguru import logger
@@ -41,16 +41,30 @@
         self._store = store
         self._clock = clock
         self._pending = asyncio.Queue()
+        self._recorded = {}
+        store.on_restore.append(self._record_again)
 
     def record(self, fingerprint):
         """Write a request that this host has just blocked."""
-        self._pending.put_nowait((fingerprint, self._clock.now()))
+        self._recorded[fingerprint] = self._clock.now()
+        self._pending.put_nowait(fingerprint)
+
+    def _record_again(self):
+        """Write all requests again, since the store may have lost them."""
+        oldest = self._clock.now() - timedelta(seconds=EVIDENCE_TTL_S)
+        self._recorded = {
+            fingerprint: blocked_at
+            for fingerprint, blocked_at in self._recorded.items()
+            if blocked_at > oldest
+        }
+        for fingerprint in self._recorded:
+            self._pending.put_nowait(fingerprint)
 
     @Service.task
     async def _write_pending(self):
         while not self.should_stop:
-            fingerprint, blocked_at = await self._pending.get()
-            spec = {BLOCKED_AT: blocked_at.isoformat()}
+            fingerprint = await self._pending.get()
+            spec = {BLOCKED_AT: self._recorded[fingerprint].isoformat()}
             await self._retry("write", partial(self._put, fingerprint.hex(), spec))
 
     async def _put(self, name, spec):
--- a/src/sapphirerock/process/peers/membership.py
+++ b/src/sapphirerock/process/peers/membership.py
@@ -45,7 +45,9 @@
         self.seeds = seeds
         self._incarnation = incarnation
         self._clock = clock
+        self._must_write = True
         replica.subscribe(self._apply_changes)
+        store.on_restore.append(self._request_write)
 
     @property
     def _own_address(self):
@@ -79,22 +81,23 @@
 
     @Service.task
     async def _register(self):
-        """Write this host's entry, and again when the replica shows different content.
+        """Write this host's entry, and again when it may be gone or differs.
 
         A failed write is tried again after `REGISTRATION_CHECK_INTERVAL_S`.
         """
-        written = None
         while not self.should_stop:
             registered = self._replica.get(self._own_address.host)
-            if registered is not None and registered.spec == self._make_spec():
-                await self._clock.sleep(REGISTRATION_CHECK_INTERVAL_S)
-                continue
-            if written is None or registered is not None:
+            differs = registered is not None and registered.spec != self._make_spec()
+            if self._must_write or differs:
+                self._must_write = False
                 written = await self._write(registered)
-                if written.is_error():
-                    written = None
+                self._must_write |= written.is_error()
             await self._clock.sleep(REGISTRATION_CHECK_INTERVAL_S)
 
+    def _request_write(self):
+        """Write the entry again, since the store may have lost it."""
+        self._must_write = True
+
     async def _write(self, registered):
         name, spec = self._own_address.host, self._make_spec()
         kind = self._replica.kind
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -16,7 +16,11 @@
 from mode import Service
 
 from sapphirerock.connection.messages import ObjectDelta, ObjectPull
-from sapphirerock.connection.storeobjects import HistoryGone, StoreUnavailable
+from sapphirerock.connection.storeobjects import (
+    HistoryGone,
+    StoreUnavailable,
+    get_era,
+)
 from sapphirerock.decisions.rendezvous import rank_candidates
 from sapphirerock.process.replicas.replica import Replica, ReplicaChange
 
@@ -379,6 +383,7 @@
     def _handle_delta(self, stream, message):
         replica = self._replicas.get(message.kind)
         if replica is not None:
+            self._store.observe_era(get_era(message.horizon))
             changes = [ReplicaChange(*item) for item in message.changes]
             if self._apply_and_forward(
                 replica,
--- a/src/sapphirerock/process/settings/routing.py
+++ b/src/sapphirerock/process/settings/routing.py
@@ -46,6 +46,14 @@
                 "configuration refused"
             )
             return
+        if self.current is not None and decoded.ok.number < self.current.number:
+            # A store that was restored from a copy shows what came before.
+            logger.bind(
+                version=decoded.ok.number,
+                revision=change.revision,
+                in_force=self.current.number,
+            ).warning("older configuration ignored")
+            return
         self.current = decoded.ok
         logger.bind(
             version=self.current.number,
--- a/src/sapphirerock/standin/faults.py
+++ b/src/sapphirerock/standin/faults.py
@@ -121,6 +121,12 @@
     standin.compact_history()
 
 
+@register_fault("restore")
+def restore_copy(standin, fault):
+    """Return to the state of ``seconds`` ago and begin a new era."""
+    standin.restore_copy(fault.seconds)
+
+
 @register_fault("lapse")
 def expire_objects(standin, fault):
     """Delete all objects of the kind named in ``manner``."""
@@ -201,6 +207,9 @@
     def compact_history(self):
         """Drop the change history. Does nothing by default."""
 
+    def restore_copy(self, age_s):
+        """Return to the state of some seconds ago. Does nothing by default."""
+
     def consume_response_drop(self):
         """Return whether to drop this response, and count it as dropped."""
         if self.responses_to_drop <= 0:
--- a/src/sapphirerock/standin/platform.py
+++ b/src/sapphirerock/standin/platform.py
@@ -18,7 +18,7 @@
     StoredObject,
 )
 from sapphirerock.platform import storewire
-from sapphirerock.platform.names import OBJECTS_PATH
+from sapphirerock.platform.names import OBJECTS_PATH, STORE_ERA
 from sapphirerock.standin.faults import FaultState, drop_connection
 
 VALUE_LIMIT_BYTES = 1 << 20
@@ -57,6 +57,8 @@
         Stored objects by name, by kind.
     revision : int
         Revision of the latest change.
+    era : int
+        Number of times that the store came back from an older copy.
     calls : Counter
         Number of calls by HTTP method; "LIST" and "WATCH" are counted apart from "GET".
     """
@@ -67,6 +69,7 @@
         self._next_write_s = 0.0
         self.objects = {}
         self.revision = 1
+        self.era = 0
         self.delay_s = delay_s
         self.calls = Counter()
         self._changed = asyncio.Event()
@@ -110,7 +113,9 @@
         await asyncio.sleep(self.delay_s * self.slowdown)
         if request.method != "GET":
             await self._throttle_write()
-        return await handler(request)
+        response = await handler(request)
+        response.headers[STORE_ERA] = str(self.era)
+        return response
 
     async def _reject_call(self, request):
         """Fail a call as ``manner`` of the ``down`` fault demands."""
@@ -134,6 +139,23 @@
         self._compacted_revision = self.revision
         self._history.clear()
 
+    def restore_copy(self, age_s):
+        """Go back to the state of some seconds ago and begin a new era."""
+        cutoff_s = time.monotonic() - age_s
+        kept = [change for change in self._history if change.at_s <= cutoff_s]
+        self.objects, self.revision = {}, 1
+        for change in kept:
+            item = change.event.object
+            if change.event.is_deleted:
+                self.objects[change.kind].pop(item.name, None)
+            else:
+                self.objects.setdefault(change.kind, {})[item.name] = item
+            self.revision = change.revision
+        self._history = deque(kept, maxlen=self._history.maxlen)
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def expire_kind(self, kind):
         """Delete all objects of a kind, as if their writers no longer renewed them."""
         for item in list(self.objects.get(kind, {}).values()):
@@ -244,7 +266,8 @@
     async def _watch(self, request, kind, query):
         deadline_s = time.monotonic() + min(query.wait_s, MAX_WATCH_WAIT_S)
         while True:
-            if query.watched_revision < self._compacted_revision:
+            is_unknown = query.watched_revision > self.revision
+            if is_unknown or query.watched_revision < self._compacted_revision:
                 return web.Response(status=410)
             changed = self._changed
             matching_events = [
