Poison requests: a host's own reports hold for draining and removed engines

Cause: since the crash watch handles its own reports like those of peers, a report of silence was dropped for an engine that is draining, and a crash was not applied to an engine whose registration had just ended; their calls hung until their connections broke.

Why this works: the host that reports applies the report to its own state first; only reports of peers are checked against what the host received itself.

--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -52,6 +52,11 @@
       | its connection breaks, probes time out, and the engine registers again |
       | its connection stays silent and the engine refuses new ones        |
 
+  Scenario: The calls on a draining engine that goes silent are interrupted
+    Given a host with a call on an engine that crashes
+    When the engine drains and goes silent
+    Then the call is interrupted, and the crash log is empty
+
   Scenario Outline: A crash is evidence beside reports that explain nothing: <report>
     Given a host with a call on an engine that crashes
     When its engine crashes, and at the same time <report>
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -246,11 +246,13 @@
         self.silent_engines = []
         self._revision = 0
 
-    def add_engine(self, name, address=None, born_ms=BORN_MS):
+    def add_engine(self, name, address=None, born_ms=BORN_MS, is_draining=False):
         """Register an engine; without an address it refuses connections."""
         self._revision += 1
         address = address or f"127.0.0.1:{find_free_port()}"
-        entry = EngineEntry(name, "model", address, "zone-a", 16, born_ms=born_ms)
+        entry = EngineEntry(
+            name, "model", address, "zone-a", 16, is_draining, born_ms=born_ms
+        )
         self.engines.apply_changes([ReplicaChange(name, self._revision, entry)])
         return self.engines.get(name)
 
@@ -335,6 +337,28 @@
     await host.monitor.stop()
 
 
+@when("the engine drains and goes silent")
+def silence_draining_engine(context):
+    async def run():
+        host = context.host
+        address = host.add_unresponsive_engine("e1").entry.address
+        state = host.add_engine("e1", address, is_draining=True)
+        PendingAttempt(state, context.call)
+        await host.monitor.start()
+        await asyncio.sleep(1.0)
+        await host.monitor.stop()
+        await host.close()
+        context.state = state
+
+    context.run(run())
+
+
+@then("the call is interrupted, and the crash log is empty")
+def check_interrupted(context):
+    assert not context.state.attempts
+    assert context.host.crash_log.is_empty
+
+
 @when("{order}, then the host has settled its evidence")
 def lose_engine(context, order):
     async def run():
--- a/src/sapphirerock/decisions/crashlog.py
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -126,6 +126,12 @@
     def _get_time(self, run):
         return self._crashes[run].at_s
 
+    def select_unknown(self, run, fingerprints):
+        """Return the requests that are not known to have run on a crashed engine."""
+        crash = self._crashes.get(run)
+        known = crash.suspects if crash else ()
+        return [item for item in fingerprints if item not in known]
+
     def add_suspects(self, run, fingerprints):
         """Add requests that ran on an engine when it crashed.
 
@@ -137,7 +143,7 @@
         crash = self._crashes.get(run)
         if crash is None:
             return []
-        added = [item for item in fingerprints if item not in crash.suspects]
+        added = self.select_unknown(run, fingerprints)
         for fingerprint in added:
             crash.suspects.add(fingerprint)
             self._crashes_by_request.setdefault(fingerprint, set()).add(run)
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -25,6 +25,7 @@
 # An engine that crashed has registered again within this time.
 LOSS_TTL_S = 15.0
 CRASHED = "crashed"
+SILENT = "silent"
 REPLACED = "replaced"
 MS_PER_S = 1000
 
@@ -218,27 +219,35 @@
         return result.outcome
 
     def report_crash(self, state):
-        """Report to all hosts that the run of an engine has ended."""
-        if not self._crash_log.has_crash(make_run(state)):
-            self.report_down(state, CRASHED)
+        """Report to all hosts, this one included, that a run of an engine has ended."""
+        run = make_run(state)
+        if not self._crash_log.has_crash(run):
+            # The state may have been removed from the table since.
+            self._record_crash(run, state)
+            self._mark_down_and_interrupt(state, CRASHED)
+            self._broadcast_down(state, CRASHED)
 
-    def report_down(self, state, cause):
-        """Report to all hosts, this one included, that an engine is down."""
-        entry = state.entry
-        self._gossip.broadcast(
-            EngineDownUpdate(entry.name, entry.born_ms, entry.availability_zone, cause)
-        )
+    def report_silent(self, state):
+        """Mark an engine down that doesn't answer, and notify peers."""
+        self._mark_down_and_interrupt(state, SILENT)
+        self._broadcast_down(state, SILENT)
 
     def report_replaced(self, state):
         """Remove an engine at whose address another one answers, and notify peers."""
         if not state.is_removed:
-            self.report_down(state, REPLACED)
+            self._broadcast_down(state, REPLACED)
+
+    def _broadcast_down(self, state, cause):
+        entry = state.entry
+        self._gossip.broadcast(
+            EngineDownUpdate(entry.name, entry.born_ms, entry.availability_zone, cause)
+        )
 
     def _apply_engine_down(self, update):
         """Apply a report of this host or a peer that an engine is down or replaced.
 
-        A report of silence is ignored if the engine sent data to this host within the
-        last `CORRELATED_CRASH_S`.
+        A peer's report of silence is ignored if the engine sent data to this host
+        within the last `CORRELATED_CRASH_S`.
         """
         state = self._engines.get(update.engine)
         if state is not None and state.entry.born_ms != update.born_ms:
@@ -287,6 +296,7 @@
         suspects = set(loss.suspects) if loss else set()
         if state is not None:
             suspects |= {fingerprint_call(attempt.call) for attempt in state.attempts}
+        suspects = self._crash_log.select_unknown(run, suspects)
         if suspects:
             self._send_suspects(run, at_s, suspects)
 
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -61,4 +61,4 @@
         if result.outcome is ProbeOutcome.ENDED:
             self._crash_watch.report_crash(state)
         else:
-            self._crash_watch.report_down(state, "silent")
+            self._crash_watch.report_silent(state)
