Crash log: bound the work for each suspect, digest without type names

Found while reading the diff. list_suspects looked at each request of the log for each crash, thousands after a zone has crashed; requests with one crash are now passed over. A call that was lost after the crash was known sent its suspect again. The digest hashed reprs, so hosts of two builds might never agree; it now hashes id, start and zone. Writes of expired blocks are dropped.

--- a/src/sapphirerock/decisions/crashlog.py
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -118,7 +118,7 @@
                 self._crashes[run] = replace(known, at_s=at_s)
             return False
         self._crashes[run] = Crash(run.engine, run.availability_zone, at_s, set())
-        self._toggle(run)
+        self._toggle(encode_run(run))
         while len(self._crashes) > MAX_LOGGED_CRASHES:
             self._remove_crash(min(self._crashes, key=self._get_time))
         return True
@@ -147,7 +147,7 @@
         for fingerprint in added:
             crash.suspects.add(fingerprint)
             self._crashes_by_request.setdefault(fingerprint, set()).add(run)
-            self._toggle((run, fingerprint))
+            self._toggle(encode_run(run) + fingerprint)
         return added
 
     def add_blocked(self, fingerprint, at_s):
@@ -167,15 +167,15 @@
         return True
 
     def _toggle(self, item):
-        """Add an observation to the digest, or remove it."""
-        digest = hashlib.blake2b(repr(item).encode(), digest_size=DIGEST_BYTES)
+        """Add an observation, as bytes, to the digest, or remove it."""
+        digest = hashlib.blake2b(item, digest_size=DIGEST_BYTES)
         self._digest ^= int.from_bytes(digest.digest())
 
     def _remove_crash(self, run):
         crash = self._crashes.pop(run)
-        self._toggle(run)
+        self._toggle(encode_run(run))
         for fingerprint in crash.suspects:
-            self._toggle((run, fingerprint))
+            self._toggle(encode_run(run) + fingerprint)
             runs = self._crashes_by_request[fingerprint]
             runs.discard(run)
             if not runs:
@@ -232,7 +232,9 @@
         """Return the requests that currently have to run as only suspects."""
         oldest_s = self._clock.monotonic() - SUSPECT_TTL_S
         suspects = []
-        for fingerprint in self._crashes_by_request:
+        for fingerprint, runs in self._crashes_by_request.items():
+            if len(runs) < ISOLATION_CRASHES:
+                continue
             evidence = self._list_evidence(fingerprint)
             is_recent = any(crash.at_s >= oldest_s for crash in evidence)
             if len(evidence) == ISOLATION_CRASHES and is_recent:
@@ -291,3 +293,8 @@
             if at_s >= oldest_s:
                 added += self.add_blocked(fingerprint, at_s)
         return added
+
+
+def encode_run(run):
+    """Return an engine's run as bytes, the same on all hosts."""
+    return f"{run.engine}\0{run.born_ms}\0{run.availability_zone}\0".encode()
--- a/src/sapphirerock/process/engines/blockedrequests.py
+++ b/src/sapphirerock/process/engines/blockedrequests.py
@@ -46,25 +46,32 @@
 
     def record(self, fingerprint):
         """Write a request that this host has just blocked."""
+        self._drop_expired()
         self._recorded[fingerprint] = self._clock.now()
         self._pending.put_nowait(fingerprint)
 
     def _record_again(self):
         """Write all requests again, since the store may have lost them."""
+        self._drop_expired()
+        for fingerprint in self._recorded:
+            self._pending.put_nowait(fingerprint)
+
+    def _drop_expired(self):
         oldest = self._clock.now() - timedelta(seconds=EVIDENCE_TTL_S)
         self._recorded = {
             fingerprint: blocked_at
             for fingerprint, blocked_at in self._recorded.items()
             if blocked_at > oldest
         }
-        for fingerprint in self._recorded:
-            self._pending.put_nowait(fingerprint)
 
     @Service.task
     async def _write_pending(self):
         while not self.should_stop:
             fingerprint = await self._pending.get()
-            spec = {BLOCKED_AT: self._recorded[fingerprint].isoformat()}
+            blocked_at = self._recorded.get(fingerprint)
+            if blocked_at is None:
+                continue
+            spec = {BLOCKED_AT: blocked_at.isoformat()}
             await self._retry("write", partial(self._put, fingerprint.hex(), spec))
 
     async def _put(self, name, spec):
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -134,7 +134,8 @@
         run = make_run(state)
         fingerprint = fingerprint_call(call)
         if self._crash_log.has_crash(run):
-            self._send_suspects(run, self._clock.monotonic(), [fingerprint])
+            if self._crash_log.select_unknown(run, [fingerprint]):
+                self._send_suspects(run, self._clock.monotonic(), [fingerprint])
             return
         self._drop_old_losses()
         loss = self._losses.get(run)
