--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -14,6 +14,16 @@
       | all edges are killed at once                                         |
       | the store is restored from a copy of before and all edges are killed |
 
+  Scenario Outline: A poison lookup that its caller repeats at other hosts is refused after three crashes: <engines>
+    Given a shared platform with 3 edges and <engines> of each service in 3 zones that crash on a poison lookup
+    When the poison lookup is sent through the edges in turn, for 4 rounds
+    Then it crashed at most 3 engines, and every edge refused it
+
+    Examples:
+      | engines             |
+      | 1 engine in a zone  |
+      | 2 engines in a zone |
+
   Scenario: A request that was blocked while the store was down is refused after all hosts end
     Given a shared platform with 3 edges and 6 model engines in 3 zones that crash on a poison request
     When a poison request is refused while the store is down, and the store is back
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -12,7 +12,7 @@
 from tools.rawclient import RawConnection
 from tools.sharedcaller import make_headers
 
-from features.steps.edge_steps import list_all_runs
+from features.steps.edge_steps import list_all_runs, start_cluster
 from features.steps.stream_steps import POISON_PROMPT
 from sapphirerock.connection.storeobjects import StoredObject
 from sapphirerock.connection.upstream import make_upstream_session
@@ -39,6 +39,7 @@
 from sapphirerock.version.routing import RouteKind
 
 POISON_TARGET = "/review/poison"
+POISON_LOOKUP_TARGET = "/stock/poison"
 REFUSED_STATUS = 422
 BORN_MS = 1_000
 OUTAGE_S = 4.0
@@ -83,6 +84,44 @@
     context.run(run())
 
 
+@given(
+    "a shared platform with {edges:d} edges and {engines:d} engine in a zone of each "
+    "service in {zones:d} zones that crash on a poison lookup"
+)
+@given(
+    "a shared platform with {edges:d} edges and {engines:d} engines in a zone of each "
+    "service in {zones:d} zones that crash on a poison lookup"
+)
+def start_with_poison_lookup(context, edges, engines, zones):
+    context.run(
+        start_cluster(
+            context, edges, engines * zones, zones, poison=POISON_LOOKUP_TARGET
+        )
+    )
+
+
+async def send_poison_lookup(edge, number):
+    """Send the poison lookup through an edge; return the response."""
+    async with RawConnection(edge) as connection:
+        return await connection.request(
+            "GET", POISON_LOOKUP_TARGET, make_headers(number)
+        )
+
+
+@when("the poison lookup is sent through the edges in turn, for {rounds:d} rounds")
+def repeat_poison_lookup(context, rounds):
+    async def run():
+        for number in range(rounds):
+            context.statuses = [
+                (await send_poison_lookup(edge, 900 + 10 * number + index)).status
+                for index, edge in enumerate(list_edges(context))
+            ]
+            # Engines that crashed are back before the next round.
+            await asyncio.sleep(2.0)
+
+    context.run(run())
+
+
 @when("a poison request is refused while the store is down, and the store is back")
 def block_without_store(context):
     async def run():
@@ -183,7 +222,7 @@
     runs = [
         run
         for run in context.run(list_all_runs(context))
-        if run["target"] == POISON_TARGET
+        if run["target"] in (POISON_TARGET, POISON_LOOKUP_TARGET)
     ]
     assert len(runs) <= count, (len(runs), context.statuses)
     assert set(context.statuses) == {REFUSED_STATUS}, context.statuses
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -107,7 +107,7 @@
     memory_tokens : int
         Capacity of the KV memory, in tokens.
     poison : str
-        Text in a request body that crashes the engine when the call starts.
+        Text in a request's target or body that crashes the engine when the call starts.
     """
 
     service: str
@@ -320,7 +320,8 @@
             dict(request.headers),
         )
         self.runs.append(run)
-        if self.traits.poison and self.traits.poison.encode() in body:
+        poison = self.traits.poison.encode()
+        if poison and (poison in body or poison in request.raw_path.encode()):
             self.crash()
             return web.Response(status=500)
         try:
