Upstreams: a call is sent once for each attempt, whatever its method

Not reported, found with it: an order sent with GET, PUT or DELETE ran twice when its answer was lost.

Cause: aiohttp sends requests with these methods again by itself, on a new connection, when the first ends before the response. The engine had ended, so the second connection was refused, and the attempt was reported as never sent: no failure, no investigation, no evidence against the request, and a retry that neither the route's limit nor the retry budget counted. Orders and writes to the store were guarded one by one; calls to engines were not.

Fix: the guard is a stateless middleware of the session for engines, so no caller can forget it; orders and writes to the store use the same one. It raises the first failure in place of the second one. Reports and other requests of the router itself are still sent again: a reset of one connection would otherwise count as silence of the engine.

--- a/src/sapphirerock/connection/plain.py
+++ b/src/sapphirerock/connection/plain.py
@@ -66,7 +66,7 @@
     timeout_s : float
         Timeout of the call and its response together, in seconds.
     middlewares : tuple of aiohttp client middlewares
-        Middlewares for this call only, such as `SendOnceMiddleware`.
+        Middlewares for this call only, such as `send_once`.
 
     Returns
     -------
--- a/src/sapphirerock/connection/sendonce.py
+++ b/src/sapphirerock/connection/sendonce.py
@@ -1,32 +1,27 @@
-"""Client middleware for requests that must be sent at most once.
+"""Client middleware that sends each request at most once.
 
-aiohttp retries requests with some methods by itself when the connection ends before
-the response. That would execute an order twice, so each order is sent with a
-middleware that rejects a second attempt.
+aiohttp sends requests with some methods again by itself when the connection ends before
+the response. An upstream may then run a call twice, and the failure of the second
+connection hides that the call was sent on the first.
 """
 
-from aiohttp import ClientError
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientOSError,
+    ServerDisconnectedError,
+)
 
 
-class AlreadySent(ClientError):
-    """The request has already been sent once."""
+class ConnectionBroken(ClientError):
+    """The connection ended after it was established, and before the response."""
 
 
-class SendOnceMiddleware:
-    """Client middleware that lets one request through once.
-
-    aiohttp calls the middlewares again for each of its attempts, so use a new
-    instance for each call.
-    """
-
-    __slots__ = ("_is_used",)
-
-    def __init__(self):
-        self._is_used = False
-
-    async def __call__(self, request, handler):
-        """Forward the request; raise `AlreadySent` the second time."""
-        if self._is_used:
-            raise AlreadySent("the request has been sent before")
-        self._is_used = True
+async def send_once(request, handler):
+    """Forward a request; raise `ConnectionBroken` where aiohttp would send it again."""
+    try:
         return await handler(request)
+    except ClientConnectorError:
+        raise
+    except (ClientOSError, ServerDisconnectedError) as error:
+        raise ConnectionBroken(repr(error)) from error
--- a/src/sapphirerock/connection/store.py
+++ b/src/sapphirerock/connection/store.py
@@ -5,7 +5,7 @@
 from loguru import logger
 from opentelemetry.trace import NoOpTracer, SpanKind
 
-from sapphirerock.connection.sendonce import SendOnceMiddleware
+from sapphirerock.connection.sendonce import send_once
 from sapphirerock.connection.storeobjects import (
     HistoryGone,
     ObjectMissing,
@@ -210,7 +210,7 @@
             data=body,
             headers={"Content-Type": "application/json"},
             # A retried write would conflict with the revision that it made itself.
-            middlewares=(SendOnceMiddleware(),),
+            middlewares=(send_once,),
         )
 
     async def _call(
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -27,6 +27,7 @@
     UpstreamSilent,
     UpstreamUnreachable,
 )
+from sapphirerock.connection.sendonce import send_once
 
 # Longer than the slowest round trip between regions, and than a retransmission within
 # a zone.
@@ -102,6 +103,7 @@
     return ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
+        middlewares=(send_once,),
         auto_decompress=False,
         skip_auto_headers=SKIPPED_AUTO_HEADERS,
         read_bufsize=READ_BUFFER_BYTES,
@@ -215,6 +217,9 @@
             headers=CIMultiDict(request.headers),
             data=request.body or None,
             timeout=ClientTimeout(total=timeout_s),
+            # These requests may be sent again: a reset of one connection does not show
+            # that the upstream is silent.
+            middlewares=(),
         ) as response:
             read = await read_body(upstream, response, REPORT_LIMIT_BYTES)
             return read.map(lambda body: (response.status, body))
--- a/src/sapphirerock/request/order.py
+++ b/src/sapphirerock/request/order.py
@@ -13,7 +13,7 @@
 
 from sapphirerock.connection.errors import UpstreamUnreachable
 from sapphirerock.connection.plain import PlainResponse, send_plain_request
-from sapphirerock.connection.sendonce import SendOnceMiddleware
+from sapphirerock.connection.sendonce import send_once
 from sapphirerock.process.orders.bucket import (
     CLAIMED,
     DONE,
@@ -137,7 +137,7 @@
                     state.settings,
                     self._request,
                     remaining_s,
-                    (SendOnceMiddleware(),),
+                    (send_once,),
                 )
             runtime.upstreams.end_call(state)
             if response.is_ok():
