Poison requests: losses on all hosts count before a request is sent on

Cause: a call waited for the causes of its losses only after two losses of its own. A request that loses one or two engines at each host never did, and plain calls did not wait at all, so a fourth engine got it while the third crash was still being investigated.

Fix: the crashes that all hosts know and this host's own losses count together. Plain calls wait as well, at most until their deadline, and are answered as streams are when they are blocked then. A call whose request has lost nothing before is sent on at once, as before.

--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -87,6 +87,11 @@
     When the call has lost two engines, and a third resets the first probe
     Then the call is blocked once its investigations have ended
 
+  Scenario: A request that lost engines on other hosts waits after its first loss on this one
+    Given a host with a call on an engine that crashes
+    When peers report 2 crashes under the call, and it loses its engine
+    Then the call has to wait, and another call on the engine does not
+
   Scenario Outline: Crash logs become equal when hosts merge them: <case>
     Given two hosts with crash logs: <case>
     When each host merges the log of the other
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -487,6 +487,31 @@
     context.run(run())
 
 
+@when("peers report {count:d} crashes under the call, and it loses its engine")
+def lose_engine_after_peers(context, count):
+    async def run():
+        host, call = context.host, context.call
+        for number in range(count):
+            state = host.add_engine(f"e{number}")
+            report_crash(host, state)
+            suspects = [fingerprint_call(call)]
+            host.gossip.broadcast(
+                CrashSuspectsUpdate(state.name, BORN_MS, "zone-a", 0, suspects)
+            )
+        state = host.add_unresponsive_engine("own")
+        for lost_call in (call, make_call(2)):
+            host.crash_watch.investigate(state, lost_call)
+        await host.close()
+
+    context.run(run())
+
+
+@then("the call has to wait, and another call on the engine does not")
+def check_must_wait(context):
+    assert context.host.crash_watch.must_wait(context.call)
+    assert not context.host.crash_watch.must_wait(make_call(2))
+
+
 @then("the call is blocked once its investigations have ended")
 def check_blocked_after_wait(context):
     assert context.was_blocked
--- a/src/sapphirerock/decisions/crashlog.py
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -195,6 +195,10 @@
             if at_s < oldest_s:
                 self._remove_blocked(fingerprint)
 
+    def list_runs(self, fingerprint):
+        """Return the runs of engines that crashed while a request was running."""
+        return set(self._crashes_by_request.get(fingerprint, ()))
+
     def count_crashes(self, fingerprint):
         """Return the number of crashes during which a request was running."""
         return len(self._crashes_by_request.get(fingerprint, ()))
--- a/src/sapphirerock/decisions/poisonrequests.py
+++ b/src/sapphirerock/decisions/poisonrequests.py
@@ -17,8 +17,9 @@
 # Crashes after which a request is blocked even if each of them coincided with another.
 # A harmless request loses fewer engines than this to failures of zones.
 MAX_CRASHES = 6
-# Engines that a call may lose before it has to wait: from this number on, it is sent to
-# another engine only after the causes of the losses have been determined.
+# Engines that a request may lose, on all hosts together, before it has to wait: from
+# this number on, it is sent to another engine only after the causes of the losses have
+# been determined.
 SUSPECT_LOSSES = 2
 # Time within which evidence of a crash reaches all hosts by gossip.
 CRASH_GOSSIP_DELAY_S = 0.1
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -9,6 +9,7 @@
 from sapphirerock.decisions.poisonrequests import (
     CORRELATED_CRASH_S,
     CRASH_GOSSIP_DELAY_S,
+    SUSPECT_LOSSES,
     choose_isolated_engine,
 )
 from sapphirerock.decisions.quarantine import ISOLATION_CRASHES, make_fingerprint
@@ -150,6 +151,18 @@
             if loss.at_s < oldest_s:
                 del self._losses[run]
 
+    def must_wait(self, call):
+        """Return whether a call must wait before it is sent to another engine.
+
+        It must if its request has lost enough runs of engines, on all hosts together.
+        """
+        fingerprint = fingerprint_call(call)
+        runs = self._crash_log.list_runs(fingerprint)
+        runs.update(
+            run for run, loss in self._losses.items() if fingerprint in loss.suspects
+        )
+        return len(runs) >= SUSPECT_LOSSES
+
     async def wait_for_investigations(self, call):
         """Wait until the evidence of the engines that a call lost is complete.
 
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -1,12 +1,15 @@
 """Plain calls: buffered responses, and retries if the route allows them."""
 
+import asyncio
 from enum import Enum
 
 from loguru import logger
 
 from sapphirerock.connection.errors import DeadlineExceeded, UpstreamUnreachable
+from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.request.problem import (
+    CRASHED_ENGINES,
     TIMED_OUT,
     UNAVAILABLE,
     UPSTREAM_FAILED,
@@ -132,6 +135,8 @@
                 return False
         if self._sends >= MAX_SENDS or self._runtime.crash_watch.is_blocked(self._call):
             return False
+        if self._runtime.clock.monotonic() >= self._call.response_deadline_s:
+            return False
         return self._runtime.retry_budget.try_spend(self._call.service)
 
     async def _give_up(self, cause):
@@ -144,6 +149,10 @@
         ).info("call failed")
         if self._response is not None and self._failures:
             await self._responder.send_upstream_response(self._response)
+        elif self._failures and self._runtime.crash_watch.is_blocked(self._call):
+            detail = "engines crashed each time that they ran it"
+            problem = Problem(CRASHED_ENGINES, detail, EVIDENCE_TTL_S)
+            await self._responder.send_problem(problem)
         elif self._failures:
             problem = Problem(UPSTREAM_FAILED, "the upstream gave no whole answer")
             await self._responder.send_problem(problem)
@@ -159,7 +168,7 @@
             if read.is_ok():
                 read = await attempt.read_all()
         if read.is_error():
-            return self._handle_failure(state, read.error)
+            return await self._handle_failure(state, read.error)
         response = read.ok
         if response.head.is_other_engine:
             self._runtime.crash_watch.report_replaced(state)
@@ -180,7 +189,7 @@
             return PlainCallOutcome.FAILED
         return PlainCallOutcome.ANSWERED
 
-    def _handle_failure(self, state, failure):
+    async def _handle_failure(self, state, failure):
         """Log a failure, report it for the engine, and return the outcome."""
         self._log.bind(engine=state.name, cause=repr(failure)).info("attempt failed")
         if isinstance(failure, DeadlineExceeded):
@@ -189,4 +198,16 @@
             self._runtime.fleet.report_unreachable(state, failure)
             return PlainCallOutcome.NOT_RUN
         self._runtime.crash_watch.investigate(state, self._call)
+        await self._wait_for_investigations()
         return PlainCallOutcome.FAILED
+
+    async def _wait_for_investigations(self):
+        """Wait for the causes of this request's losses, at most until the deadline."""
+        crash_watch = self._runtime.crash_watch
+        if not self._call.route.may_retry or not crash_watch.must_wait(self._call):
+            return
+        try:
+            async with asyncio.timeout_at(self._call.response_deadline_s):
+                await crash_watch.wait_for_investigations(self._call)
+        except TimeoutError:
+            self._log.info("deadline passed during crash investigation")
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -330,7 +330,10 @@
         """Return the next step: give up, or one that the retry budget allows."""
         self._losses += outcome is StreamOutcome.LOST
         self._failures += outcome is StreamOutcome.FAILED
-        if outcome is StreamOutcome.LOST and self._losses >= SUSPECT_LOSSES:
+        if outcome is StreamOutcome.LOST and (
+            self._losses >= SUSPECT_LOSSES
+            or self._runtime.crash_watch.must_wait(self._call)
+        ):
             await self._runtime.crash_watch.wait_for_investigations(self._call)
         route = self._call.route
         choice = choose_recovery_step(
