--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -92,7 +92,7 @@
 @click.option("--event", "event_s", default=0.02, help="Seconds between events.")
 @click.option("--prompt", "prompt_s", default=0.1, help="Seconds to read a prompt.")
 @click.option("--work", "work_s", default=0.01, help="Seconds of a plain call.")
-@click.option("--poison", default="", help="Bodies with it crash the engine.")
+@click.option("--poison", default="", help="Requests with it crash the engine.")
 def shared_engine(
     host, port, store_url, service, zone, slots, event_s, prompt_s, work_s, poison
 ):
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -107,7 +107,8 @@
     memory_tokens : int
         Capacity of the KV memory, in tokens.
     poison : str
-        Text in a request's target or body that crashes the engine when the call starts.
+        Text in a request's target or body that crashes the engine when the call starts,
+        or in the list of its prompt's parts when the engine has prefilled the prompt.
     """
 
     service: str
@@ -362,6 +363,9 @@
         else:
             run.prefilled = request_head.prompt_tokens
             await asyncio.sleep(self.traits.prompt_s * self.slowdown)
+        if self.traits.poison and self.traits.poison in request_head.content_key:
+            self.crash()
+            return web.Response(status=500)
         if self.pending_response_faults:
             return await RESPONSE_FAULTS[self.pending_response_faults.popleft()](
                 self, request, request_head, run
