Poison requests: parts of a prompt are suspects as well

What callers saw: requests with one part of a prompt, all different, go on crashing engines.

Cause: evidence was kept for whole requests only, so each new request started with none. Class: evidence under a key that is narrower than the cause.

Fix: the crash log holds parts beside requests; they differ in the fingerprint only, and are exchanged, expire and are bounded alike. A part on which an engine has begun to write is sound, since it crashes each engine that begins: it is no suspect for ten minutes, and hosts tell each other of sound parts that their logs hold as suspects. A request is blocked by a part with three crashes if it also has every other suspect that all these crashes have in common, so a shared part is not blamed for its neighbour. The last part of a prompt is never a suspect. A request also waits for investigations, and runs alone, after crashes under one of its parts.

--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -1,13 +1,26 @@
 """Steps on prompt parts that crash the engines that begin to write on them."""
 
 import asyncio
+import re
+import time
 
 from behave import given, then, when
 from tools.rawclient import RawConnection
 from tools.sharedcaller import make_headers
 
 from features.steps.edge_steps import list_all_runs
+from features.steps.poison_steps import HostUnderTest, make_call
 from features.steps.stream_steps import start_model_engines
+from sapphirerock.decisions.crashlog import (
+    CrashLog,
+    EngineRun,
+    make_part_fingerprint,
+)
+from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
+from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.engines.crashwatch import fingerprint_parts
+from sapphirerock.process.peers.gossip import CrashSuspectsUpdate
+from sapphirerock.request.call import Prompt
 
 CRASHING_PART = "dead01d5"
 SHARED_PART = "5c1e07a2"
@@ -84,3 +97,131 @@
     results = [(response.status, response.events) for response in context.sound]
     expected = (200, list(range(1, EVENTS + 1)))
     assert results == [expected] * len(results), results
+
+
+MODEL = "m"
+REQUEST = b"the request "
+CRASH_INTERVAL_S = 2.0
+HISTORY = re.compile(
+    r"(?P<count>\d) crashes( of one zone)?(?P<at_once> at once)? ran "
+    r"(?P<requests>different requests|another request) with "
+    r"(?P<parts>[A-C]( and [A-C])?)"
+    r"(, and an engine wrote on (?P<sound>[A-C]))?$"
+)
+
+
+def make_parts(names):
+    return {make_part_fingerprint(MODEL, name) for name in names}
+
+
+@given("a crash log and a request with the prompt parts A and B")
+def make_crash_log(context):
+    context.clock = ManualClock(1.0)
+    context.crash_log = CrashLog(context.clock)
+
+
+def add_crashes(context, count, parts, at_once=False, repeated=False):
+    """Add crashes of engines in one zone, each under a request with the parts."""
+    for number in range(count):
+        run = EngineRun(f"e{number}", 1, "zone-a")
+        request = b"another" if repeated else b"request %d" % number
+        context.crash_log.add_crash(run, context.clock.monotonic())
+        context.crash_log.add_suspects(run, [request, *make_parts(parts)])
+        if not at_once:
+            context.clock.advance(CRASH_INTERVAL_S)
+    context.clock.advance(CRASH_INTERVAL_S)
+
+
+@when("{count:d} crashes {history}")
+def replay_history(context, count, history):
+    found = HISTORY.match(f"{count} crashes {history}")
+    add_crashes(
+        context,
+        count,
+        found["parts"].split(" and "),
+        at_once=bool(found["at_once"]),
+        repeated=found["requests"] == "another request",
+    )
+    if found["sound"]:
+        context.crash_log.add_sound_parts(make_parts(found["sound"]))
+
+
+@when(
+    "an engine wrote on B, and 10 minutes later 3 crashes ran different requests with B"
+)
+def expire_sound_part(context):
+    context.crash_log.add_sound_parts(make_parts("B"))
+    context.clock.advance(EVIDENCE_TTL_S)
+    add_crashes(context, 3, "B")
+
+
+@then("the request is {outcome}")
+def check_outcome(context, outcome):
+    suspects = {REQUEST, *make_parts("AB")}
+    is_blocked = any(
+        context.crash_log.is_part_blocked(part, suspects) for part in make_parts("AB")
+    )
+    assert is_blocked == (outcome == "blocked")
+
+
+@given(
+    "a crash log of {count:d} crashes under one part, with {requests:d} requests each "
+    "that ran twice"
+)
+def fill_crash_log(context, count, requests):
+    context.clock = ManualClock(1.0)
+    context.crash_log = CrashLog(context.clock)
+    for number in range(count):
+        run = EngineRun(f"e{number}", 1, f"zone-{number % 6}")
+        # Each request runs on two engines, which crash one after the other.
+        first = number // 2 * requests
+        suspects = [b"request %d" % (first + index) for index in range(requests)]
+        context.crash_log.add_crash(run, context.clock.monotonic())
+        context.crash_log.add_suspects(run, [*suspects, *make_parts("A")])
+        context.clock.advance(0.1)
+    context.clock.advance(CRASH_INTERVAL_S)
+
+
+@when("it is asked for the evidence against the part, and for all suspects")
+def ask_for_evidence(context):
+    started_s = time.process_time()
+    (part,) = make_parts("A")
+    assert context.crash_log.is_part_blocked(part, {part})
+    context.crash_log.list_suspects()
+    context.took_s = time.process_time() - started_s
+
+
+@then("it answers within {bound_s:d} second")
+def check_duration(context, bound_s):
+    assert context.took_s <= bound_s, context.took_s
+
+
+@given("a host whose crash log holds a part that another host knows to be sound")
+def make_two_hosts(context):
+    async def run():
+        context.hosts = [HostUnderTest(), HostUnderTest()]
+        first, second = context.hosts
+        for source, target in ((first, second), (second, first)):
+            source.gossip.peers.append(target.gossip)
+
+    context.run(run())
+    context.call = make_call()
+    context.call.metadata.prompt = Prompt(MODEL, parts=(("A", 80), ("own", 80)))
+    context.hosts[0].crash_watch.record_output(context.call)
+
+
+@when("the hosts exchange crash updates")
+def exchange_updates(context):
+    async def run():
+        update = CrashSuspectsUpdate("e1", 1, "zone-a", 0, list(make_parts("A")))
+        context.hosts[1].gossip.broadcast(update)
+        for host in context.hosts:
+            await host.close()
+
+    context.run(run())
+
+
+@then("both hosts know that the part is sound")
+def check_sound(context):
+    (part,) = fingerprint_parts(context.call)
+    assert all(host.crash_log.is_sound(part) for host in context.hosts)
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -33,6 +33,7 @@
 from sapphirerock.process.peers.gossip import CrashSuspectsUpdate, EngineDownUpdate
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
+from sapphirerock.request.call import Prompt
 from sapphirerock.request.problem import CRASHES_ENGINES, NOT_RUN
 from sapphirerock.request.streamcall import StreamCall
 from sapphirerock.version.engineentry import EngineEntry
@@ -229,9 +230,10 @@
 
 
 class LocalGossip:
-    """Gossip without peers: delivers updates to the subscribers of this host."""
+    """Gossip that delivers updates to the subscribers of this host and of its peers."""
 
     def __init__(self):
+        self.peers = []
         self._listeners = {}
 
     def subscribe(self, update_type, listener):
@@ -240,8 +242,9 @@
 
     def broadcast(self, update):
         """Deliver an update."""
-        for listener in self._listeners.get(type(update), ()):
-            listener(update)
+        for gossip in (self, *self.peers):
+            for listener in gossip._listeners.get(type(update), ()):
+                listener(update)
 
 
 class PendingAttempt:
@@ -317,7 +320,7 @@
         target=POISON_TARGET,
         body=f"{number}".encode(),
         organisation="weavers",
-        metadata=SimpleNamespace(attempt_id=f"{number:016x}"),
+        metadata=SimpleNamespace(attempt_id=f"{number:016x}", prompt=Prompt()),
     )
 
 
--- a/src/sapphirerock/decisions/crashlog.py
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -1,12 +1,17 @@
-"""Log of engine crashes and of the requests that ran on the engines.
+"""Log of engine crashes and of the requests and prompt parts that were running.
 
-Handles a request that is retried after each crash and so crashes one engine after
-another. The log holds observations only; which of them are evidence against a request
-is decided when it is asked, from all observations of all hosts. Adding an observation
-twice or in another order changes nothing, so hosts can merge their logs.
+Handles a request that is retried after each crash, and a part of a prompt that comes in
+request after request, and so crashes one engine after another. The log holds
+observations only; which of them are evidence against a suspect is decided when it is
+asked, from all observations of all hosts. Adding an observation twice or in another
+order changes nothing, so hosts can merge their logs.
+
+A suspect is a request or a prompt part, and is known by its fingerprint. A part on
+which an engine has begun to write is sound, and no suspect any more.
 """
 
 import hashlib
+from collections import OrderedDict
 from dataclasses import dataclass, replace
 
 from sapphirerock.decisions.poisonrequests import (
@@ -27,6 +32,10 @@
 MIN_COPIED_LIFETIME_S = 10.0
 MAX_LOGGED_CRASHES = 1_000
 MAX_BLOCKED_REQUESTS = 10_000
+MAX_SOUND_PARTS = 10_000
+# First byte of the fingerprint of a prompt part; makes it longer than a request's.
+PART_TAG = b"p"
+PART_FINGERPRINT_BYTES = 13
 DIGEST_BYTES = 7
 MS_PER_S = 1000
 
@@ -77,13 +86,21 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_crashes", "_crashes_by_request", "_blocked", "_digest")
+    __slots__ = (
+        "_clock",
+        "_crashes",
+        "_crashes_by_request",
+        "_blocked",
+        "_sound_parts",
+        "_digest",
+    )
 
     def __init__(self, clock):
         self._clock = clock
         self._crashes = {}
         self._crashes_by_request = {}
         self._blocked = {}
+        self._sound_parts = OrderedDict()
         self._digest = 0
 
     def __len__(self):
@@ -166,6 +183,39 @@
             self._remove_blocked(min(self._blocked, key=self._blocked.get))
         return True
 
+    def add_sound_parts(self, fingerprints):
+        """Add prompt parts on which an engine has begun to write.
+
+        Returns
+        -------
+        list of bytes
+            Those that the log holds as suspects and that were not known to be sound.
+        """
+        now_s = self._clock.monotonic()
+        added = []
+        for fingerprint in fingerprints:
+            is_listed = fingerprint in self._crashes_by_request
+            if is_listed and not self.is_sound(fingerprint):
+                added.append(fingerprint)
+            self._sound_parts[fingerprint] = now_s
+            self._sound_parts.move_to_end(fingerprint)
+        while len(self._sound_parts) > MAX_SOUND_PARTS:
+            self._sound_parts.popitem(last=False)
+        return added
+
+    def is_sound(self, fingerprint):
+        """Return whether an engine has begun to write on a prompt part lately."""
+        at_s = self._sound_parts.get(fingerprint)
+        return at_s is not None and self._clock.monotonic() - at_s < EVIDENCE_TTL_S
+
+    def list_sound_suspects(self):
+        """Return the sound parts that were running when an engine crashed."""
+        return [
+            fingerprint
+            for fingerprint in self._crashes_by_request
+            if self.is_sound(fingerprint)
+        ]
+
     def _toggle(self, item):
         """Add an observation, as bytes, to the digest, or remove it."""
         digest = hashlib.blake2b(item, digest_size=DIGEST_BYTES)
@@ -237,7 +287,7 @@
         oldest_s = self._clock.monotonic() - SUSPECT_TTL_S
         suspects = []
         for fingerprint, runs in self._crashes_by_request.items():
-            if len(runs) < ISOLATION_CRASHES:
+            if len(runs) < ISOLATION_CRASHES or is_part(fingerprint):
                 continue
             evidence = self._list_evidence(fingerprint)
             is_recent = any(crash.at_s >= oldest_s for crash in evidence)
@@ -256,6 +306,31 @@
             or self.count_crashes(fingerprint) >= MAX_CRASHES
         )
 
+    def is_part_blocked(self, fingerprint, request_suspects):
+        """Return whether a request must not run any more because of a prompt part.
+
+        Suspects that were running in all crashes of the part may have caused them in
+        its place, so only a request that has all of them is blocked.
+
+        Parameters
+        ----------
+        fingerprint : bytes
+            Fingerprint of the part.
+        request_suspects : set of bytes
+            Fingerprints of the request and of the parts of its prompt.
+        """
+        if self.count_crashes(fingerprint) < BLOCKING_CRASHES:
+            return False
+        if self.is_sound(fingerprint):
+            return False
+        evidence = self._list_evidence(fingerprint)
+        if len(evidence) < BLOCKING_CRASHES:
+            return False
+        others = set.intersection(*(crash.suspects for crash in evidence))
+        return all(
+            other in request_suspects or self.is_sound(other) for other in others
+        )
+
     def list_records(self):
         """Return all observations, to be merged into the log of another host.
 
@@ -299,6 +374,17 @@
         return added
 
 
+def make_part_fingerprint(model, part_id):
+    """Return the fingerprint of a prompt part, for one model."""
+    digest = hashlib.blake2b(f"{model}\0{part_id}".encode(), digest_size=12)
+    return PART_TAG + digest.digest()
+
+
+def is_part(fingerprint):
+    """Return whether a fingerprint is that of a prompt part, not of a request."""
+    return len(fingerprint) == PART_FINGERPRINT_BYTES
+
+
 def encode_run(run):
     """Return an engine's run as bytes, the same on all hosts."""
     return f"{run.engine}\0{run.born_ms}\0{run.availability_zone}\0".encode()
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -232,6 +232,7 @@
         )
         self.blocked_requests = BlockedRequests(crash_log, self.store, clock)
         crash_watch.on_block.append(self.blocked_requests.record)
+        self.crash_log_exchange.on_pull.append(crash_watch.announce_sound_suspects)
         self.monitor = EngineMonitor(self.engines, crash_watch, prober, clock)
         policy = PLACEMENTS[PLACEMENT_POLICY](generator)
         retry_limits = make_retry_limits(self.profile.bounds)
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -5,7 +5,11 @@
 
 from loguru import logger
 
-from sapphirerock.decisions.crashlog import EngineRun
+from sapphirerock.decisions.crashlog import (
+    EngineRun,
+    is_part,
+    make_part_fingerprint,
+)
 from sapphirerock.decisions.poisonrequests import (
     CORRELATED_CRASH_S,
     CRASH_GOSSIP_DELAY_S,
@@ -14,7 +18,11 @@
 )
 from sapphirerock.decisions.quarantine import ISOLATION_CRASHES, make_fingerprint
 from sapphirerock.process.engines.prober import ProbeOutcome
-from sapphirerock.process.peers.gossip import CrashSuspectsUpdate, EngineDownUpdate
+from sapphirerock.process.peers.gossip import (
+    CrashSuspectsUpdate,
+    EngineDownUpdate,
+    SoundPartsUpdate,
+)
 from sapphirerock.process.tasks import BackgroundTasks
 
 # Two round trips between regions, with room for a busy engine.
@@ -39,7 +47,7 @@
     at_s : float
         Monotonic time of the first loss, in seconds.
     suspects : set of bytes
-        Fingerprints of the calls whose connections broke.
+        Fingerprints of the calls whose connections broke, and of their prompt parts.
     is_probed : asyncio.Event
         Set after the first probe.
     task : asyncio.Task or None
@@ -103,13 +111,49 @@
         self._tasks = BackgroundTasks()
         gossip.subscribe(CrashSuspectsUpdate, self._apply_suspects)
         gossip.subscribe(EngineDownUpdate, self._apply_engine_down)
+        gossip.subscribe(SoundPartsUpdate, self._apply_sound_parts)
         engines.on_restart.append(self._apply_restart)
 
     def is_blocked(self, call):
         """Return whether a call is blocked because it crashes its engines."""
         if self._crash_log.is_empty:
             return False
-        return self._crash_log.is_blocked(fingerprint_call(call))
+        fingerprint = fingerprint_call(call)
+        if self._crash_log.is_blocked(fingerprint):
+            return True
+        parts = fingerprint_parts(call)
+        suspects = {fingerprint, *parts}
+        return any(self._crash_log.is_part_blocked(part, suspects) for part in parts)
+
+    def record_output(self, call):
+        """Record that an engine has begun to write on the prompt of a call."""
+        self._announce_sound_parts(fingerprint_parts(call))
+
+    def announce_sound_suspects(self):
+        """Tell all hosts which suspects of the crash log are sound."""
+        parts = self._crash_log.list_sound_suspects()
+        if parts:
+            self._gossip.broadcast(SoundPartsUpdate(parts))
+
+    def _announce_sound_parts(self, parts):
+        """Add sound parts; tell all hosts of those that the crash log holds."""
+        added = self._crash_log.add_sound_parts(parts)
+        if added:
+            self._gossip.broadcast(SoundPartsUpdate(added))
+
+    def _apply_sound_parts(self, update):
+        self._crash_log.add_sound_parts(update.parts)
+        logger.bind(parts=[part.hex() for part in update.parts]).info(
+            "prompt parts found sound"
+        )
+
+    def _list_suspects(self, call):
+        """Return the fingerprints of a call and of its parts that may crash engines."""
+        parts = fingerprint_parts(call)
+        return [
+            fingerprint_call(call),
+            *(part for part in parts if not self._crash_log.is_sound(part)),
+        ]
 
     def log_send(self, state, call):
         """Log that a call with evidence against it is sent to an engine."""
@@ -133,17 +177,18 @@
         A call that is lost later with the same run of the engine joins the suspects.
         """
         run = make_run(state)
-        fingerprint = fingerprint_call(call)
+        suspects = self._list_suspects(call)
         if self._crash_log.has_crash(run):
-            if self._crash_log.select_unknown(run, [fingerprint]):
-                self._send_suspects(run, self._clock.monotonic(), [fingerprint])
+            unknown = self._crash_log.select_unknown(run, suspects)
+            if unknown:
+                self._send_suspects(run, self._clock.monotonic(), unknown)
             return
         self._drop_old_losses()
         loss = self._losses.get(run)
         if loss is None:
             loss = self._losses[run] = EngineLoss(self._clock.monotonic())
             loss.task = self._tasks.spawn(self._investigate(state, loss))
-        loss.suspects.add(fingerprint)
+        loss.suspects.update(suspects)
 
     def _drop_old_losses(self):
         oldest_s = self._clock.monotonic() - LOSS_TTL_S
@@ -154,14 +199,20 @@
     def must_wait(self, call):
         """Return whether a call must wait before it is sent to another engine.
 
-        It must if its request has lost enough runs of engines, on all hosts together.
+        It must if its request, or a part of its prompt, has lost enough runs of
+        engines, on all hosts together.
         """
-        fingerprint = fingerprint_call(call)
-        runs = self._crash_log.list_runs(fingerprint)
-        runs.update(
-            run for run, loss in self._losses.items() if fingerprint in loss.suspects
+        return any(
+            len(self._list_lost_runs(suspect)) >= SUSPECT_LOSSES
+            for suspect in self._list_suspects(call)
         )
-        return len(runs) >= SUSPECT_LOSSES
+
+    def _list_lost_runs(self, fingerprint):
+        """Return the runs that crashed, or were lost, under a suspect."""
+        lost = [
+            run for run, loss in self._losses.items() if fingerprint in loss.suspects
+        ]
+        return self._crash_log.list_runs(fingerprint).union(lost)
 
     async def wait_for_investigations(self, call):
         """Wait until the evidence of the engines that a call lost is complete.
@@ -169,18 +220,28 @@
         A call with enough crashes to run alone also waits for engines that don't answer
         a first probe, and until other hosts have the same evidence.
         """
-        fingerprint = fingerprint_call(call)
-        for loss in self._list_losses(fingerprint):
+        suspects = self._list_suspects(call)
+        for loss in self._list_losses(suspects):
             await loss.is_probed.wait()
-        await self._clock.sleep(self._crash_log.measure_settling_s(fingerprint))
-        if self._crash_log.must_run_alone(fingerprint):
-            for loss in self._list_losses(fingerprint):
+        await self._clock.sleep(self._measure_settling_s(suspects))
+        if self._must_run_alone(suspects):
+            for loss in self._list_losses(suspects):
                 await asyncio.wait([loss.task])
-            await self._clock.sleep(self._crash_log.measure_settling_s(fingerprint))
+            await self._clock.sleep(self._measure_settling_s(suspects))
             await self._clock.sleep(CRASH_GOSSIP_DELAY_S)
 
-    def _list_losses(self, fingerprint):
-        return [loss for loss in self._losses.values() if fingerprint in loss.suspects]
+    def _list_losses(self, suspects):
+        return [
+            loss
+            for loss in self._losses.values()
+            if not loss.suspects.isdisjoint(suspects)
+        ]
+
+    def _measure_settling_s(self, suspects):
+        return max(self._crash_log.measure_settling_s(suspect) for suspect in suspects)
+
+    def _must_run_alone(self, suspects):
+        return any(self._crash_log.must_run_alone(suspect) for suspect in suspects)
 
     def choose_isolated_engine(self, call, views):
         """Return an engine for a suspect request, apart from other suspects.
@@ -190,11 +251,10 @@
         EngineView or None
             None if the call is not a suspect request or there is no engine.
         """
-        fingerprint = fingerprint_call(call)
-        if not self._crash_log.must_run_alone(fingerprint):
+        if not self._must_run_alone(self._list_suspects(call)):
             return None
         suspects = self._crash_log.list_suspects()
-        view = choose_isolated_engine(views, fingerprint, suspects)
+        view = choose_isolated_engine(views, fingerprint_call(call), suspects)
         logger.bind(
             request=call.metadata.attempt_id,
             suspects=len(suspects),
@@ -309,7 +369,8 @@
         self._crash_log.add_crash(run, at_s)
         suspects = set(loss.suspects) if loss else set()
         if state is not None:
-            suspects |= {fingerprint_call(attempt.call) for attempt in state.attempts}
+            for attempt in state.attempts:
+                suspects.update(self._list_suspects(attempt.call))
         suspects = self._crash_log.select_unknown(run, suspects)
         if suspects:
             self._send_suspects(run, at_s, suspects)
@@ -332,6 +393,9 @@
         added = self._crash_log.add_suspects(run, update.suspects)
         if not added:
             return
+        sound = [item for item in added if self._crash_log.is_sound(item)]
+        if sound:
+            self._gossip.broadcast(SoundPartsUpdate(sound))
         self._metrics.crash_evidence.inc(len(added))
         logger.bind(
             engine=update.engine, start=update.born_ms, suspects=len(added)
@@ -348,6 +412,9 @@
             evidence = self._crash_log.count_evidence(fingerprint)
             if crashes < ISOLATION_CRASHES:
                 continue
+            if is_part(fingerprint):
+                self._log_suspected_part(fingerprint, crashes, evidence)
+                continue
             is_blocked = self._crash_log.is_blocked(fingerprint)
             now_s = self._clock.monotonic()
             if is_blocked and self._crash_log.add_blocked(fingerprint, now_s):
@@ -360,6 +427,15 @@
                 blocked=is_blocked,
             ).warning("request suspected of crashing engines")
 
+    def _log_suspected_part(self, part, crashes, evidence):
+        """Log a part with several crashes; whether it blocks depends on the request."""
+        logger.bind(
+            part=part.hex(),
+            crashes=crashes,
+            evidence=evidence,
+            sound=self._crash_log.is_sound(part),
+        ).warning("prompt part suspected of crashing engines")
+
 
 def make_run(state):
     """Return the run of an engine that a state describes."""
@@ -367,6 +443,12 @@
     return EngineRun(entry.name, entry.born_ms, entry.availability_zone)
 
 
+def fingerprint_parts(call):
+    """Return the fingerprints of a prompt's parts, without the call's own last one."""
+    prompt = call.metadata.prompt
+    return [make_part_fingerprint(prompt.model, name) for name, _ in prompt.parts[:-1]]
+
+
 def fingerprint_call(call):
     """Return the digest of a call's path, organisation and body."""
     digest = hashlib.blake2b(call.target.encode("utf-8", "surrogateescape"))
--- a/src/sapphirerock/process/peers/crashlogs.py
+++ b/src/sapphirerock/process/peers/crashlogs.py
@@ -32,6 +32,11 @@
         Source of time.
     metrics : EdgeMetrics
         Counts merged observations.
+
+    Attributes
+    ----------
+    on_pull : list of callable
+        Called without arguments after this host's log was sent to a peer.
     """
 
     def __init__(self, crash_log, peers, clock, metrics, **kwargs):
@@ -41,6 +46,7 @@
         self._clock = clock
         self._metrics = metrics
         self._pulled_at_s = {}
+        self.on_pull = []
         peers.register_handler(CrashLogPull, self._answer_pull)
         peers.register_handler(CrashLogContent, self._merge)
         peers.on_heartbeat.append(self._compare_digests)
@@ -70,6 +76,8 @@
     def _answer_pull(self, stream, message):
         records = self._crash_log.list_records()
         self._send(stream, CrashLogContent(records.crashes, records.blocked))
+        for notify in self.on_pull:
+            notify()
 
     def _merge(self, stream, message):
         records = CrashLogRecords(message.crashes, message.blocked)
--- a/src/sapphirerock/process/peers/gossip.py
+++ b/src/sapphirerock/process/peers/gossip.py
@@ -117,6 +117,20 @@
     suspects: list
 
 
+@register_topic("sound-prompt-parts")
+@dataclass(slots=True, frozen=True)
+class SoundPartsUpdate:
+    """Prompt parts that are no cause of a crash, because an engine wrote on them.
+
+    Parameters
+    ----------
+    parts : list of bytes
+        Fingerprints of the parts.
+    """
+
+    parts: list
+
+
 @register_topic("placement-of-suspect")
 @dataclass(slots=True, frozen=True)
 class SuspectUpdate:
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -262,6 +262,9 @@
                 self._log.bind(cause=str(error)).warning("event exceeds size limit")
                 return StreamOutcome.FAILED
             if events:
+                if not attempt.has_output:
+                    attempt.has_output = True
+                    self._runtime.crash_watch.record_output(self._call)
                 attempt.mark_prefilled()
                 await self._forward_events(attempt, events)
 
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -39,6 +39,8 @@
     ----------
     head : ResponseHead or None
         Head of the response; None until it has arrived.
+    has_output : bool
+        Whether an event of the response has arrived.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "state",
         "backup",
         "head",
+        "has_output",
         "_runtime",
         "_prompt_tokens",
         "_memory_tokens",
@@ -60,6 +63,7 @@
         self.state = state
         self.backup = backup
         self.head = None
+        self.has_output = False
         self._runtime = runtime
         self.call = call
         self._prompt_tokens = prompt_tokens
