--- a/src/sapphirerock/decisions/crashlog.py
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -11,8 +11,9 @@
 """
 
 import hashlib
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from dataclasses import dataclass, replace
+from itertools import chain
 
 from sapphirerock.decisions.poisonrequests import (
     BLOCKING_CRASHES,
@@ -89,6 +90,7 @@
     __slots__ = (
         "_clock",
         "_crashes",
+        "_crashes_by_period",
         "_crashes_by_request",
         "_blocked",
         "_sound_parts",
@@ -98,6 +100,8 @@
     def __init__(self, clock):
         self._clock = clock
         self._crashes = {}
+        # Runs by availability zone and period of `CORRELATED_CRASH_S`.
+        self._crashes_by_period = defaultdict(set)
         self._crashes_by_request = {}
         self._blocked = {}
         self._sound_parts = OrderedDict()
@@ -132,14 +136,35 @@
         known = self._crashes.get(run)
         if known is not None:
             if at_s < known.at_s:
-                self._crashes[run] = replace(known, at_s=at_s)
+                self._remove_from_period(run)
+                self._set_crash(run, replace(known, at_s=at_s))
             return False
-        self._crashes[run] = Crash(run.engine, run.availability_zone, at_s, set())
+        self._set_crash(run, Crash(run.engine, run.availability_zone, at_s, set()))
         self._toggle(encode_run(run))
         while len(self._crashes) > MAX_LOGGED_CRASHES:
             self._remove_crash(min(self._crashes, key=self._get_time))
         return True
 
+    def _set_crash(self, run, crash):
+        self._crashes[run] = crash
+        period = find_period(crash)
+        self._crashes_by_period[run.availability_zone, period].add(run)
+
+    def _remove_from_period(self, run):
+        key = run.availability_zone, find_period(self._crashes[run])
+        self._crashes_by_period[key].discard(run)
+        if not self._crashes_by_period[key]:
+            del self._crashes_by_period[key]
+
+    def _list_neighbours(self, crash):
+        """Return the crashes of a zone around the time of one of them, with it."""
+        period = find_period(crash)
+        runs = chain.from_iterable(
+            self._crashes_by_period.get((crash.availability_zone, period + offset), ())
+            for offset in (-1, 0, 1)
+        )
+        return [self._crashes[run] for run in runs]
+
     def _get_time(self, run):
         return self._crashes[run].at_s
 
@@ -222,6 +247,7 @@
         self._digest ^= int.from_bytes(digest.digest())
 
     def _remove_crash(self, run):
+        self._remove_from_period(run)
         crash = self._crashes.pop(run)
         self._toggle(encode_run(run))
         for fingerprint in crash.suspects:
@@ -269,7 +295,7 @@
             crash
             for crash in crashes
             if crash.at_s <= latest_s
-            and can_be_caused_by(crash, fingerprint, self._crashes.values())
+            and can_be_caused_by(crash, fingerprint, self._list_neighbours(crash))
         ]
 
     def measure_settling_s(self, fingerprint):
@@ -374,6 +400,11 @@
         return added
 
 
+def find_period(crash):
+    """Return the number of the period of `CORRELATED_CRASH_S` of a crash."""
+    return int(crash.at_s // CORRELATED_CRASH_S)
+
+
 def make_part_fingerprint(model, part_id):
     """Return the fingerprint of a prompt part, for one model."""
     digest = hashlib.blake2b(f"{model}\0{part_id}".encode(), digest_size=12)
