--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -380,3 +380,33 @@
     assert events == list(range(1, len(events) + 1)), events
     assert 20 <= len(events) < caller.event_count
     assert not caller.response.is_complete
+
+
+STREAM_ENDINGS = {
+    "closes the connection after the last event": "unframed-stream",
+    "closes the connection inside the third event": "torn-stream",
+}
+
+
+@when("a stream of {events:d} events is sent, and its engine {ending}")
+def send_unframed_stream(context, events, ending):
+    async def run():
+        cluster = context.world.cluster
+        engines = [name for name in cluster.urls if name.startswith("model-")]
+        for name in engines:
+            await cluster.inject(name, "spoil", manner=STREAM_ENDINGS[ending], amount=1)
+        edge = cluster.edges["edge-0"]
+        async with RawConnection(edge) as connection:
+            context.response = await connection.request(
+                "POST", "/review/1", make_headers(1, events), b"wool"
+            )
+
+    context.run(run())
+
+
+@then("the caller got all {events:d} events, and {runs:d} engines ran the stream")
+def check_unframed_stream(context, events, runs):
+    assert context.response.status == 200, context.response
+    assert context.response.events == list(range(1, events + 1)), context.response
+    assert context.response.is_complete, context.response
+    assert len(context.run(list_all_runs(context))) == runs
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -70,3 +70,13 @@
       | fault                   |
       | reset their connections |
       | stop responding briefly |
+
+  Scenario Outline: A stream with neither a length nor chunks ends with its connection: <ending>
+    Given a shared platform with 1 edge and 3 model engines in 3 zones
+    When a stream of 10 events is sent, and its engine <ending>
+    Then the caller got all 10 events, and <runs> engines ran the stream
+
+    Examples:
+      | ending                                            | runs |
+      | closes the connection after the last event        | 1    |
+      | closes the connection inside the third event      | 2    |
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -479,6 +479,34 @@
     return await write_raw(request, run, head + b"whole", "whole")
 
 
+async def send_unframed_events(standin, request, request_head, run, count, rest=b""):
+    """Send events and further bytes; the end of the connection ends the response."""
+    lines = ["Content-Type: text/event-stream", "Connection: close"]
+    head = make_response_head(standin, request_head, "200 OK", *lines)
+    numbers = range(run.first_event, run.first_event + count)
+    run.events = numbers[-1]
+    events = [encode_event(request_head.content_key, number) for number in numbers]
+    return await write_raw(request, run, head + b"".join(events) + rest, "whole")
+
+
+@register_response_fault("unframed-stream")
+async def send_unframed_stream(standin, request, request_head, run):
+    """Send a complete stream whose end is marked by closing the connection."""
+    count = request_head.output_events + 1 - run.first_event
+    return await send_unframed_events(standin, request, request_head, run, count)
+
+
+@register_response_fault("torn-stream")
+async def tear_stream(standin, request, request_head, run):
+    """Close the connection inside the third event; complete a resumed stream."""
+    if request_head.last_event_id:
+        return await send_unframed_stream(standin, request, request_head, run)
+    event = encode_event(request_head.content_key, run.first_event + 2)
+    return await send_unframed_events(
+        standin, request, request_head, run, 2, event[: len(event) // 2]
+    )
+
+
 @register_response_fault("unframed-reset")
 async def reset_unframed(standin, request, request_head, run):
     """Reset the connection in the middle of a response without Content-Length."""
