Replicas: large changes are sent compressed

Cause: the watcher of a zone sends the whole configuration to each host of its zone. At 10 Mbit/s, 400 kB for 12 hosts take 4 s, and the copies that hubs forward come on top (570 kB for each host in the scenario).

Ruled out: hosts that are busy decoding (the watchers decode the same version at 2.65), a change of the watcher (nothing fails before second 4).

Fix: a change of more than 4 kB is packed once, with zlib, and sent so to peers whose heartbeat says that they read it; others get it as before.

--- a/features/configspread.feature
+++ b/features/configspread.feature
@@ -4,3 +4,24 @@
     Given a shared platform with 4 edges and 1 engine of each service in 1 zone
     When the configuration grows by 1400 routes
     Then each edge has it in force, and got it in at most 89 kB from its peers
+
+  Scenario Outline: A packed message that is <fault> is ignored
+    Given a packed message that is <fault>
+    Then it can't be unpacked
+
+    Examples:
+      | fault        |
+      | cut off      |
+      | no zlib data |
+      | too large    |
+      | no message   |
+
+  Scenario Outline: A host that <reads> packed messages gets a large change <form>
+    Given a host that <reads> packed messages
+    When a large change is sent to it
+    Then it gets the change <form>
+
+    Examples:
+      | reads                 | form   |
+      | has said that it reads | packed |
+      | hasn't said so of      | plain  |
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -1,10 +1,26 @@
 """Steps on how large configurations are sent from host to host."""
 
+import hashlib
 import re
+import zlib
+from types import SimpleNamespace
 
-from behave import then, when
+import msgpack
+from behave import given, then, when
 from tools.sharedcluster import make_configuration, make_route
 
+from sapphirerock.connection.messages import (
+    FRAME_LIMIT_BYTES,
+    Heartbeat,
+    ObjectDelta,
+    PackedMessage,
+    encode_frame,
+)
+from sapphirerock.connection.packing import pack_message, unpack_message
+from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.replicas.feed import ObjectFeed, ReplicatedKind
+from sapphirerock.process.replicas.replica import Replica
+
 # A watcher on a link of 5 Mbit/s sends a configuration to 14 hosts within 2 s, half of
 # the time in which it must be in force: 5e6 / 8 * 2 / 14 bytes each.
 BYTES_PER_KB = 1000
@@ -18,10 +34,11 @@
 def make_large_configuration(count):
     """Return a configuration with further routes of the usual form."""
     configuration = make_configuration(version=2)
-    configuration["routes"] += [
-        make_route(f"r-{number:07x}", f"/{number * 7919:08x}/", "idempotent", "shop")
-        for number in range(count)
-    ]
+    for number in range(count):
+        digest = hashlib.blake2b(b"%d" % number).hexdigest()
+        configuration["routes"].append(
+            make_route(f"r-{digest[:7]}", f"/{digest[7:16]}/", "idempotent", "shop")
+        )
     return configuration
 
 
@@ -65,3 +82,79 @@
     receivers = len(context.world.cluster.edges) - 1
     kilobytes = context.sent_bytes / receivers / BYTES_PER_KB
     assert 0 < kilobytes <= bound, round(kilobytes)
+
+
+def make_large_delta():
+    content = make_large_configuration(200)
+    return ObjectDelta("config", 1, 2, [["main", 2, content]], None)
+
+
+FAULTY_CONTENTS = {
+    "cut off": lambda: pack_message(make_large_delta()).content[:-20],
+    "no zlib data": lambda: b"plain bytes",
+    "too large": lambda: zlib.compress(bytes(FRAME_LIMIT_BYTES + 1)),
+    "no message": lambda: zlib.compress(msgpack.packb([999, 0])),
+}
+
+
+@given("a packed message that is {fault}")
+def make_faulty_message(context, fault):
+    context.message = PackedMessage(FAULTY_CONTENTS[fault]())
+
+
+@then("it can't be unpacked")
+def check_not_unpacked(context):
+    try:
+        unpack_message(context.message)
+    except ValueError:
+        return
+    raise AssertionError("unpacked")
+
+
+class RecordingStream:
+    """A stream to a peer that keeps what is sent."""
+
+    def __init__(self, host):
+        self.host = host
+        self.accepts_packed = False
+        self.sent = []
+
+    def send(self, message):
+        """Keep a message; return its size."""
+        self.sent.append(message)
+        return len(encode_frame(0, message))
+
+
+@given("a host that {reads} packed messages")
+def make_feed(context, reads):
+    context.stream = RecordingStream("b1")
+    peers = SimpleNamespace(
+        register_handler=lambda message_type, handler: None,
+        on_heartbeat=[],
+        view_sources=[],
+        streams={"b1": context.stream},
+        count_bytes=lambda stream, kind, size: None,
+    )
+    context.replica = Replica("config")
+    context.feed = ObjectFeed(
+        None, [ReplicatedKind(context.replica)], peers, ManualClock(1.0)
+    )
+    views = [["packed-messages", 0, 0, 1 << 30, ""]]
+    heartbeat = Heartbeat(False, views if reads == "has said that it reads" else [])
+    for notify in peers.on_heartbeat:
+        notify(context.stream, heartbeat)
+
+
+@when("a large change is sent to it")
+def send_large_change(context):
+    source = RecordingStream("a1")
+    context.feed._store = SimpleNamespace(observe_era=lambda era: True)
+    context.feed._handle_delta(source, make_large_delta())
+
+
+@then("it gets the change {form}")
+def check_form(context, form):
+    (message,) = context.stream.sent
+    if form == "packed":
+        message = unpack_message(message)
+    assert message.changes == make_large_delta().changes
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -315,6 +315,14 @@
     blocked: list
 
 
+@register_message(28)
+@dataclass(slots=True)
+class PackedMessage(Message):
+    """Another message, compressed; see `sapphirerock.connection.packing`."""
+
+    content: bytes
+
+
 @register_message(30)
 @dataclass(slots=True)
 class GossipUpdate(Message):
--- a/src/sapphirerock/connection/peer.py
+++ b/src/sapphirerock/connection/peer.py
@@ -48,6 +48,8 @@
         Whether this host opened the connection.
     closes_when_idle : bool
         Whether the stream may be closed when idle.
+    accepts_packed : bool
+        Whether the peer has said that it reads compressed messages.
     last_received_s, last_used_s : float
         Monotonic times at which a message was last received and the stream was last
         used, in seconds. The owner of the stream sets `last_used_s`.
@@ -59,6 +61,7 @@
         "hello",
         "is_dialled",
         "closes_when_idle",
+        "accepts_packed",
         "last_received_s",
         "last_used_s",
         "sent_bytes",
@@ -74,6 +77,7 @@
         self.hello = hello
         self.is_dialled = False
         self.closes_when_idle = False
+        self.accepts_packed = False
         self.last_received_s = 0.0
         self.last_used_s = 0.0
         self.sent_bytes = 0
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -15,7 +15,8 @@
 from loguru import logger
 from mode import Service
 
-from sapphirerock.connection.messages import ObjectDelta, ObjectPull
+from sapphirerock.connection.messages import ObjectDelta, ObjectPull, PackedMessage
+from sapphirerock.connection.packing import pack_message, unpack_message
 from sapphirerock.connection.storeobjects import (
     HistoryGone,
     StoreUnavailable,
@@ -45,6 +46,8 @@
 # The platform expires an entry after three missed heartbeats, so a shorter outage
 # expires none.
 MIN_OUTAGE_S = 1.5
+# View in a heartbeat by which a host says that it reads compressed messages.
+PACKED_VIEW = "packed-messages"
 # Monotonic time that stands for an event that has not happened.
 NEVER_S = -1e9
 # Age that stands for no contact in a heartbeat; also the highest age that is sent.
@@ -158,6 +161,7 @@
         self._peers = peers
         self._clock = clock
         peers.register_handler(ObjectDelta, self._handle_delta)
+        peers.register_handler(PackedMessage, self._handle_packed)
         peers.register_handler(ObjectPull, self._answer_pull)
         peers.on_heartbeat.append(self._compare_views)
         peers.view_sources.append(self.describe_views)
@@ -170,12 +174,14 @@
     def describe_views(self):
         """Return [kind, newest revision, size, age in ms, host] of each replica.
 
+        A further view tells the peer that it may send compressed messages.
+
         Age and host are those of the newest contact with the store: this host's
         own or, if this host is a hub, that of a host in its zone. Contacts that hubs
         report are not forwarded, so that no contact looks newer by circulating.
         """
         now_s = self._clock.monotonic()
-        views = []
+        views = [[PACKED_VIEW, 0, 0, NO_CONTACT_MS, ""]]
         for kind, replica in self._replicas.items():
             contact = self._find_reported_contact(kind)
             age_ms = min(int((now_s - contact.at_s) * 1000), NO_CONTACT_MS)
@@ -377,9 +383,29 @@
         packed = [pack_change(change) for change in applied]
         horizon = min(horizon, replica.horizon)
         delta = ObjectDelta(replica.kind, replica.newest, horizon, packed, None)
-        self._peers.send_all(delta, "objects", lambda stream: stream is not source)
+        streams = self._peers.streams.values()
+        self._send_delta(delta, [stream for stream in streams if stream is not source])
         return True
 
+    def _send_delta(self, delta, streams):
+        """Send a delta, compressed if it is large and the peer reads that."""
+        packed = pack_message(delta)
+        for stream in streams:
+            is_packed = packed is not None and stream.accepts_packed
+            size = stream.send(packed if is_packed else delta)
+            self._peers.count_bytes(stream, "objects", size)
+
+    def _handle_packed(self, stream, message):
+        try:
+            delta = unpack_message(message)
+        except ValueError as error:
+            logger.bind(peer=stream.host, cause=str(error)).warning(
+                "packed message from peer ignored"
+            )
+            return
+        if isinstance(delta, ObjectDelta):
+            self._handle_delta(stream, delta)
+
     def _handle_delta(self, stream, message):
         replica = self._replicas.get(message.kind)
         if replica is not None:
@@ -425,12 +451,13 @@
                 horizon = replica.horizon if is_last else part[-1][1]
                 delta = ObjectDelta(replica.kind, after, horizon, part, None)
                 after = horizon
-            self._peers.count_bytes(stream, "objects", stream.send(delta))
+            self._send_delta(delta, [stream])
 
     def _compare_views(self, stream, heartbeat):
         """Record a peer's contacts and pull the changes that this host lacks."""
         now_s = self._clock.monotonic()
         for kind, newest, size, age_ms, host in heartbeat.views:
+            stream.accepts_packed |= kind == PACKED_VIEW
             replica = self._replicas.get(kind)
             if replica is None:
                 continue
