Replicas: changes from a host of the own zone go to other zones only

What callers saw: part of the delay of large configurations (CONFIG). Each host that got a change sent it on to all its peers but the source, so the hosts of a zone got two to three copies of each configuration, over the same narrow links.

Cause: a host sends on to peers that already have the change from its source.

--- a/features/configspread.feature
+++ b/features/configspread.feature
@@ -25,3 +25,13 @@
       | reads                 | form   |
       | has said that it reads | packed |
       | hasn't said so of      | plain  |
+
+  Scenario Outline: A change that came from <host> is sent to hosts that may lack it
+    Given a host with peers in its zone and in two others
+    When it gets a change from <host>
+    Then it sends the change to <receivers>
+
+    Examples:
+      | host | receivers        |
+      | a1   | b1 and c1        |
+      | b1   | a1 and a2 and c1 |
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -114,8 +114,9 @@
 class RecordingStream:
     """A stream to a peer that keeps what is sent."""
 
-    def __init__(self, host):
+    def __init__(self, host, availability_zone):
         self.host = host
+        self.hello = SimpleNamespace(availability_zone=availability_zone)
         self.accepts_packed = False
         self.sent = []
 
@@ -125,36 +126,69 @@
         return len(encode_frame(0, message))
 
 
+class FeedUnderTest:
+    """A feed of one host in zone-a, with recorded streams to its peers."""
+
+    def __init__(self, zones_by_host):
+        self.streams = {
+            host: RecordingStream(host, zone) for host, zone in zones_by_host.items()
+        }
+        own_address = SimpleNamespace(host="a0", availability_zone="zone-a")
+        self.peers = SimpleNamespace(
+            register_handler=lambda message_type, handler: None,
+            on_heartbeat=[],
+            view_sources=[],
+            streams=self.streams,
+            hosts=SimpleNamespace(own_address=own_address),
+            count_bytes=lambda stream, kind, size: None,
+        )
+        store = SimpleNamespace(observe_era=lambda era: True)
+        kinds = [ReplicatedKind(Replica("config"))]
+        self.feed = ObjectFeed(store, kinds, self.peers, ManualClock(1.0))
+
+    def receive_heartbeat(self, host, views):
+        """Deliver a heartbeat of a peer."""
+        for notify in self.peers.on_heartbeat:
+            notify(self.streams[host], Heartbeat(False, views))
+
+    def receive_change(self, host):
+        """Deliver a large change from a peer."""
+        self.feed._handle_delta(self.streams[host], make_large_delta())
+
+
 @given("a host that {reads} packed messages")
 def make_feed(context, reads):
-    context.stream = RecordingStream("b1")
-    peers = SimpleNamespace(
-        register_handler=lambda message_type, handler: None,
-        on_heartbeat=[],
-        view_sources=[],
-        streams={"b1": context.stream},
-        count_bytes=lambda stream, kind, size: None,
-    )
-    context.replica = Replica("config")
-    context.feed = ObjectFeed(
-        None, [ReplicatedKind(context.replica)], peers, ManualClock(1.0)
-    )
-    views = [["packed-messages", 0, 0, 1 << 30, ""]]
-    heartbeat = Heartbeat(False, views if reads == "has said that it reads" else [])
-    for notify in peers.on_heartbeat:
-        notify(context.stream, heartbeat)
+    context.host = FeedUnderTest({"a1": "zone-a", "b1": "zone-b"})
+    if reads == "has said that it reads":
+        context.host.receive_heartbeat("b1", [["packed-messages", 0, 0, 1 << 30, ""]])
 
 
 @when("a large change is sent to it")
 def send_large_change(context):
-    source = RecordingStream("a1")
-    context.feed._store = SimpleNamespace(observe_era=lambda era: True)
-    context.feed._handle_delta(source, make_large_delta())
+    context.host.receive_change("a1")
+
+
+@given("a host with peers in its zone and in two others")
+def make_feed_of_three_zones(context):
+    context.host = FeedUnderTest(
+        {"a1": "zone-a", "a2": "zone-a", "b1": "zone-b", "c1": "zone-c"}
+    )
+
+
+@when("it gets a change from {host}")
+def receive_change(context, host):
+    context.host.receive_change(host)
+
+
+@then("it sends the change to {hosts}")
+def check_receivers(context, hosts):
+    sent = [name for name, stream in context.host.streams.items() if stream.sent]
+    assert sent == hosts.split(" and "), sent
 
 
 @then("it gets the change {form}")
 def check_form(context, form):
-    (message,) = context.stream.sent
+    (message,) = context.host.streams["b1"].sent
     if form == "packed":
         message = unpack_message(message)
     assert message.changes == make_large_delta().changes
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -367,7 +367,7 @@
             self._peers.send_heartbeats()
 
     def _apply_and_forward(self, replica, after, horizon, changes, source, names=None):
-        """Apply changes and send those that were new to all peers but the source.
+        """Apply changes and send those that were new to peers that may lack them.
 
         Returns
         -------
@@ -383,10 +383,24 @@
         packed = [pack_change(change) for change in applied]
         horizon = min(horizon, replica.horizon)
         delta = ObjectDelta(replica.kind, replica.newest, horizon, packed, None)
-        streams = self._peers.streams.values()
-        self._send_delta(delta, [stream for stream in streams if stream is not source])
+        self._send_delta(delta, self._list_receivers(source))
         return True
 
+    def _list_receivers(self, source):
+        """Return the streams on which a change is sent on.
+
+        A peer of this host's zone that had a change has sent it to the hosts of the
+        zone itself. One that it does not reach pulls it after the next heartbeat.
+        """
+        zone = self._peers.hosts.own_address.availability_zone
+        is_own_zone = source is not None and source.hello.availability_zone == zone
+        return [
+            stream
+            for stream in self._peers.streams.values()
+            if stream is not source
+            and not (is_own_zone and stream.hello.availability_zone == zone)
+        ]
+
     def _send_delta(self, delta, streams):
         """Send a delta, compressed if it is large and the peer reads that."""
         packed = pack_message(delta)
