--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -48,6 +48,8 @@
 OUTAGE_S = 4.0
 # Longer than a probe, its retries and the wait for simultaneous crashes.
 SETTLE_S = 1.2
+# Less than the timeout of a probe.
+ANSWER_DELAY_S = 0.15
 FAULTS = {}
 ORDERS = {}
 REPORTS = {}
@@ -414,7 +416,7 @@
             return
         with connection:
             connection.recv(4096)
-            time.sleep(0.05)
+            time.sleep(ANSWER_DELAY_S)
             connection.sendall(head + body)
 
 
