--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -164,6 +164,12 @@
         Wall time of the first response with a limit; 0 before it.
     arrivals : deque of [float, str]
         Wall time and sender's address of the latest requests, refused ones included.
+    cut_sources : frozenset of str
+        Addresses of the hosts that the engine is cut off from.
+    cut_manner : str
+        What happens to connections of these hosts: ``hang`` or ``reset``.
+    cut_until_s : float
+        Monotonic time at which the cut ends.
     """
 
     def __init__(self, traits):
@@ -184,6 +190,9 @@
         self.request_limit = ""
         self.limited_at_s = 0.0
         self.arrivals = deque(maxlen=MAX_RUNS)
+        self.cut_sources = frozenset()
+        self.cut_manner = ""
+        self.cut_until_s = 0.0
         self._transports = set()
         self._silent = set()
         self._session = None
@@ -224,7 +233,8 @@
     def make_application(self):
         """Return the HTTP application."""
         application = web.Application(
-            client_max_size=16 << 20, middlewares=[self._reset_after_crash]
+            client_max_size=16 << 20,
+            middlewares=[self._reset_after_crash, self._drop_cut_hosts],
         )
         application.add_routes(
             [
@@ -245,6 +255,28 @@
             return drop_connection(request)
         return await handler(request)
 
+    def is_cut_off_from(self, address):
+        """Return whether the engine is cut off from a host at an address."""
+        return address in self.cut_sources and time.monotonic() < self.cut_until_s
+
+    @web.middleware
+    async def _drop_cut_hosts(self, request, handler):
+        """Hang or reset connections of hosts that the engine is cut off from."""
+        if self.is_cut_off_from(request.remote):
+            if self.cut_manner == "reset":
+                return drop_connection(request)
+            await asyncio.sleep(HANG_S)
+        response = await handler(request)
+        if self.is_cut_off_from(request.remote):
+            await asyncio.sleep(HANG_S)
+        return response
+
+    def reset_cut_connections(self):
+        """Reset the connections of calls from hosts that the engine is cut off from."""
+        for transport in list(self._transports):
+            if self.is_cut_off_from(transport.get_extra_info("peername", ("",))[0]):
+                transport.abort()
+
     async def _report(self, request):
         await self._hang_if_silenced(request)
         if self.has_endless_reports:
@@ -407,6 +439,8 @@
         last_copy_s = 0.0
         for number in range(run.first_event, request_head.output_events + 1):
             await self._hang_if_silenced(request)
+            if self.is_cut_off_from(request.remote):
+                await asyncio.sleep(HANG_S)
             content = encode_event(request_head.content_key, number)
             run.events = number
             await response.write(content)
@@ -469,6 +503,19 @@
     standin.request_limit = fault.manner
 
 
+@register_fault("cut")
+def cut_off_hosts(standin, fault):
+    """Cut the engine off from the hosts in ``source`` for ``seconds``.
+
+    The manner is ``hang`` (requests get no answer) or ``reset``.
+    """
+    standin.cut_sources = frozenset(fault.source.split(","))
+    standin.cut_manner = fault.manner
+    standin.cut_until_s = time.monotonic() + fault.seconds
+    if fault.manner == "reset":
+        standin.reset_cut_connections()
+
+
 @register_fault("next-version")
 def set_next_version(standin, fault):
     """Start each later incarnation with the software version in ``manner``."""
