--- a/features/enginecuts.feature
+++ b/features/enginecuts.feature
@@ -15,3 +15,15 @@
       | 9     | a whole zone    | hang   | 20 calls and 4 streams a second                 |
       | 9     | two thirds      | hang   | 20 calls and 4 streams a second                 |
       | 9     | two thirds      | reset  | 20 calls and 4 streams a second                 |
+
+  Scenario Outline: Hosts that are cut off are served while the relaying hosts have trouble: <trouble>
+    Given a shared platform with 9 edges and 3 engines of each service in 3 zones
+    When engines hang the connections of two thirds for 16 seconds while <trouble>, beside 20 calls and 4 streams a second
+    Then from 4 seconds on, nine in ten calls are served at the first attempt at the cut hosts
+    And no call ran twice, was joined from two answers, or was refused after it ran
+
+    Examples:
+      | trouble                                  |
+      | the other hosts restart in turn          |
+      | one of the other hosts is killed         |
+      | one of the other hosts freezes for 4 s   |
--- /dev/null
+++ b/features/relays.feature
@@ -0,0 +1,101 @@
+Feature: A host reaches engines through a peer that relays the connection
+
+  Scenario Outline: A response that comes through a peer is not altered: <response>
+    Given an engine that sends <response>, and a peer that relays to it
+    When a host sends it an order with a body of <body> bytes through the peer
+    Then the host gets <result>
+    And the engine got the request once, byte for byte
+
+    Examples:
+      | response                                     | body    | result                |
+      | a response with a length                     | 9       | the whole response    |
+      | a chunked response of 3,000,000 bytes        | 9       | the whole response    |
+      | a response that ends with its connection     | 9       | the whole response    |
+      | a response with a length                     | 3000000 | the whole response    |
+      | a response that is shorter than its length   | 9       | a broken connection   |
+      | a response that ends with a reset            | 9       | a broken connection   |
+      | nothing, and resets the connection           | 9       | a broken connection   |
+      | nothing, and closes the connection           | 9       | a broken connection   |
+      | bytes that are no response                   | 9       | a broken connection   |
+      | a response that ends with its connection, while the peer is killed | 9 | a broken connection |
+
+  Scenario Outline: A connection that a peer does not relay was not used: <reason>
+    Given a host, and a peer for which <reason>
+    When the host sends an order through the peer
+    Then the host knows within 0.5 s that nothing was sent, because <failure>
+
+    Examples:
+      | reason                                         | failure                    |
+      | the engine refuses connections                 | the engine refused         |
+      | the engine can't be reached                    | the engine is unreachable  |
+      | the address is no engine's                     | the peer relayed nothing   |
+      | the engine is reached only through other hosts | the peer relayed nothing   |
+      | the limit of relayed connections is reached    | the peer relayed nothing   |
+      | the shutdown has begun                         | the peer relayed nothing   |
+      | no process listens                             | the peer relayed nothing   |
+      | connections are accepted and never answered    | the peer relayed nothing   |
+      | an earlier version is running                  | the peer relayed nothing   |
+      | random bytes are sent                          | the peer relayed nothing   |
+
+  Scenario Outline: Either end of a relayed connection sees at once that the other is gone: <event>
+    Given an engine that sends a response without end, and a peer that relays to it
+    When a host reads the response and <event>
+    Then <effect> within 0.3 s
+
+    Examples:
+      | event                            | effect                                |
+      | closes the connection            | the engine sees a closed connection   |
+      | the peer is killed               | the engine sees a closed connection   |
+      | the engine resets the connection | the host sees a broken connection     |
+      | the peer is killed               | the host sees a broken connection     |
+
+  Scenario: A peer keeps little of a response that the host does not read
+    Given an engine that sends a response without end, and a peer that relays to it
+    When a host reads no more of the response for 1 s
+    Then the engine can send no more, and the peer holds less than 100 kB
+
+  Scenario: A peer that shuts down finishes the connections that it relays
+    Given an engine that sends a slow response of 1 s, and a peer that relays to it
+    When the peer begins to shut down while a host reads the response
+    Then the host gets the whole response
+    And the peer ends its shutdown after that
+
+  Scenario Outline: Peers are asked to relay in an order that keeps to the zone: <hosts>
+    When the hosts <hosts> are ranked for a host in zone-a of region-1
+    Then the order begins with one of <first>
+
+    Examples:
+      | hosts                                                          | first          |
+      | b1 in zone-b of region-1, a2 in zone-a of region-1              | a2             |
+      | c1 in zone-c of region-2, b1 in zone-b of region-1              | b1             |
+      | a2 in zone-a of region-1 failed 0.2 s ago, c1 in zone-c of region-2 | c1         |
+      | a2 in zone-a of region-1 failed 2 s ago, c1 in zone-c of region-2   | a2         |
+      | a2 in zone-a of region-1 failed 0.2 s ago, a3 in zone-a of region-1 failed 0.7 s ago | a3 |
+      | a2 in zone-a of region-1, a3 in zone-a of region-1              | a2, a3         |
+
+  Scenario Outline: Engines that are reached directly are preferred while they suffice: <direct> of <engines>
+    When <direct> of <engines> engines are reached directly
+    Then a call may be placed on <candidates> engines
+
+    Examples:
+      | direct | engines | candidates |
+      | 4      | 4       | 4          |
+      | 3      | 4       | 3          |
+      | 2      | 4       | 2          |
+      | 1      | 4       | 4          |
+      | 0      | 4       | 4          |
+
+  Scenario Outline: An engine that this host can't reach is down only if peers don't reach it either: <engine>, <peers>
+    Given a host that can't reach an engine that <engine>, and <peers>
+    When the host checks the engine
+    Then the engine is <state>
+
+    Examples:
+      | engine               | peers                                    | state                      |
+      | refuses connections  | three peers that reach it                | reached through peers      |
+      | never answers        | three peers that reach it                | reached through peers      |
+      | resets connections   | three peers that reach it                | reached through peers      |
+      | refuses connections  | one peer that reaches it and two cut off | reached through peers      |
+      | refuses connections  | three peers that don't reach it          | down                       |
+      | never answers        | no peers                                 | down                       |
+      | never answers        | three peers that never answer            | down                       |
--- a/features/steps/enginecut_steps.py
+++ b/features/steps/enginecut_steps.py
@@ -20,6 +20,7 @@
 # Calls at cut hosts are to be served at least two thirds as often as at the others.
 MIN_SERVED_RATIO = 2 / 3
 MIN_SERVED_SHARE = 0.95
+MIN_SERVED_BESIDE_TROUBLE = 0.9
 STREAM_EVENTS = 20
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 CUTS = {
@@ -89,8 +90,57 @@
     return sorted(planned)
 
 
+TROUBLES = {}
+
+
+def register_trouble(text):
+    """Register the coroutine function that makes trouble at the relaying hosts."""
+
+    def register(function):
+        TROUBLES[text] = function
+        return function
+
+    return register
+
+
+@register_trouble("nothing else happens")
+async def leave_hosts(context, names):
+    pass
+
+
+@register_trouble("the other hosts restart in turn")
+async def restart_hosts(context, names):
+    cluster = context.world.cluster
+    for name in names:
+        await asyncio.to_thread(cluster.processes[name].stop)
+        cluster.start_edge(name)
+        await cluster.wait_edges_ready(name)
+
+
+@register_trouble("one of the other hosts is killed")
+async def kill_host(context, names):
+    context.world.cluster.processes[names[0]].kill()
+    await asyncio.sleep(3.0)
+    context.world.cluster.start_edge(names[0])
+
+
+@register_trouble("one of the other hosts freezes for 4 s")
+async def freeze_host(context, names):
+    context.world.cluster.processes[names[0]].pause()
+    await asyncio.sleep(4.0)
+    context.world.cluster.processes[names[0]].resume()
+
+
 @when("engines {manner} the connections of {cut} for {seconds:d} seconds, under {load}")
 def send_beside_cut(context, manner, cut, seconds, load):
+    send_beside_trouble(context, manner, cut, seconds, load, "nothing else happens")
+
+
+@when(
+    "engines {manner} the connections of {cut} for {seconds:d} seconds while "
+    "{trouble}, beside {load}"
+)
+def send_beside_trouble(context, manner, cut, seconds, load, trouble):
     async def run():
         cluster = context.world.cluster
         edges = list(cluster.edges.values())
@@ -109,12 +159,22 @@
                     name, "cut", seconds=float(seconds), manner=manner, source=source
                 )
 
-        tasks = [asyncio.ensure_future(cut_off())]
+        async def make_trouble():
+            await asyncio.sleep(BEFORE_CUT_S + CONTACT_S)
+            names = [name for name in cluster.edges if name not in context.cut_names]
+            await TROUBLES[trouble](context, names)
+
+        tasks = [
+            asyncio.ensure_future(cut_off()),
+            asyncio.ensure_future(make_trouble()),
+        ]
         duration_s = context.cut_end_s + AFTER_CUT_S
         for number, (at_s, kind) in enumerate(plan_calls(load, duration_s), 1):
             await asyncio.sleep(max(0.0, context.started_s + at_s - time.monotonic()))
             # Strides of 7 give each host calls of each kind.
             edge = edges[number * 7 % len(edges)]
+            if not cluster.processes[edge.name].is_running:
+                continue
             tasks.append(asyncio.ensure_future(send_one(context, edge, number, kind)))
         await asyncio.gather(*tasks)
         context.runs = await cluster.list_runs()
@@ -156,6 +216,17 @@
     assert other[0] / other[1] >= MIN_SERVED_SHARE, seen
 
 
+@then(
+    "from {start:d} seconds on, nine in ten calls are served at the first attempt at "
+    "the cut hosts"
+)
+def check_cut_hosts_serve_beside(context, start):
+    from_s, until_s = context.cut_at_s + start, context.cut_end_s
+    served, sent = count_served(context.results, context.cut_names, from_s, until_s)
+    failures = list_failures(context.results, context.cut_names, from_s, until_s)
+    assert served >= MIN_SERVED_BESIDE_TROUBLE * sent, (served, sent, failures)
+
+
 @then("after the cut all hosts serve their calls at the first attempt")
 def check_served_after_cut(context):
     from_s, until_s = context.cut_end_s + CUT_END_SLACK_S, context.cut_end_s + 60
--- a/features/steps/enginelimit_steps.py
+++ b/features/steps/enginelimit_steps.py
@@ -20,6 +20,7 @@
 from sapphirerock.platform.dialect import PlatformDialect
 from sapphirerock.process.clock import ManualClock
 from sapphirerock.process.engines.limits import VIEW, EngineLimitTable
+from sapphirerock.process.engines.paths import EnginePath
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.peers.gossip import EngineLimitUpdate
 from sapphirerock.process.peers.table import PeerTable
@@ -598,7 +599,7 @@
     runtime = SimpleNamespace(
         engine_limits=host.limits,
         dialect=SimpleNamespace(make_copy_request=make_copy_request),
-        session=session,
+        paths=SimpleNamespace(list_paths=lambda state: [EnginePath(session)]),
         clock=host.clock,
     )
     metadata = SimpleNamespace(attempt_id="9c41d07be2a35f68")
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,700 @@
+"""Steps on connections to engines that a peer relays."""
+
+import asyncio
+import random
+import re
+import socket
+import time
+from types import SimpleNamespace
+
+from behave import given, then, when
+from expression import Ok
+from tools.localcluster import find_free_port
+
+from features.steps.poison_steps import (
+    BORN_MS,
+    HostUnderTest,
+    PendingAttempt,
+    make_call,
+    report_crash,
+)
+from sapphirerock.connection.errors import (
+    RelayUnavailable,
+    UpstreamBroken,
+    UpstreamUnreachable,
+)
+from sapphirerock.connection.messages import Hello, encode_frame
+from sapphirerock.connection.relay import make_relay_session
+from sapphirerock.connection.upstream import (
+    OutboundRequest,
+    make_upstream_session,
+    open_response,
+    read_body,
+)
+from sapphirerock.decisions.placement import EngineView
+from sapphirerock.decisions.relays import (
+    RelayCandidate,
+    prefer_direct_engines,
+    rank_relays,
+)
+from sapphirerock.platform.dialect import PlatformDialect
+from sapphirerock.process.clock import SystemClock
+from sapphirerock.process.engines.paths import EnginePaths
+from sapphirerock.process.engines.table import EngineTable
+from sapphirerock.process.peers import relayserver
+from sapphirerock.process.peers.hosts import HostTable
+from sapphirerock.process.peers.relayserver import RelayServer
+from sapphirerock.process.peers.table import PeerTable
+from sapphirerock.process.replicas.replica import ReplicaChange
+from sapphirerock.process.settings.hostsettings import HostAddress
+from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
+from sapphirerock.version.engineentry import EngineEntry
+
+LOOPBACK = "127.0.0.1"
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNK = b"c350\r\n" + b"x" * 50_000 + b"\r\n"
+REPORT = b'{"born":%d}' % BORN_MS
+RESPONSES, REASONS, EVENTS, EFFECTS, PEERS = {}, {}, {}, {}, {}
+
+
+def register_in(registry, text):
+    """Register the function that a text in the feature names."""
+
+    def register(function):
+        registry[text] = function
+        return function
+
+    return register
+
+
+def reset(writer):
+    """Close a connection with a TCP reset."""
+    linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
+
+
+class RawEngine:
+    """An engine that reads one request and sends bytes of the test's choice."""
+
+    def __init__(self, respond):
+        self.requests = []
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+        self.writer = None
+        self._respond = respond
+
+    async def start(self):
+        """Listen; return the address."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        return f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader, writer):
+        self.writer = writer
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            found = re.search(rb"content-length: (\d+)", head.lower())
+            body = await reader.readexactly(int(found[1]) if found else 0)
+            self.requests.append((head, body))
+            await self._respond(self, writer)
+            if not writer.is_closing():
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+            self.closed.set()
+
+    async def send(self, writer, data):
+        """Send bytes and wait until the transport takes more."""
+        writer.write(data)
+        await writer.drain()
+        self.sent_bytes += len(data)
+
+
+@register_in(RESPONSES, "a response with a length")
+async def send_length(engine, writer):
+    await engine.send(writer, HEAD + b"Content-Length: 5\r\n\r\nwhole")
+
+
+@register_in(RESPONSES, "a chunked response of 3,000,000 bytes")
+async def send_chunks(engine, writer):
+    await engine.send(writer, HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    for _ in range(60):
+        await engine.send(writer, CHUNK)
+    await engine.send(writer, b"0\r\n\r\n")
+
+
+@register_in(RESPONSES, "a response that ends with its connection")
+async def send_unframed(engine, writer):
+    await engine.send(writer, HEAD + b"Connection: close\r\n\r\nwhole")
+
+
+@register_in(RESPONSES, "a response that is shorter than its length")
+async def send_short(engine, writer):
+    await engine.send(writer, HEAD + b"Content-Length: 9\r\n\r\nwhole")
+
+
+@register_in(RESPONSES, "a response that ends with a reset")
+async def send_unframed_reset(engine, writer):
+    await engine.send(writer, HEAD + b"Connection: close\r\n\r\nwhole")
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+@register_in(RESPONSES, "nothing, and resets the connection")
+async def send_reset(engine, writer):
+    reset(writer)
+
+
+@register_in(RESPONSES, "nothing, and closes the connection")
+async def send_nothing(engine, writer):
+    pass
+
+
+@register_in(RESPONSES, "bytes that are no response")
+async def send_noise(engine, writer):
+    await engine.send(writer, b"\x00\x01 no answer\r\n\r\n")
+
+
+@register_in(
+    RESPONSES, "a response that ends with its connection, while the peer is killed"
+)
+async def send_unframed_slowly(engine, writer):
+    await engine.send(writer, HEAD + b"Connection: close\r\n\r\nwhole")
+    await asyncio.sleep(0.1)
+    engine.peer.kill()
+    await asyncio.sleep(0.1)
+
+
+@register_in(RESPONSES, "a response without end")
+async def send_endlessly(engine, writer):
+    await engine.send(writer, HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    while not writer.is_closing():
+        await engine.send(writer, CHUNK)
+        await asyncio.sleep(0.001)
+
+
+@register_in(RESPONSES, "a slow response of 1 s")
+async def send_slowly(engine, writer):
+    await engine.send(writer, HEAD + b"Content-Length: 5\r\n\r\nwh")
+    await asyncio.sleep(1.0)
+    await engine.send(writer, b"ole")
+
+
+class RedirectedRelayServer(RelayServer):
+    """Relays to an engine at another address, as if only this peer reached it."""
+
+    reached_address = None
+
+    def _find_engine(self, address):
+        state = super()._find_engine(address)
+        if self.reached_address is None:
+            return state
+        entry = SimpleNamespace(address=self.reached_address)
+        return SimpleNamespace(name="e1", is_relayed=False, entry=entry)
+
+
+class RelayingPeer:
+    """A peer with one registered engine."""
+
+    def __init__(self, name="b1", zone="zone-b", address=LOOPBACK):
+        self.clock, metrics = SystemClock(), EdgeMetrics()
+        self.host = HostAddress(
+            name, zone, "region-1", address, 1, find_free_port(address)
+        )
+        self.engines = EngineTable(lambda name, spec: Ok(spec), self.clock, metrics)
+        self.relay_server = RedirectedRelayServer(
+            self.engines, address, self.clock, metrics
+        )
+        self.table = PeerTable(
+            HostTable(self.host, (), self.clock), "", 1, self.clock, metrics
+        )
+        self.table.relay = self._relay
+        self.connections = []
+
+    async def _relay(self, reader, writer, request):
+        self.connections.append((asyncio.current_task(), writer))
+        await self.relay_server.serve(reader, writer, request)
+
+    async def start(self):
+        """Listen for peers."""
+        await self.table.on_start()
+
+    def add_engine(self, address):
+        """Register the engine; return its state."""
+        entry = EngineEntry(
+            "e1", "model", address, "zone-a", 16, False, born_ms=BORN_MS
+        )
+        self.engines.apply_changes([ReplicaChange("e1", 1, entry)])
+        return self.engines.get("e1")
+
+    def kill(self):
+        """End all connections as the kernel does when a process is killed."""
+        for task, writer in self.connections:
+            task.cancel()
+            writer.close()
+
+    def make_session(self):
+        """Return a session of a host that sends through this peer."""
+        return make_relay_session(LOOPBACK, self.host)
+
+
+async def send_order(session, address, body=b"an order", path="/order/1?a=%20b"):
+    """Send an order with a deadline; return the Result of the response."""
+    request = OutboundRequest("POST", path, [("X-Given", "as sent")], body)
+    return await open_response(session, "e1", address, request)
+
+
+@given("an engine that sends {response}, and a peer that relays to it")
+def start_engine_and_peer(context, response):
+    async def run():
+        context.engine = RawEngine(RESPONSES[response])
+        context.address = await context.engine.start()
+        context.peer = context.engine.peer = RelayingPeer()
+        await context.peer.start()
+        context.peer.add_engine(context.address)
+        context.session = context.peer.make_session()
+
+    context.run(run())
+
+
+@when("a host sends it an order with a body of {size:d} bytes through the peer")
+def send_through_peer(context, size):
+    async def run():
+        context.body = bytes(number % 251 for number in range(size))
+        async with asyncio.timeout(5.0):
+            opened = await send_order(context.session, context.address, context.body)
+            context.result = opened
+            if opened.is_ok():
+                context.result = await read_body("e1", opened.ok)
+        await context.session.close()
+        await context.peer.table.on_stop()
+
+    context.run(run())
+
+
+@then("the host gets the whole response")
+def check_whole(context):
+    assert context.result.is_ok(), context.result
+    assert context.result.ok in (b"whole", b"x" * 3_000_000), len(context.result.ok)
+
+
+@then("the host gets a broken connection")
+def check_broken(context):
+    assert context.result.is_error(), context.result
+    assert isinstance(context.result.error, UpstreamBroken), context.result.error
+
+
+@then("the engine got the request once, byte for byte")
+def check_request(context):
+    [(head, body)] = context.engine.requests
+    assert head.startswith(b"POST /order/1?a=%20b HTTP/1.1\r\n"), head
+    assert b"X-Given: as sent\r\n" in head, head
+    assert body == context.body
+
+
+@register_in(REASONS, "the engine refuses connections")
+async def refuse_at_engine(peer):
+    address = f"{LOOPBACK}:{find_free_port()}"
+    peer.add_engine(address)
+    return address
+
+
+@register_in(REASONS, "the engine can't be reached")
+async def hide_engine(peer):
+    # A full queue of new connections drops the packets that open another.
+    listener = socket.create_server((LOOPBACK, 0), backlog=0)
+    address = listener.getsockname()
+    peer.held = [listener]
+    for _ in range(4):
+        held = socket.socket()
+        held.setblocking(False)
+        held.connect_ex(address)
+        peer.held.append(held)
+    peer.add_engine(f"{address[0]}:{address[1]}")
+    return f"{address[0]}:{address[1]}"
+
+
+@register_in(REASONS, "the address is no engine's")
+async def leave_unregistered(peer):
+    return f"{LOOPBACK}:{find_free_port()}"
+
+
+async def add_working_engine(peer):
+    """Register an engine that answers."""
+    address = await RawEngine(send_length).start()
+    peer.add_engine(address)
+    return address
+
+
+@register_in(REASONS, "the engine is reached only through other hosts")
+async def cut_peer(peer):
+    address = await add_working_engine(peer)
+    peer.engines.get("e1").is_relayed = True
+    return address
+
+
+@register_in(REASONS, "the limit of relayed connections is reached")
+async def fill_peer(peer):
+    peer.relay_server._open_connections = relayserver.MAX_RELAYED_CONNECTIONS
+    return await add_working_engine(peer)
+
+
+@register_in(REASONS, "the shutdown has begun")
+async def close_peer(peer):
+    peer.relay_server.is_closed = True
+    return await add_working_engine(peer)
+
+
+@register_in(REASONS, "no process listens")
+async def stop_peer(peer):
+    await peer.table.on_stop()
+    return await add_working_engine(peer)
+
+
+async def replace_peer(peer, serve):
+    """Serve connections to the peer's port otherwise."""
+    await peer.table.on_stop()
+    await asyncio.start_server(serve, LOOPBACK, peer.host.peer_port)
+    return await add_working_engine(peer)
+
+
+@register_in(REASONS, "connections are accepted and never answered")
+async def silence_peer(peer):
+    async def serve(reader, writer):
+        await asyncio.sleep(5.0)
+
+    return await replace_peer(peer, serve)
+
+
+@register_in(REASONS, "an earlier version is running")
+async def downgrade_peer(peer):
+    async def serve(reader, writer):
+        hello = Hello("b1", "zone-b", "region-1", LOOPBACK, 1, 2, 3, b"n" * 16)
+        writer.write(encode_frame(0, hello))
+        await reader.read(100)
+        writer.close()
+
+    return await replace_peer(peer, serve)
+
+
+@register_in(REASONS, "random bytes are sent")
+async def garble_peer(peer):
+    async def serve(reader, writer):
+        writer.write(random.Random(7).randbytes(5_000))
+        await asyncio.sleep(1.0)
+
+    return await replace_peer(peer, serve)
+
+
+@given("a host, and a peer for which {reason}")
+def start_refusing_peer(context, reason):
+    async def run():
+        context.peer = RelayingPeer()
+        await context.peer.start()
+        context.address = await REASONS[reason](context.peer)
+        context.session = context.peer.make_session()
+
+    context.run(run())
+
+
+@when("the host sends an order through the peer")
+def send_in_vain(context):
+    async def run():
+        started_s = time.monotonic()
+        context.result = await send_order(context.session, context.address)
+        context.took_s = time.monotonic() - started_s
+        await context.session.close()
+
+    context.run(run())
+
+
+FAILURES = {
+    "the engine refused": lambda failure: (
+        isinstance(failure, UpstreamUnreachable) and failure.refused
+    ),
+    "the engine is unreachable": lambda failure: (
+        isinstance(failure, UpstreamUnreachable) and not failure.refused
+    ),
+    "the peer relayed nothing": lambda failure: isinstance(failure, RelayUnavailable),
+}
+
+
+@then("the host knows within {bound:g} s that nothing was sent, because {failure}")
+def check_nothing_sent(context, bound, failure):
+    assert context.result.is_error(), context.result
+    assert FAILURES[failure](context.result.error), context.result.error
+    assert context.took_s <= bound, context.took_s
+
+
+@register_in(EVENTS, "closes the connection")
+async def close_response(context):
+    context.response.close()
+
+
+@register_in(EVENTS, "the peer is killed")
+async def kill_peer(context):
+    context.peer.kill()
+
+
+@register_in(EVENTS, "the engine resets the connection")
+async def reset_at_engine(context):
+    reset(context.engine.writer)
+
+
+@when("a host reads the response and {event}")
+def read_until(context, event):
+    async def run():
+        opened = await send_order(context.session, context.address)
+        context.response = opened.ok
+        await opened.ok.content.readany()
+        await EVENTS[event](context)
+        context.event_s = time.monotonic()
+
+    context.run(run())
+
+
+@then("the engine sees a closed connection within {bound:g} s")
+def check_engine_sees(context, bound):
+    async def run():
+        async with asyncio.timeout(bound):
+            await context.engine.closed.wait()
+        await context.session.close()
+
+    context.run(run())
+
+
+@then("the host sees a broken connection within {bound:g} s")
+def check_host_sees(context, bound):
+    async def run():
+        async with asyncio.timeout(bound):
+            result = await read_body("e1", context.response, 1 << 30)
+        assert isinstance(result.error, UpstreamBroken), result
+        await context.session.close()
+
+    context.run(run())
+
+
+@when("a host reads no more of the response for {seconds:d} s")
+def stop_reading(context, seconds):
+    async def run():
+        await send_order(context.session, context.address)
+        await asyncio.sleep(seconds)
+        context.engine_sent = context.engine.sent_bytes
+        context.buffered_bytes = sum(
+            writer.transport.get_write_buffer_size()
+            for _, writer in context.peer.connections
+        )
+        await asyncio.sleep(0.3)
+        context.engine_sent_later = context.engine.sent_bytes
+        await context.session.close()
+
+    context.run(run())
+
+
+@then("the engine can send no more, and the peer holds less than {size:d} kB")
+def check_sent(context, size):
+    assert context.engine_sent == context.engine_sent_later
+    assert 0 < context.buffered_bytes < size * 1000, context.buffered_bytes
+
+
+@when("the peer begins to shut down while a host reads the response")
+def shut_down_peer(context):
+    async def run():
+        opened = await send_order(context.session, context.address)
+        deadline_s = time.monotonic() + 3.0
+        draining = asyncio.ensure_future(context.peer.relay_server.drain(deadline_s))
+        context.result = await read_body("e1", opened.ok)
+        context.read_s = time.monotonic()
+        context.cut_off = await draining
+        context.drained_s = time.monotonic()
+        await context.session.close()
+
+    context.run(run())
+
+
+@then("the peer ends its shutdown after that")
+def check_drained(context):
+    assert context.cut_off == 0
+    assert 0 <= context.drained_s - context.read_s + 0.1 < 0.5
+
+
+CANDIDATE = re.compile(r"(\w+) in (\S+) of (\S+?)(?: failed ([\d.]+) s ago)?$")
+
+
+@when("the hosts {hosts} are ranked for a host in {zone} of {region}")
+def rank_hosts(context, hosts, zone, region):
+    candidates = []
+    for text in hosts.split(", "):
+        name, its_zone, its_region, failed_s = CANDIDATE.match(text).groups()
+        candidates.append(
+            RelayCandidate(
+                name, its_zone, its_region, float(failed_s) if failed_s else None
+            )
+        )
+    context.firsts = {
+        rank_relays(candidates, zone, region, random.Random(seed))[0]
+        for seed in range(20)
+    }
+
+
+@then("the order begins with one of {names}")
+def check_first(context, names):
+    assert context.firsts == set(names.split(", ")), context.firsts
+
+
+@when("{direct:d} of {engines:d} engines are reached directly")
+def make_views(context, direct, engines):
+    views = [
+        EngineView(f"e{number}", "a", 4, 0, 0, 0, 0, 0, is_relayed=number >= direct)
+        for number in range(engines)
+    ]
+    context.candidates = prefer_direct_engines(views)
+
+
+@then("a call may be placed on {count:d} engines")
+def check_candidates(context, count):
+    assert len(context.candidates) == count, context.candidates
+
+
+class CutHost:
+    """The paths of a host that can't reach an engine at its address."""
+
+    def __init__(self, address):
+        self.clock, metrics = SystemClock(), EdgeMetrics()
+        own = HostAddress("a1", "zone-a", "region-1", LOOPBACK, 1, 2)
+        self.hosts = HostTable(own, (), self.clock)
+        self.engines = EngineTable(lambda name, spec: Ok(spec), self.clock, metrics)
+        entry = EngineEntry("e1", "model", address, "zone-a", 16, born_ms=BORN_MS)
+        self.engines.apply_changes([ReplicaChange("e1", 1, entry)])
+        self.state = self.engines.get("e1")
+        self.session = make_upstream_session(LOOPBACK)
+        self.paths = EnginePaths(
+            self.engines,
+            self.hosts,
+            self.session,
+            PlatformDialect(),
+            random.Random(1),
+            self.clock,
+            metrics,
+        )
+
+
+async def send_report(engine, writer):
+    """Answer a request for the report."""
+    await engine.send(
+        writer, HEAD + b"Content-Length: %d\r\n\r\n" % len(REPORT) + REPORT
+    )
+
+
+async def hang(engine, writer):
+    """Never answer."""
+    await asyncio.sleep(5.0)
+
+
+async def make_engine_address(engine):
+    """Return the address of an engine that fails in the way described."""
+    if engine == "refuses connections":
+        return f"{LOOPBACK}:{find_free_port()}"
+    responds = {
+        "never answers": hang,
+        "resets connections": send_reset,
+        "answers probes": send_report,
+    }
+    return await RawEngine(responds[engine]).start()
+
+
+async def add_peers(host, count, reaches):
+    """Add peers of different zones; those that reach the engine use another port.
+
+    A peer that is cut off gets the failure of the host.
+    """
+    for number in range(count):
+        peer = RelayingPeer(f"p{number}", f"zone-{number}")
+        await peer.start()
+        peer.add_engine(host.state.entry.address)
+        if number < reaches:
+            peer.relay_server.reached_address = await RawEngine(send_report).start()
+        host.hosts.update_from_registration(peer.host)
+
+
+@given("a host that can't reach an engine that {engine}, and {peers}")
+def start_cut_host(context, engine, peers):
+    async def run():
+        context.host = CutHost(await make_engine_address(engine))
+        if peers == "three peers that reach it":
+            await add_peers(context.host, 3, 3)
+        elif peers == "one peer that reaches it and two cut off":
+            await add_peers(context.host, 3, 1)
+        elif peers == "three peers that don't reach it":
+            await add_peers(context.host, 3, 0)
+        elif peers == "three peers that never answer":
+            for number in range(3):
+
+                async def serve(reader, writer):
+                    await asyncio.sleep(5.0)
+
+                port = find_free_port()
+                await asyncio.start_server(serve, LOOPBACK, port)
+                context.host.hosts.update_from_registration(
+                    HostAddress(
+                        f"p{number}", f"zone-{number}", "region-1", LOOPBACK, 1, port
+                    )
+                )
+
+    context.run(run())
+
+
+@when("the host checks the engine")
+def check_engine(context):
+    async def run():
+        host = context.host
+        host.engines.mark_down(host.state, "refused")
+        host.paths.check(host.state)
+        await asyncio.sleep(0.8)
+        await host.paths.on_stop()
+        await host.session.close()
+
+    context.run(run())
+
+
+@then("the engine is {state}")
+def check_engine_state(context, state):
+    host = context.host
+    is_usable = host.engines.is_usable(host.state)
+    expected = state == "reached through peers"
+    assert host.state.is_relayed is expected, host.state
+    assert is_usable is expected, host.state
+
+
+@given("a host with an attempt on an engine that {engine}")
+def start_host_with_attempt(context, engine):
+    async def run():
+        context.host = HostUnderTest()
+        address = await make_engine_address(engine)
+        context.state = context.host.add_engine("e1", address)
+        context.state.record_received(context.host.clock.monotonic() - 1.0)
+        context.attempt = PendingAttempt(context.state, make_call())
+
+    context.run(run())
+
+
+@when("a peer reports that the engine is {cause}")
+def report_engine_down(context, cause):
+    async def run():
+        report_crash(context.host, context.state, cause)
+        await asyncio.sleep(0.45)
+        await context.host.close()
+
+    context.run(run())
+
+
+@then("within {bound:g} s the engine is {state}, and the attempt {attempt}")
+def check_report(context, bound, state, attempt):
+    host = context.host
+    assert host.engines.is_usable(context.state) is (state == "usable")
+    assert bool(context.state.attempts) is (attempt == "goes on")
+    assert state == "down" or host.crash_log.is_empty
--- a/src/sapphirerock/connection/errors.py
+++ b/src/sapphirerock/connection/errors.py
@@ -7,6 +7,20 @@
     """Base class of all failures of connections."""
 
 
+class RelayError(OSError):
+    """A peer relayed no connection; raised inside of a connector.
+
+    Attributes
+    ----------
+    has_replied : bool
+        Whether the peer has replied.
+    """
+
+    def __init__(self, reason, has_replied=False):
+        super().__init__(reason)
+        self.has_replied = has_replied
+
+
 @dataclass(slots=True, frozen=True)
 class PlatformConflict(ConnectionFailure):
     """The object did not have the version that the write required."""
@@ -35,6 +49,23 @@
     refused: bool
 
 
+@dataclass(slots=True, frozen=True)
+class RelayUnavailable(ConnectionFailure):
+    """A peer relayed no connection to the upstream, so nothing was sent.
+
+    This shows nothing about the upstream.
+
+    Parameters
+    ----------
+    has_replied : bool
+        Whether the peer has replied.
+    """
+
+    upstream: str
+    reason: str
+    has_replied: bool
+
+
 @dataclass(slots=True, frozen=True)
 class UpstreamRefused(ConnectionFailure):
     """The upstream responded with an error status and did not execute the call.
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -562,6 +562,26 @@
     parts: list
 
 
+@register_message(60)
+@dataclass(slots=True)
+class RelayOpen(Message):
+    """First message of a connection that a peer relays to an engine.
+
+    Parameters
+    ----------
+    address : str
+        Address of the engine, as ``ip:port``.
+    """
+
+    address: str
+
+
+@register_message(61)
+@dataclass(slots=True)
+class RelayOpened(Message):
+    """Reply to `RelayOpen`: the peer is connected to the engine."""
+
+
 def encode_frame(correlation, message):
     """Return a message as the bytes of a frame."""
     return msgpack.packb([message.code, correlation, *message.to_fields()])
--- a/src/sapphirerock/connection/peer.py
+++ b/src/sapphirerock/connection/peer.py
@@ -181,7 +181,9 @@
                 reply.set_result(None)
 
 
-async def open_peer_stream(reader, writer, local_hello, shared_key, on_message):
+async def open_peer_stream(
+    reader, writer, local_hello, shared_key, on_message, unpacker=None, hello=None
+):
     """Run the handshake in which both ends authenticate each other.
 
     Parameters
@@ -194,17 +196,22 @@
         Secret that all peers share.
     on_message : callable
         See `PeerStream`.
+    unpacker : msgpack.Unpacker or None
+        Decoder with the bytes received so far.
+    hello : Hello or None
+        Handshake message of the peer if it has been read already.
 
     Returns
     -------
     expression.Result of PeerStream or PeerHandshakeFailed
     """
-    unpacker = msgpack.Unpacker(max_buffer_size=FRAME_LIMIT_BYTES)
+    unpacker = unpacker or make_unpacker()
     local_hello.nonce = os.urandom(NONCE_BYTES)
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
             writer.write(encode_frame(0, local_hello))
-            hello = await read_handshake_message(reader, unpacker, Hello)
+            if hello is None:
+                hello = await read_handshake_message(reader, unpacker, Hello)
             writer.write(
                 encode_frame(0, Proof(sign_nonce(shared_key, local_hello, hello)))
             )
@@ -220,19 +227,43 @@
     return Ok(PeerStream(reader, writer, hello, on_message, unpacker))
 
 
+async def read_first_message(reader, unpacker, expected):
+    """Read the message that tells what an inbound connection is for.
+
+    Parameters
+    ----------
+    expected : tuple of type
+        Message types that may come first.
+
+    Returns
+    -------
+    expression.Result of Message or PeerHandshakeFailed
+    """
+    try:
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+            return Ok(await read_handshake_message(reader, unpacker, expected))
+    except (TimeoutError, OSError, ValueError, msgpack.UnpackException) as error:
+        return Error(PeerHandshakeFailed(repr(error)))
+
+
+def make_unpacker():
+    """Return a decoder of the frames of one connection."""
+    return msgpack.Unpacker(max_buffer_size=FRAME_LIMIT_BYTES)
+
+
 async def read_handshake_message(reader, unpacker, expected):
     """Read the next message of a handshake.
 
     Raises
     ------
     ValueError
-        When the message is not of the expected type or the connection ends.
+        When the message is not of an expected type or the connection ends.
     """
     while True:
         for frame in unpacker:
             message = decode_frame(frame)[1]
             if not isinstance(message, expected):
-                raise ValueError(f"expected a {expected.__name__} message")
+                raise ValueError(f"unexpected {type(message).__name__} message")
             return message
         data = await reader.read(READ_CHUNK_BYTES)
         if not data:
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -23,6 +23,8 @@
 from yarl import URL
 
 from sapphirerock.connection.errors import (
+    RelayError,
+    RelayUnavailable,
     UpstreamBroken,
     UpstreamSilent,
     UpstreamUnreachable,
@@ -100,6 +102,11 @@
     connector = TCPConnector(limit=0, local_addr=(address, 0), force_close=True)
     # aiohttp has no public way to set the protocol class.
     connector._factory = partial(UpstreamProtocol, loop=connector._loop)
+    return make_exchange_session(connector)
+
+
+def make_exchange_session(connector):
+    """Return an HTTP client session for exchanges with upstreams over a connector."""
     return ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
@@ -164,12 +171,19 @@
     except ConnectionTimeoutError:
         return Error(UpstreamUnreachable(upstream, refused=False))
     except ClientConnectorError as error:
-        refused = isinstance(error.os_error, ConnectionRefusedError)
-        return Error(UpstreamUnreachable(upstream, refused))
+        return Error(classify_connect_error(upstream, error))
     except (ClientError, OSError) as error:
         return Error(UpstreamBroken(upstream, repr(error)))
 
 
+def classify_connect_error(upstream, error):
+    """Return the failure for a connection that could not be established."""
+    cause = error.os_error
+    if isinstance(cause, RelayError):
+        return RelayUnavailable(upstream, str(cause), cause.has_replied)
+    return UpstreamUnreachable(upstream, isinstance(cause, ConnectionRefusedError))
+
+
 async def read_body(upstream, response, limit_bytes=RESPONSE_LIMIT_BYTES):
     """Read the complete body of a response.
 
@@ -224,8 +238,7 @@
             read = await read_body(upstream, response, REPORT_LIMIT_BYTES)
             return read.map(lambda body: (response.status, body))
     except ClientConnectorError as error:
-        refused = isinstance(error.os_error, ConnectionRefusedError)
-        return Error(UpstreamUnreachable(upstream, refused))
+        return Error(classify_connect_error(upstream, error))
     except TimeoutError:
         return Error(UpstreamSilent(upstream, timeout_s, is_new_connection=True))
     except (ClientError, OSError) as error:
--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -69,6 +69,8 @@
         Whether this host has not heard for a time whether the limit still holds.
     version : str
         Version of the engine's software.
+    is_relayed : bool
+        Whether this host reaches the engine only through a peer.
     """
 
     name: str
@@ -83,6 +85,7 @@
     turn_wait_s: float | None = None
     needs_trial: bool = False
     version: str = ""
+    is_relayed: bool = False
 
     @property
     def is_limited(self):
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -43,7 +43,7 @@
 from sapphirerock.process.engines.fleet import Fleet
 from sapphirerock.process.engines.limits import EngineLimitTable
 from sapphirerock.process.engines.monitor import EngineMonitor
-from sapphirerock.process.engines.prober import EngineProber
+from sapphirerock.process.engines.paths import EnginePaths
 from sapphirerock.process.engines.soundparts import SoundPartSpread
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.engines.versionhistory import VersionHistory
@@ -52,6 +52,7 @@
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.loadsharing import LoadSharing
 from sapphirerock.process.peers.membership import MEMBERSHIP_WATCH_TIMEOUT_S, Membership
+from sapphirerock.process.peers.relayserver import RelayServer
 from sapphirerock.process.peers.streamorigins import StreamOriginTable
 from sapphirerock.process.peers.table import PeerTable
 from sapphirerock.process.replicas.feed import ObjectFeed, ReplicatedKind
@@ -117,6 +118,7 @@
             self.version_history,
             self.crash_log_exchange,
             self.blocked_requests,
+            self.paths,
             self.monitor,
             self.admission,
             self._make_web_service(
@@ -225,7 +227,14 @@
         generator = random.Random(profile.host)
         session = self._register_session(make_upstream_session(profile.address))
         dialect = DIALECTS[platform_dialect.PlatformDialect.name]
-        prober = EngineProber(session, dialect, clock)
+        self.paths = EnginePaths(
+            self.engines, self.hosts, session, dialect, generator, clock, self.metrics
+        )
+        self.relay_server = RelayServer(
+            self.engines, profile.address, clock, self.metrics
+        )
+        self.relay_server.on_unreachable.append(self.paths.check)
+        self.peers.relay = self.relay_server.serve
         crash_log = CrashLog(clock)
         self.crash_log_exchange = CrashLogExchange(
             crash_log, self.peers, clock, self.metrics
@@ -240,13 +249,13 @@
             crash_log,
             sound_parts,
             self.gossip,
-            prober,
+            self.paths,
             clock,
             self.metrics,
         )
         self.blocked_requests = BlockedRequests(crash_log, self.store, clock)
         crash_watch.on_block.append(self.blocked_requests.record)
-        self.monitor = EngineMonitor(self.engines, crash_watch, prober, clock)
+        self.monitor = EngineMonitor(self.engines, crash_watch, self.paths, clock)
         policy = PLACEMENTS[PLACEMENT_POLICY](generator)
         retry_limits = make_retry_limits(self.profile.bounds)
         self.retry_budget = RetryBudget(
@@ -255,6 +264,7 @@
         fleet = Fleet(
             self.engines, self.routing, policy, profile.availability_zone, clock
         )
+        fleet.on_unreachable.append(self.paths.check)
         stream_durations = StreamDurations()
         self.admission = AdmissionQueue(
             fleet,
@@ -268,13 +278,12 @@
             clock=clock,
             metrics=self.metrics,
             tracer=self.tracer,
-            session=session,
+            paths=self.paths,
             dialect=dialect,
             fleet=fleet,
             engine_limits=engine_limits,
             stream_origins=self.stream_origins,
             version_history=self.version_history,
-            prober=prober,
             admission=self.admission,
             retry_budget=self.retry_budget,
             crash_watch=crash_watch,
@@ -333,13 +342,17 @@
         allowed_s = self.profile.bounds.grace_s - CLOSE_RESERVE_S
         deadline_s = started_s + allowed_s
         self.call_handler.start_shutdown(allowed_s)
+        self.relay_server.is_closed = True
         logger.bind(calls=self.call_handler.active_calls).info("edge shutting down")
         self.peers.announce_shutdown()
         await self.membership.deregister()
         await self.clock.sleep(OUT_OF_ROTATION_DELAY_S)
         cut_off = await self._server.drain(self._listener, deadline_s, self.clock)
+        relayed_cut_off = await self.relay_server.drain(deadline_s)
         logger.bind(
-            cut_off=cut_off, took_s=round(self.clock.monotonic() - started_s, 2)
+            cut_off=cut_off,
+            relayed_cut_off=relayed_cut_off,
+            took_s=round(self.clock.monotonic() - started_s, 2),
         ).info("edge stopped")
 
     async def on_shutdown(self):
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -15,8 +15,8 @@
         Metrics of the process.
     tracer : opentelemetry.trace.Tracer
         Makes spans.
-    session : aiohttp.ClientSession
-        HTTP session for engines, with a new connection for each exchange.
+    paths : EnginePaths
+        HTTP sessions for engines, with a new connection for each exchange, and probes.
     dialect : EngineDialect
         Encodes requests to engines and decodes their answers.
     fleet : Fleet
@@ -27,8 +27,6 @@
         Where streams of all hosts began.
     version_history : VersionHistory
         Versions that engines had, and whether these are all.
-    prober : EngineProber
-        Probes engines.
     admission : AdmissionQueue
         Queues of generations that wait for engine capacity.
     retry_budget : RetryBudget
@@ -44,13 +42,12 @@
     clock: object
     metrics: object
     tracer: object
-    session: object
+    paths: object
     dialect: object
     fleet: object
     engine_limits: object
     stream_origins: object
     version_history: object
-    prober: object
     admission: object
     retry_budget: object
     crash_watch: object
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -262,7 +262,7 @@
 
     async def _probe(self, state, loss):
         entry = state.entry
-        result = await self._prober.probe(entry, PROBE_TIMEOUT_S)
+        result = await self._prober.probe_and_confirm(entry, PROBE_TIMEOUT_S)
         logger.bind(
             engine=entry.name,
             born_ms=entry.born_ms,
@@ -272,7 +272,7 @@
         ).info("engine investigated")
         if result.outcome is ProbeOutcome.ENDED:
             self.report_crash(state)
-        elif result.outcome is ProbeOutcome.RUNNING:
+        elif result.shows_running:
             self._losses.pop(make_run(state), None)
         return result.outcome
 
@@ -285,9 +285,13 @@
             self._mark_down_and_interrupt(state, CRASHED)
             self._broadcast_down(state, CRASHED)
 
+    def interrupt_silent(self, state):
+        """Mark an engine down that doesn't answer this host."""
+        self._mark_down_and_interrupt(state, SILENT)
+
     def report_silent(self, state):
         """Mark an engine down that doesn't answer, and notify peers."""
-        self._mark_down_and_interrupt(state, SILENT)
+        self.interrupt_silent(state)
         self._broadcast_down(state, SILENT)
 
     def report_replaced(self, state):
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -11,6 +11,7 @@
     choose_plain_call_engine,
     select_by_limit,
 )
+from sapphirerock.decisions.relays import prefer_direct_engines
 from sapphirerock.decisions.streamversions import prefer_lasting_versions
 
 # A limited engine that has not answered this host for this time gets a call although
@@ -68,12 +69,25 @@
         Zone of this host.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    on_unreachable : list of callable
+        Called with the state of an engine that a call could not connect to.
     """
 
-    __slots__ = ("engines", "_routing", "_policy", "_zone", "_clock")
+    __slots__ = (
+        "engines",
+        "on_unreachable",
+        "_routing",
+        "_policy",
+        "_zone",
+        "_clock",
+    )
 
     def __init__(self, engines, routing, policy, availability_zone, clock):
         self.engines = engines
+        self.on_unreachable = []
         self._routing = routing
         self._policy = policy
         self._zone = availability_zone
@@ -105,7 +119,8 @@
             if version is None:
                 draining = self.engines.count_draining_versions(call.service)
                 views = prefer_lasting_versions(views, draining, prompt)
-            views = select_by_limit(exclude_outliers(views), prompt)
+            views = prefer_direct_engines(exclude_outliers(views))
+            views = select_by_limit(views, prompt)
             view = self._policy.choose(views, prompt)
         if view is None:
             return None
@@ -144,6 +159,7 @@
     def choose_plain_call_engine(self, service, excluded):
         """Return the engine for a call with an unstreamed response, or None."""
         views = exclude_outliers(self._list_views(service, excluded))
+        views = prefer_direct_engines(views)
         view = choose_plain_call_engine(views, self._zone)
         return self.engines.get(view.name) if view else None
 
@@ -197,6 +213,8 @@
         """Mark an engine down because a connection to it failed."""
         logger.bind(engine=state.name, cause=repr(failure)).info("engine unreachable")
         self.engines.mark_down(state, "refused" if failure.refused else "unreachable")
+        for notify in self.on_unreachable:
+            notify(state)
 
 
 def make_view(state, capacity_tokens, now_s):
@@ -216,5 +234,6 @@
         turn_wait_s=(
             None if state.limit_per_s is None else max(0.0, state.next_turn_s - now_s)
         ),
+        is_relayed=state.is_relayed,
         needs_trial=now_s - state.answered_s > LIMIT_TRIAL_INTERVAL_S,
     )
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -46,10 +46,15 @@
                     self.add_future(self._probe(state))
 
     async def _probe(self, state):
+        try:
+            await self._probe_and_report(state)
+        finally:
+            state.is_probe_pending = False
+
+    async def _probe_and_report(self, state):
         """Probe an engine; report it down unless it replies or sends other data."""
         probed_at_s = self._clock.monotonic()
         result = await self._prober.probe(state.entry, PROBE_TIMEOUT_S)
-        state.is_probe_pending = False
         if result.outcome is ProbeOutcome.RUNNING:
             state.last_received_s = self._clock.monotonic()
             return
@@ -64,7 +69,12 @@
         logger.bind(
             engine=state.name, outcome=result.outcome.value, detail=result.detail
         ).info("engine probe failed")
-        if result.outcome is ProbeOutcome.ENDED:
+        if result.outcome is ProbeOutcome.NO_ANSWER:
+            self._crash_watch.interrupt_silent(state)
+        confirmed = await self._prober.confirm(state.entry, result)
+        if confirmed.outcome is ProbeOutcome.PATH_LOST:
+            return
+        if confirmed.outcome is ProbeOutcome.ENDED:
             self._crash_watch.report_crash(state)
         else:
             self._crash_watch.report_silent(state)
--- a/src/sapphirerock/process/engines/prober.py
+++ b/src/sapphirerock/process/engines/prober.py
@@ -3,7 +3,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from sapphirerock.connection.errors import UpstreamSilent, UpstreamUnreachable
+from sapphirerock.connection.errors import (
+    RelayUnavailable,
+    UpstreamSilent,
+    UpstreamUnreachable,
+)
 from sapphirerock.connection.upstream import probe
 from sapphirerock.process.clock import MAX_TIMER_DELAY_S
 
@@ -15,16 +19,33 @@
     # The port refuses connections, or an engine with another start time answers.
     ENDED = "ended"
     NO_ANSWER = "no answer"
+    # A peer reaches the engine, and this host does not.
+    PATH_LOST = "path lost"
+    # The peer that was to relay the probe is not connected to the engine.
+    RELAY_FAILED = "relay failed"
     # This host was too busy to read an answer in time.
     HOST_BUSY = "host busy"
 
 
 @dataclass(slots=True, frozen=True)
 class ProbeResult:
-    """Outcome of a probe, and the answer or failure that shows it."""
+    """Outcome of a probe, and the answer or failure that shows it.
+
+    Parameters
+    ----------
+    is_answered : bool
+        Whether a process at the engine's address sent an answer; for a relay that
+        failed, whether the peer did.
+    """
 
     outcome: ProbeOutcome
     detail: str
+    is_answered: bool = False
+
+    @property
+    def shows_running(self):
+        """Whether the run of the engine still exists."""
+        return self.outcome in (ProbeOutcome.RUNNING, ProbeOutcome.PATH_LOST)
 
 
 class EngineProber:
@@ -61,9 +82,28 @@
         -------
         ProbeResult
         """
+        return await self._probe(self._session, entry, timeout_s)
+
+    async def confirm(self, entry, result):
+        """Return the result of a probe after other hosts have been asked.
+
+        A refused connection or a missing answer may be due to the path from this host.
+        """
+        return result
+
+    async def probe_and_confirm(self, entry, timeout_s):
+        """Probe a registered engine, and have a failure confirmed by other hosts.
+
+        Returns
+        -------
+        ProbeResult
+        """
+        return await self.confirm(entry, await self.probe(entry, timeout_s))
+
+    async def _probe(self, session, entry, timeout_s):
         started_s = self._clock.monotonic()
         reply = await probe(
-            self._session,
+            session,
             entry.name,
             entry.address,
             self._dialect.report_path,
@@ -71,6 +111,10 @@
         )
         if reply.is_error():
             failure = reply.error
+            if isinstance(failure, RelayUnavailable):
+                return ProbeResult(
+                    ProbeOutcome.RELAY_FAILED, repr(failure), failure.has_replied
+                )
             elapsed_s = self._clock.monotonic() - started_s
             is_late = elapsed_s > timeout_s + MAX_TIMER_DELAY_S
             if isinstance(failure, UpstreamSilent) and is_late:
@@ -82,4 +126,4 @@
         born_ms = self._dialect.decode_start_ms(reply.ok)
         is_other_run = bool(entry.born_ms and born_ms and born_ms != entry.born_ms)
         outcome = ProbeOutcome.ENDED if is_other_run else ProbeOutcome.RUNNING
-        return ProbeResult(outcome, f"started at {born_ms} ms")
+        return ProbeResult(outcome, f"started at {born_ms} ms", is_answered=True)
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -90,6 +90,8 @@
         Whether the registration has ended or another engine has taken the address.
     is_probe_pending : bool
         Whether a probe of the engine is waiting for its answer.
+    is_relayed : bool
+        Whether this host reaches the engine only through a peer.
     limit_per_s : float or None
         Requests per second that the engine accepts from all hosts together, as it last
         stated; None if it states no limit.
@@ -115,6 +117,7 @@
     health: FailureShare = field(default_factory=FailureShare)
     is_removed: bool = False
     is_probe_pending: bool = False
+    is_relayed: bool = False
     limit_per_s: float | None = None
     limit_changed_s: float = -math.inf
     limit_stated_s: float = -math.inf
@@ -318,6 +321,11 @@
             down_for_s=down_for_s,
         ).warning("engine marked down")
 
+    def lift_down(self, state):
+        """Give an engine new work again that was marked down by mistake."""
+        state.down_until_s = 0.0
+        state.failures = 0
+
 
 def is_same_start(old, new):
     """Return whether two registrations are of the same run of an engine process."""
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -8,8 +8,12 @@
 from opentelemetry.trace import NoOpTracer, SpanKind
 
 from sapphirerock.connection.errors import PeerUnavailable
-from sapphirerock.connection.messages import Heartbeat, Hello, Refusal
-from sapphirerock.connection.peer import open_peer_stream
+from sapphirerock.connection.messages import Heartbeat, Hello, Refusal, RelayOpen
+from sapphirerock.connection.peer import (
+    make_unpacker,
+    open_peer_stream,
+    read_first_message,
+)
 from sapphirerock.decisions.rendezvous import rank_candidates
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.tasks import BackgroundTasks
@@ -73,6 +77,9 @@
         self.on_heartbeat = []
         self._on_support = {}
         self.on_connect = []
+        # Coroutine function (reader, writer, RelayOpen) that relays connections to
+        # engines; None if this host relays none.
+        self.relay = None
         self._key = key.encode()
         self._clock = clock
         self._metrics = metrics
@@ -246,15 +253,25 @@
         return Ok(stream)
 
     async def _accept(self, reader, writer):
-        opened = await self._shake_hands(reader, writer)
+        """Serve an inbound connection: a peer stream, or one relayed to an engine."""
+        unpacker = make_unpacker()
+        expected = (Hello,) if self.relay is None else (Hello, RelayOpen)
+        opened = await read_first_message(reader, unpacker, expected)
+        if opened.is_ok() and isinstance(opened.ok, RelayOpen):
+            await self.relay(reader, writer, opened.ok)
+            return
+        if opened.is_ok():
+            opened = await self._shake_hands(reader, writer, unpacker, opened.ok)
+        else:
+            writer.close()
         if opened.is_error():
             logger.warning("inbound peer handshake failed: {}", opened.error.reason)
         else:
             self._register_stream(opened.ok)
 
-    async def _shake_hands(self, reader, writer):
+    async def _shake_hands(self, reader, writer, unpacker=None, hello=None):
         own_address = self.hosts.own_address
-        hello = Hello(
+        own_hello = Hello(
             own_address.host,
             own_address.availability_zone,
             own_address.region,
@@ -265,7 +282,13 @@
             b"",
         )
         return await open_peer_stream(
-            reader, writer, hello, self._key, self._dispatch_message
+            reader,
+            writer,
+            own_hello,
+            self._key,
+            self._dispatch_message,
+            unpacker,
+            hello,
         )
 
     def _register_stream(self, stream):
--- a/src/sapphirerock/process/telemetry/edgemetrics.py
+++ b/src/sapphirerock/process/telemetry/edgemetrics.py
@@ -30,6 +30,9 @@
         "quarantined",
         "crash_evidence",
         "suspect_sends",
+        "relayed_connections",
+        "relayed_attempts",
+        "relayed_engines",
     )
 
     def __init__(self):
@@ -76,6 +79,16 @@
             "suspect_sends", "Attempts at requests with evidence of crashes"
         )
 
+        self.relayed_connections = counter(
+            "relayed_connections", "Connections to engines relayed for peers", "outcome"
+        )
+        self.relayed_attempts = counter(
+            "relayed_attempts", "Connections to engines through peers", "outcome"
+        )
+        self.relayed_engines = gauge(
+            "relayed_engines", "Engines that are reached only through peers"
+        )
+
     def observe_call(self, kind, responder, seconds):
         """Record an answer; status 0 means that the caller disconnected before it."""
         self.calls.labels(kind, str(responder.status)).inc()
--- a/src/sapphirerock/request/backupkeeper.py
+++ b/src/sapphirerock/request/backupkeeper.py
@@ -93,8 +93,11 @@
         request = runtime.dialect.make_copy_request(
             self._call.metadata.attempt_id, holder.entry
         )
+        path = runtime.paths.list_paths(self._attempt.state)[:1]
+        if not path:
+            return None
         response = await send_request(
-            runtime.session, source.name, source.address, request, COPY_TIMEOUT_S
+            path[0].session, source.name, source.address, request, COPY_TIMEOUT_S
         )
         if response.is_error():
             self._log.bind(engine=source.name, cause=repr(response.error)).info(
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -251,11 +251,11 @@
         versions = self._runtime.fleet.engines.list_versions(self._call.service)
         if len(versions) < 2 and self._runtime.version_history.knows_all():
             return True
-        prober = self._runtime.prober
-        result = await prober.probe(state.entry, START_CHECK_TIMEOUT_S)
+        prober = self._runtime.paths
+        result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
         while result.outcome is ProbeOutcome.HOST_BUSY:
-            result = await prober.probe(state.entry, START_CHECK_TIMEOUT_S)
-        if result.outcome is ProbeOutcome.RUNNING:
+            result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
+        if result.shows_running:
             return True
         self._log.bind(
             engine=state.name, outcome=result.outcome.value, detail=result.detail
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -4,11 +4,14 @@
 
 from aiohttp import ClientError
 from expression import Error, Ok
+from loguru import logger
 
 from sapphirerock.connection.errors import (
     AttemptInterrupted,
     DeadlineExceeded,
+    RelayUnavailable,
     UpstreamBroken,
+    UpstreamUnreachable,
 )
 from sapphirerock.connection.response import BufferedResponse
 from sapphirerock.connection.upstream import OutboundRequest, open_response, read_body
@@ -41,6 +44,8 @@
         Head of the response; None until it has arrived.
     has_output : bool
         Whether an event of the response has arrived.
+    relay : str or None
+        Name of the peer that relays the connection; None for a direct connection.
     """
 
     __slots__ = (
@@ -49,6 +54,7 @@
         "backup",
         "head",
         "has_output",
+        "relay",
         "_runtime",
         "_prompt_tokens",
         "_memory_tokens",
@@ -64,6 +70,7 @@
         self.backup = backup
         self.head = None
         self.has_output = False
+        self.relay = None
         self._runtime = runtime
         self.call = call
         self._prompt_tokens = prompt_tokens
@@ -136,18 +143,14 @@
         """
         call, entry, runtime = self.call, self.state.entry, self._runtime
         runtime.crash_watch.log_send(self.state, call)
-        headers = runtime.dialect.make_headers(
-            call,
-            entry,
-            call.response_deadline_s - runtime.clock.monotonic(),
-            self.backup.entry if self.backup else None,
-            continuation,
-        )
         sent_s = runtime.clock.monotonic()
-        request = OutboundRequest(call.method, call.target, headers, call.body)
-        opened = await self._wait_until_deadline(
-            open_response(runtime.session, entry.name, entry.address, request)
-        )
+        opened = Error(RelayUnavailable(entry.name, "no peer to relay", True))
+        for path in runtime.paths.list_paths(self.state):
+            opened = await self._open_on_path(path, continuation)
+            if not is_relay_failure(opened):
+                break
+        if is_relay_failure(opened):
+            return Error(UpstreamUnreachable(entry.name, refused=False))
         if opened.is_error():
             return opened
         self._response = opened.ok
@@ -160,6 +163,42 @@
         runtime.engine_limits.record_response(self.state, self.head, sent_s)
         return Ok(self.head)
 
+    async def _open_on_path(self, path, continuation):
+        """Send the call on one path; see `open`.
+
+        Returns
+        -------
+        expression.Result of ResponseHead or ConnectionFailure
+            `RelayUnavailable` if the peer relayed no connection.
+        """
+        call, entry, runtime = self.call, self.state.entry, self._runtime
+        headers = runtime.dialect.make_headers(
+            call,
+            entry,
+            call.response_deadline_s - runtime.clock.monotonic(),
+            self.backup.entry if self.backup else None,
+            continuation,
+        )
+        request = OutboundRequest(call.method, call.target, headers, call.body)
+        self.relay = path.relay
+        opened = await self._wait_until_deadline(
+            open_response(path.session, entry.name, entry.address, request)
+        )
+        if path.relay is not None:
+            failure = opened.error if opened.is_error() else None
+            is_available = not isinstance(failure, RelayUnavailable)
+            if not is_available:
+                self.relay = None
+            has_replied = is_available or failure.has_replied
+            runtime.paths.report_relay(path, is_available, has_replied)
+            logger.bind(
+                request=call.metadata.attempt_id,
+                engine=entry.name,
+                relay=path.relay,
+                failure=None if failure is None else repr(failure),
+            ).info("call sent through peer")
+        return opened
+
     def select_headers(self):
         """Return the response headers that are forwarded to the caller."""
         return self._runtime.dialect.select_response_headers(self._response)
@@ -222,3 +261,8 @@
             return Error(DeadlineExceeded(self.state.name))
         finally:
             self._timeout = None
+
+
+def is_relay_failure(opened):
+    """Return whether a peer relayed no connection, so that another may be asked."""
+    return opened.is_error() and isinstance(opened.error, RelayUnavailable)
