Crash watch: a peer's report that an engine is down is checked

Cause: the view of one host was applied as a fact about the engine. An engine that has sent data to this host within 5 s is now only marked down until a probe of this host has shown whether it is running; attempts on it go on until then. An engine without recent contact is marked down as before, which spares probes where hosts are many.

Two of the four scenarios 'A peer's report that an engine is down is checked' fail without this change (crashed and silent, of an engine that answers probes), all four pass with it.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -99,3 +99,15 @@
       | refuses connections  | three peers that don't reach it          | down                       |
       | never answers        | no peers                                 | down                       |
       | never answers        | three peers that never answer            | down                       |
+
+  Scenario Outline: A peer's report that an engine is down is checked: <cause>, <engine>
+    Given a host with an attempt on an engine that <engine>
+    When a peer reports that the engine is <cause>
+    Then within 0.5 s the engine is <state>, and the attempt <attempt>
+
+    Examples:
+      | cause   | engine                    | state  | attempt          |
+      | crashed | answers probes            | usable | goes on          |
+      | silent  | answers probes            | usable | goes on          |
+      | crashed | refuses connections       | down   | is interrupted   |
+      | silent  | never answers             | down   | is interrupted   |
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -32,6 +32,9 @@
 # Time for which the calls of an engine that was lost for an unknown cause are kept.
 # An engine that crashed has registered again within this time.
 LOSS_TTL_S = 15.0
+# A peer's report that an engine is down is verified if the engine has sent data to this
+# host within this time.
+VERIFIED_CONTACT_S = 5.0
 CRASHED = "crashed"
 SILENT = "silent"
 REPLACED = "replaced"
@@ -308,8 +311,10 @@
     def _apply_engine_down(self, update):
         """Apply a report of this host or a peer that an engine is down or replaced.
 
-        A peer's report of silence is ignored if the engine sent data to this host
-        within the last `CORRELATED_CRASH_S`.
+        The peer may have lost its path to the engine. If the engine sent data to this
+        host within the last `VERIFIED_CONTACT_S`, it is only marked down until a probe
+        of this host shows whether it is running. A report of silence is ignored if the
+        engine sent data within the last `CORRELATED_CRASH_S`.
         """
         state = self._engines.get(update.engine)
         if state is not None and state.entry.born_ms != update.born_ms:
@@ -318,13 +323,34 @@
             if state is not None:
                 self._engines.mark_replaced(state)
             return
-        if update.cause == CRASHED:
+        if update.cause == SILENT and not self._can_be_silent(state, update.cause):
+            return
+        if state is None:
             run = EngineRun(update.engine, update.born_ms, update.availability_zone)
-            self._record_crash(run, state)
-        elif not self._can_be_silent(state, update.cause):
+            self._record_crash(run, None)
             return
-        if state is not None:
-            self._mark_down_and_interrupt(state, update.cause)
+        silent_s = self._clock.monotonic() - state.last_received_s
+        if silent_s <= VERIFIED_CONTACT_S and self._engines.is_usable(state):
+            self._engines.mark_down(state, update.cause)
+            self._tasks.spawn(self._verify_report(state, update.cause))
+        else:
+            self._apply_down(state, update.cause)
+
+    async def _verify_report(self, state, cause):
+        """Probe an engine that a peer reported as down, and apply what it shows."""
+        result = await self._prober.probe(state.entry, PROBE_TIMEOUT_S)
+        if result.shows_running:
+            logger.bind(
+                engine=state.name, cause=cause, outcome=result.outcome.value
+            ).info("engine down report refuted")
+            self._engines.lift_down(state)
+            return
+        self._apply_down(state, cause)
+
+    def _apply_down(self, state, cause):
+        if cause == CRASHED:
+            self._record_crash(make_run(state), state)
+        self._mark_down_and_interrupt(state, cause)
 
     def _apply_restart(self, state):
         """Record the crash of an engine that registered again, if calls ran on it.
