--- a/features/steps/enginelimit_steps.py
+++ b/features/steps/enginelimit_steps.py
@@ -136,7 +136,8 @@
             else:
                 headers = make_headers(number, timeout_ms=1000)
                 response = await connection.request("GET", f"/stock/{number}", headers)
-    except OSError:
+    except (OSError, ValueError):
+        # The connection was closed, or broken off within a stream.
         return
     assert "server-limit" not in response.headers, response.headers
     result.status = response.status
--- a/src/sapphirerock/platform/enginewire.py
+++ b/src/sapphirerock/platform/enginewire.py
@@ -15,6 +15,7 @@
     NOT_EXECUTED,
     ORGANISATION,
     PROMPT_PARTS,
+    REFUSAL_TOLERANCE,
     REQUEST_LIMIT,
     RESPONSE_SEAL,
     TOKEN_USAGE,
@@ -91,7 +92,9 @@
     return RunCopyRequest(document["id"], document["target"])
 
 
-def make_response_headers(attempt_id, engine_id, was_executed, limit=""):
+def make_response_headers(
+    attempt_id, engine_id, was_executed, limit="", refusal_tolerance=""
+):
     """Return the headers of a response, with a seal if the engine executed the call.
 
     Parameters
@@ -104,10 +107,15 @@
         Whether the engine executed the call.
     limit : str
         Requests per second that the engine accepts; empty for no limit.
+    refusal_tolerance : str
+        Requests that the engine may turn away in a second before it crashes; empty if
+        it never does.
     """
     headers = {ATTEMPT_ID: attempt_id, INSTANCE: engine_id}
     if limit:
         headers[REQUEST_LIMIT] = limit
+    if refusal_tolerance:
+        headers[REFUSAL_TOLERANCE] = refusal_tolerance
     if was_executed:
         headers[RESPONSE_SEAL] = f"{engine_id}.{attempt_id}"
     else:
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -32,6 +32,8 @@
 NOT_EXECUTED = "Sapphirerock-Not-Executed"
 ENGINE_LOAD = "Sapphirerock-Server-Load"
 REQUEST_LIMIT = "Server-Limit"
+# Number of requests that the engine may turn away in a second before it crashes.
+REFUSAL_TOLERANCE = "Server-Brittle"
 TOKEN_USAGE = "Sapphirerock-Token-Usage"
 PROMPT_PARTS = "Sapphirerock-Prompt-Prefix"
 MODEL = "Sapphirerock-Model"
@@ -56,6 +58,7 @@
         NOT_EXECUTED,
         ENGINE_LOAD,
         REQUEST_LIMIT,
+        REFUSAL_TOLERANCE,
         KV_BACKUP,
         KV_SOURCE,
         "Kv-Fetch",
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -164,6 +164,15 @@
         Wall time of the first response with a limit; 0 before it.
     arrivals : deque of [float, str]
         Wall time and sender's address of the latest requests, refused ones included.
+    refusal_tolerance : str
+        Requests that the engine may turn away in a second, as it states them, before
+        it crashes; empty if it never does.
+    slots : int
+        Maximum number of concurrent calls.
+    brittle_at_s : float
+        Wall time of the first response that states the tolerance; 0 before it.
+    falls : list of float
+        Wall times of the crashes after too many refusals.
     cut_sources : frozenset of str
         Addresses of the hosts that the engine is cut off from.
     cut_manner : str
@@ -190,9 +199,14 @@
         self.request_limit = ""
         self.limited_at_s = 0.0
         self.arrivals = deque(maxlen=MAX_RUNS)
+        self.refusal_tolerance = ""
+        self.slots = traits.slots
+        self.brittle_at_s = 0.0
+        self.falls = []
         self.cut_sources = frozenset()
         self.cut_manner = ""
         self.cut_until_s = 0.0
+        self._recent_refusals_s = deque()
         self._transports = set()
         self._silent = set()
         self._session = None
@@ -292,6 +306,8 @@
             "copies": sorted(self.kv_copies),
             "arrivals": list(self.arrivals),
             "limited_at_s": self.limited_at_s,
+            "brittle_at_s": self.brittle_at_s,
+            "falls": self.falls,
         }
         return web.json_response(document)
 
@@ -360,7 +376,11 @@
             return self._make_refusal(request_head, 421)
         if not request_head.attempt_id:
             return self._make_refusal(request_head, 400)
-        if self.running >= self.traits.slots:
+        if self.running >= self.slots:
+            if self._has_refused_too_many():
+                self.falls.append(time.time())
+                self.crash()
+                return web.Response(status=500)
             return self._make_refusal(request_head, 503)
         if (
             request_head.copy_name is not None
@@ -388,6 +408,20 @@
         finally:
             run.ended = run.ended or "left"
 
+    def _has_refused_too_many(self):
+        """Count a refusal for want of room; return whether the engine crashes."""
+        if not self.refusal_tolerance:
+            return False
+        now_s = time.monotonic()
+        recent = self._recent_refusals_s
+        recent.append(now_s)
+        while recent[0] < now_s - 1.0:
+            recent.popleft()
+        if len(recent) <= int(self.refusal_tolerance):
+            return False
+        recent.clear()
+        return True
+
     def _make_refusal(self, request_head, status):
         """Return a response that states that the call was not executed."""
         headers = self._make_headers(request_head, was_executed=False)
@@ -400,8 +434,14 @@
     def _make_headers(self, request_head, was_executed):
         if self.request_limit and not self.limited_at_s:
             self.limited_at_s = time.time()
+        if self.refusal_tolerance and not self.brittle_at_s:
+            self.brittle_at_s = time.time()
         return make_response_headers(
-            request_head.attempt_id, self.engine_id, was_executed, self.request_limit
+            request_head.attempt_id,
+            self.engine_id,
+            was_executed,
+            self.request_limit,
+            self.refusal_tolerance,
         )
 
     async def _run_plain_call(self, request, request_head, run, body):
@@ -503,6 +543,13 @@
     standin.request_limit = fault.manner
 
 
+@register_fault("brittle")
+def set_refusal_tolerance(standin, fault):
+    """Crash after more than ``manner`` refusals in a second; run ``amount`` calls."""
+    standin.refusal_tolerance = fault.manner
+    standin.slots = int(fault.amount)
+
+
 @register_fault("cut")
 def cut_off_hosts(standin, fault):
     """Cut the engine off from the hosts in ``source`` for ``seconds``.
