Engine slots: all hosts together keep brittle engines from crashing

Cause: nothing read the statement, and each host sent what it had, for itself. The class of fault is that of the limits: a bound on all hosts together that each host keeps alone. Engines that fell left their calls to the next ones.

The statement is decoded, told to all hosts (statements.py, which takes further kinds) and handed to hosts that connect. An engine that has not answered yet counts as brittle as its service, so one that comes back is spared from its first call. A call to a brittle engine needs a slot, which the one host that owns the engine's slots leases to it; it waits there for a time, or is refused with the time of the next slot. One slot more than the engine has is tried at a time, up to half of the refusals that it bears, and taken back after a refusal. Ruled out: telling all hosts after a refusal (30 to 60 ms at 80 calls a second are more refusals than are borne); a fixed number of extra slots (65 in 100 of the room used at 0 ms in the replay, since each refusal costs two seconds of caution).

--- a/features/brittleengines.feature
+++ b/features/brittleengines.feature
@@ -13,3 +13,63 @@
       | 9     | 240 calls a second    | 0.5   |
       | 24    | 240 calls a second    | 0.5   |
       | 9     | 30 streams a second   | 0.5   |
+
+  Scenario Outline: The slots of one schedule keep refusals rare and use the room up: <calls> calls a second, <way> ms away
+    When <calls> calls a second of 50 ms ask for slots of an engine <way> ms away that runs <slots> and tolerates <tolerance> refusals
+    Then no second has more than <tolerance> refusals
+    And at least <share> of the engine's room is used, or all calls are served
+
+    Examples:
+      | calls | way | slots | tolerance | share |
+      | 20    | 0   | 3     | 4         | 0.8   |
+      | 80    | 0   | 3     | 4         | 0.8   |
+      | 400   | 0   | 6     | 4         | 0.8   |
+      | 400   | 30  | 6     | 4         | 0.25  |
+      | 400   | 30  | 6     | 0         | 0.2   |
+      | 400   | 1   | 6     | 40        | 0.8   |
+
+  Scenario Outline: Slots of a schedule of 2 slots and no tolerated refusals: <events>
+    When calls do this with the slots of an engine: <events>
+    Then the calls <granted> have a slot
+
+    Examples:
+      | events                                                                          | granted |
+      | at 0.1 a asks                                                                   | none    |
+      | at 0.5 a asks, at 0.5 b asks, at 0.5 c asks                                     | a, b    |
+      | at 0.5 a asks, at 0.5 b asks, at 0.6 a ends, at 0.7 c asks                      | b, c    |
+      | at 0.5 a asks, at 0.5 b asks, at 0.6 c waits, at 0.7 a ends                     | b, c    |
+      | at 0.5 a asks, at 0.5 b asks, at 0.6 c waits, at 0.7 c ends, at 0.8 a ends      | b       |
+      | at 0.5 a asks, at 0.5 b asks, at 1.6 c asks                                     | c       |
+      | at 0.5 a asks, at 0.6 a is refused, at 0.7 b asks, at 0.7 c asks                | b       |
+      | at 0.5 a asks, at 0.6 a is refused, at 3.0 b asks, at 3.0 c asks                | b, c    |
+      | at 0.5 a asks, at 0.5 b asks, at 0.6 the host of b is gone, at 0.7 c asks       | a, c    |
+
+  Scenario Outline: The tolerance in a response's headers is decoded: <header>
+    Then the tolerance <header> is decoded as <number>
+
+    Examples:
+      | header  | number    |
+      | 4       | 4.0       |
+      | 0       | 0.0       |
+      | -3      | 0.0       |
+      | 1e99    | 1000000.0 |
+      | inf     | 0.0       |
+      | nan     | 0.0       |
+      | few     | 0.0       |
+      | 6 and 2 | 2.0       |
+
+  Scenario Outline: Observations of a statement that overtake each other: <observations>
+    Given a host with an engine that stated a tolerance of 4
+    When its tolerance is observed again: <observations>
+    Then the host takes the tolerance of the engine to be <number>
+
+    Examples:
+      | observations                                          | number |
+      | a response to an earlier request states none          | 4      |
+      | a response to a later request states none             | none   |
+      | a response to a later request states 2                | 2      |
+      | another host reports at once that it ended            | 4      |
+      | another host reports later that it ended              | none   |
+      | another host reports 1 of an earlier start            | 4      |
+      | the engine starts again under its id                  | none   |
+      | it starts again, and another one of the service has 3 | 3      |
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -1,17 +1,29 @@
 """Steps on engines that crash when they have to turn many requests away."""
 
 import asyncio
+import heapq
+import itertools
 import time
+from types import SimpleNamespace
 
 from behave import given, then, when
+from expression import Ok
+from multidict import CIMultiDict
 from tools.sharedcluster import SharedCluster, make_configuration
 
 from features.steps.edge_steps import ZONES, has_engines
 from features.steps.enginelimit_steps import send_call
+from sapphirerock.decisions.slots import EngineRoom, SlotDemand, SlotSchedule
+from sapphirerock.platform.dialect import PlatformDialect
+from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.engines.statements import EngineStatementTable
+from sapphirerock.process.engines.table import EngineTable
+from sapphirerock.process.replicas.replica import ReplicaChange
+from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
+from sapphirerock.version.engineentry import EngineEntry
 
 ENGINES = 3
 SLOTS, WORK_S = 3, 0.05
-REFUSAL_TOLERANCE = 4
 RESTART_S = 3.0
 # From this time after the engines first state their tolerance, hosts keep to it.
 CONTACT_S = 4.0
@@ -112,3 +124,157 @@
 def check_retry_after(context):
     refused = [item for item in context.results if item.status in (429, 503)]
     assert all(item.retry_after is not None for item in refused)
+
+
+SIMULATED_S = 10.0
+LEASE_HOLD_S = 1.0
+
+
+@when(
+    "{calls:d} calls a second of 50 ms ask for slots of an engine {way:d} ms away that "
+    "runs {slots:d} and tolerates {tolerance:d} refusals"
+)
+def simulate_schedule(context, calls, way, slots, tolerance):
+    """Replay a steady load."""
+    room = EngineRoom(slots, 0, float(tolerance))
+    schedule, way_s = SlotSchedule(0.0), way / 1000
+    events, order = [], itertools.count()
+    for number in range(int(calls * SIMULATED_S)):
+        heapq.heappush(events, (number / calls, next(order), "ask", f"call-{number}"))
+    running, context.refused_at_s, context.served = 0, [], 0
+    context.asked = int(calls * SIMULATED_S)
+    while events and events[0][0] < SIMULATED_S:
+        now_s, _, kind, lease = heapq.heappop(events)
+        granted = []
+        if kind == "ask":
+            demand = SlotDemand(lease, "a", 0, LEASE_HOLD_S, 0.2)
+            granted = [lease] if schedule.request(demand, room, now_s) else []
+        elif kind == "arrive" and running >= slots:
+            context.refused_at_s.append(now_s)
+            heapq.heappush(events, (now_s + way_s, next(order), "refused", lease))
+        elif kind == "arrive":
+            running += 1
+            heapq.heappush(events, (now_s + 0.05, next(order), "finish", lease))
+        elif kind == "finish":
+            running -= 1
+            context.served += 1
+            heapq.heappush(events, (now_s + way_s, next(order), "release", lease))
+        else:
+            schedule.release(lease, kind == "refused", now_s)
+        granted += [item.lease for item in schedule.grant_waiting(room, now_s)]
+        for name in granted:
+            # The reply and the request each take their way.
+            heapq.heappush(events, (now_s + 2 * way_s, next(order), "arrive", name))
+    context.room = slots / 0.05 * SIMULATED_S
+
+
+@then("no second has more than {most:d} refusals")
+def check_refusals_rare(context, most):
+    times = context.refused_at_s
+    worst = max(
+        (sum(at_s <= other < at_s + 1.0 for other in times) for at_s in times),
+        default=0,
+    )
+    assert worst <= most, (worst, len(times))
+
+
+@then("at least {share:g} of the engine's room is used, or all calls are served")
+def check_engine_used(context, share):
+    wanted = min(share * context.room, 0.9 * context.asked)
+    assert context.served >= wanted, (context.served, context.room, context.asked)
+
+
+@when("calls do this with the slots of an engine: {events}")
+def use_slots(context, events):
+    room, schedule = EngineRoom(2, 0, 0.0), SlotSchedule(0.0)
+    for event in events.split(", "):
+        _, at, *words = event.split()
+        now_s, call = float(at), words[3] if words[-1] == "gone" else words[0]
+        if words[-1] in ("asks", "waits"):
+            max_wait_s = 5.0 if words[-1] == "waits" else 0.0
+            demand = SlotDemand(call, f"host of {call}", 0, 1.0, max_wait_s)
+            schedule.request(demand, room, now_s)
+        elif words[-1] == "gone":
+            schedule.drop_host(f"host of {call}")
+        else:
+            schedule.release(call, words[-1] == "refused", now_s)
+        schedule.grant_waiting(room, now_s)
+    context.held = set(schedule._leases)
+
+
+@then("the calls {names} have a slot")
+def check_slots(context, names):
+    expected = set() if names == "none" else set(names.split(", "))
+    assert context.held == expected, context.held
+
+
+@then("the tolerance {header} is decoded as {number:g}")
+def check_decoded(context, header, number):
+    headers = CIMultiDict(("Server-Brittle", text) for text in header.split(" and "))
+    response = SimpleNamespace(status=200, headers=headers, content_type="text/plain")
+    head = PlatformDialect().decode_response_head(response)
+    assert head.refusal_tolerance == number, head.refusal_tolerance
+
+
+def make_head(tolerance):
+    """Return the head of a response that states a tolerance, or None."""
+    return SimpleNamespace(is_other_engine=False, refusal_tolerance=tolerance)
+
+
+@given("a host with an engine that stated a tolerance of {number:d}")
+def make_host_with_statement(context, number):
+    clock = context.clock = ManualClock()
+    context.engines = EngineTable(lambda name, spec: Ok(spec), clock, EdgeMetrics())
+    peers = SimpleNamespace(
+        register_handler=lambda *arguments: None,
+        announce_support=lambda *arguments: None,
+    )
+    gossip = SimpleNamespace(
+        subscribe=lambda *arguments: None, broadcast=lambda update: None
+    )
+    context.statements = EngineStatementTable(context.engines, peers, gossip, clock)
+    context.revision = 0
+    add_engine(context, "e1", 1000)
+    clock.advance(10.0)
+    state = context.engines.get("e1")
+    context.statements.record_response(
+        state, make_head(float(number)), clock.monotonic()
+    )
+    state.answered_s = clock.monotonic()
+    clock.advance(0.5)
+
+
+def add_engine(context, name, born_ms):
+    """Register an engine."""
+    context.revision += 1
+    entry = EngineEntry(name, "model", f"{name}:1", "zone-a", 16, born_ms=born_ms)
+    context.engines.apply_changes([ReplicaChange(name, context.revision, entry)])
+
+
+@when("its tolerance is observed again: {observations}")
+def observe_again(context, observations):
+    state, clock = context.engines.get("e1"), context.clock
+    words = observations.split()
+    if "states" in words:
+        value = None if words[-1] == "none" else float(words[-1])
+        age_s = 2.0 if "earlier" in words else 0.0
+        context.statements.record_response(
+            state, make_head(value), clock.monotonic() - age_s
+        )
+    elif "reports" in words:
+        clock.advance(2.0 if "later" in words else 0.0)
+        born_ms = 999 if "earlier" in words else 1000
+        value = -1.0 if "ended" in words else 1.0
+        context.statements._apply("e1", born_ms, "refusal-tolerance", value, "gossip")
+    else:
+        add_engine(context, "e1", 2000)
+        if "has" in words:
+            add_engine(context, "e2", 1000)
+            other = context.engines.get("e2")
+            context.statements.record_response(other, make_head(3.0), clock.monotonic())
+
+
+@then("the host takes the tolerance of the engine to be {number}")
+def check_tolerance(context, number):
+    found = context.engines.get_refusal_tolerance(context.engines.get("e1"))
+    assert found == (None if number == "none" else float(number)), found
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -582,6 +582,85 @@
     """Reply to `RelayOpen`: the peer is connected to the engine."""
 
 
+@register_message(62)
+@dataclass(slots=True)
+class EngineStatements(Message):
+    """What engines state of themselves in their responses, as known to the sender.
+
+    Parameters
+    ----------
+    statements : list of [str, int, str, float]
+        Id and start time in Unix milliseconds of an engine, name of the statement, and
+        its value.
+    """
+
+    statements: list
+
+
+@register_message(63)
+@dataclass(slots=True)
+class SlotRequest(Message):
+    """Request to the owner of an engine's slots to lease one.
+
+    Parameters
+    ----------
+    engine : str
+        The engine's id.
+    born_ms : int
+        Start time of the engine in Unix milliseconds.
+    room : list of [int, int, float]
+        Slots, KV memory in tokens and tolerated refusals a second of the engine.
+    lease : str
+        Id of the lease, unique among all hosts.
+    memory_tokens : int
+        KV memory that the call will occupy, in tokens.
+    hold_s, max_wait_s : float
+        Longest times for which the call may hold the slot and wait for it, in seconds.
+    """
+
+    engine: str
+    born_ms: int
+    room: list
+    lease: str
+    memory_tokens: int
+    hold_s: float
+    max_wait_s: float
+
+
+@register_message(64)
+@dataclass(slots=True)
+class SlotReply(Message):
+    """Reply to `SlotRequest`.
+
+    Parameters
+    ----------
+    is_granted : bool
+        Whether a slot is leased to the sender of the request.
+    wait_s : float
+        If not granted, estimated time until a slot is free, in seconds.
+    """
+
+    is_granted: bool
+    wait_s: float
+
+
+@register_message(65)
+@dataclass(slots=True)
+class SlotRelease(Message):
+    """End of a lease, or of the wait for it.
+
+    Parameters
+    ----------
+    was_refused : bool
+        Whether the engine turned the call away.
+    """
+
+    engine: str
+    born_ms: int
+    lease: str
+    was_refused: bool
+
+
 def encode_frame(correlation, message):
     """Return a message as the bytes of a frame."""
     return msgpack.packb([message.code, correlation, *message.to_fields()])
--- a/src/sapphirerock/connection/response.py
+++ b/src/sapphirerock/connection/response.py
@@ -49,6 +49,9 @@
         states no limit.
     invalid_limit : str or None
         Text of a limit that could not be decoded.
+    refusal_tolerance : float or None
+        Requests that the engine may turn away in a second before it crashes; None if it
+        states no such number.
     """
 
     status: int
@@ -61,6 +64,7 @@
     load: EngineLoad | None
     limit_per_s: float | None = None
     invalid_limit: str | None = None
+    refusal_tolerance: float | None = None
 
     @property
     def is_success(self):
--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -64,13 +64,16 @@
         Share of this host's recent calls to the engine that failed.
     turn_wait_s : float or None
         Known time until the engine's limit on requests leaves a turn, in seconds; None
-        if it states no limit.
+        if it states no limit and is not brittle.
     needs_trial : bool
         Whether this host has not heard for a time whether the limit still holds.
     version : str
         Version of the engine's software.
     is_relayed : bool
         Whether this host reaches the engine only through a peer.
+    is_brittle : bool
+        Whether the engine crashes when it has to turn many requests away. A call needs
+        one of its slots, for which ``turn_wait_s`` holds as for a turn.
     """
 
     name: str
@@ -86,6 +89,7 @@
     needs_trial: bool = False
     version: str = ""
     is_relayed: bool = False
+    is_brittle: bool = False
 
     @property
     def is_limited(self):
@@ -291,7 +295,7 @@
         view
         for view in views
         # A stream that resumes on a limited engine would have to wait for a turn.
-        if not view.is_limited
+        if (view.is_brittle or not view.is_limited)
         and view.free_tokens - needed_tokens >= RUN_RESERVE_SHARE * view.capacity_tokens
     ]
     return min(
--- a/src/sapphirerock/platform/dialect.py
+++ b/src/sapphirerock/platform/dialect.py
@@ -19,6 +19,7 @@
     MOVE_PATH,
     NOT_EXECUTED,
     ORGANISATION,
+    REFUSAL_TOLERANCE,
     REPORT_PATH,
     REQUEST_LIMIT,
     RESPONSE_SEAL,
@@ -30,6 +31,7 @@
 # Turns at a smaller limit are further apart than any caller waits.
 MIN_LIMIT_PER_S = 0.01
 MAX_LIMIT_PER_S = 1e6
+MAX_TOLERANCE = 1e6
 
 
 @register_dialect("platform")
@@ -80,6 +82,7 @@
             load=_decode_load(headers.get(ENGINE_LOAD)),
             limit_per_s=min((limit for limit in limits if limit), default=None),
             invalid_limit=", ".join(limit_texts) if None in limits else None,
+            refusal_tolerance=_decode_tolerance(headers.getall(REFUSAL_TOLERANCE, ())),
         )
 
     def select_response_headers(self, response):
@@ -119,6 +122,23 @@
     return min(MAX_LIMIT_PER_S, max(MIN_LIMIT_PER_S, limit_per_s))
 
 
+def _decode_tolerance(texts):
+    """Decode the refusals a second that an engine bears; None if none is stated.
+
+    A text that is no number counts as zero, the most cautious reading.
+    """
+    if not texts:
+        return None
+    numbers = []
+    for text in texts:
+        try:
+            numbers.append(float(text))
+        except ValueError:
+            numbers.append(0.0)
+    finite = [number for number in numbers if math.isfinite(number)]
+    return min(MAX_TOLERANCE, max(0.0, min(finite, default=0.0)))
+
+
 def _decode_load(text):
     """Decode ``running,waiting,slots``; None if the header is missing or malformed."""
     numbers = [parse_number(part) for part in (text or "").split(",")]
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -70,5 +70,12 @@
 )
 # Headers from engines to routers. They are dropped from responses to callers.
 ENGINE_ONLY_HEADERS = frozenset(
-    name.lower() for name in (INSTANCE, NOT_EXECUTED, ENGINE_LOAD, REQUEST_LIMIT)
+    name.lower()
+    for name in (
+        INSTANCE,
+        NOT_EXECUTED,
+        ENGINE_LOAD,
+        REQUEST_LIMIT,
+        REFUSAL_TOLERANCE,
+    )
 )
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -44,7 +44,9 @@
 from sapphirerock.process.engines.limits import EngineLimitTable
 from sapphirerock.process.engines.monitor import EngineMonitor
 from sapphirerock.process.engines.paths import EnginePaths
+from sapphirerock.process.engines.slots import EngineSlotTable
 from sapphirerock.process.engines.soundparts import SoundPartSpread
+from sapphirerock.process.engines.statements import EngineStatementTable
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.engines.versionhistory import VersionHistory
 from sapphirerock.process.peers.crashlogs import CrashLogExchange
@@ -274,6 +276,9 @@
             clock,
         )
         engine_limits = EngineLimitTable(self.engines, self.peers, self.gossip, clock)
+        engine_statements = EngineStatementTable(
+            self.engines, self.peers, self.gossip, clock
+        )
         runtime = EdgeRuntime(
             clock=clock,
             metrics=self.metrics,
@@ -282,6 +287,8 @@
             dialect=dialect,
             fleet=fleet,
             engine_limits=engine_limits,
+            engine_slots=EngineSlotTable(self.peers, clock),
+            engine_statements=engine_statements,
             stream_origins=self.stream_origins,
             version_history=self.version_history,
             admission=self.admission,
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -23,6 +23,10 @@
         Chooses an engine for each call.
     engine_limits : EngineLimitTable
         Limits of engines on requests, and turns at limited engines.
+    engine_slots : EngineSlotTable
+        Slots at brittle engines.
+    engine_statements : EngineStatementTable
+        What engines state of themselves in responses.
     stream_origins : StreamOriginTable
         Where streams of all hosts began.
     version_history : VersionHistory
@@ -46,6 +50,8 @@
     dialect: object
     fleet: object
     engine_limits: object
+    engine_slots: object
+    engine_statements: object
     stream_origins: object
     version_history: object
     admission: object
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -146,12 +146,15 @@
         ServiceLoad
         """
         views = self._list_views(service, ())
-        engine_settings = self._get_engine_settings(service)
         return ServiceLoad(
-            sum(view.memory_tokens for view in views),
-            engine_settings.memory_tokens if engine_settings else 0,
+            sum(view.memory_tokens for view in views), self.get_memory_tokens(service)
         )
 
+    def get_memory_tokens(self, service):
+        """Return the KV memory of a service's engines, in tokens; 0 if unknown."""
+        engine_settings = self._get_engine_settings(service)
+        return engine_settings.memory_tokens if engine_settings else 0
+
     def get_backup_ttl_s(self, service):
         """Return how long an engine keeps a KV copy of a run, in seconds."""
         return self._get_engine_settings(service).backup_ttl_s
@@ -196,12 +199,14 @@
         return service_settings.engine if service_settings else None
 
     def _list_views(self, service, excluded, version=None):
-        engine_settings = self._get_engine_settings(service)
-        capacity = engine_settings.memory_tokens if engine_settings else 0
+        capacity = self.get_memory_tokens(service)
         now_s = self._clock.monotonic()
+        engines = self.engines
         return [
-            make_view(state, capacity, now_s)
-            for state in self.engines.list_usable(service)
+            make_view(
+                state, capacity, now_s, engines.get_refusal_tolerance(state) is not None
+            )
+            for state in engines.list_usable(service)
             if state.name not in excluded and version in (None, state.entry.version)
         ]
 
@@ -217,9 +222,14 @@
             notify(state)
 
 
-def make_view(state, capacity_tokens, now_s):
+def make_view(state, capacity_tokens, now_s, is_brittle=False):
     """Return an engine's load and health as input for placement decisions."""
     local, remote = state.local_load, state.remote_load
+    turn_wait_s = None
+    if is_brittle:
+        turn_wait_s = max(0.0, state.next_slot_s - now_s)
+    if state.limit_per_s is not None:
+        turn_wait_s = max(0.0, state.next_turn_s - now_s, turn_wait_s or 0.0)
     return EngineView(
         name=state.name,
         availability_zone=state.entry.availability_zone,
@@ -231,9 +241,8 @@
         capacity_tokens=capacity_tokens,
         failure_share=state.health.measure(now_s),
         version=state.entry.version,
-        turn_wait_s=(
-            None if state.limit_per_s is None else max(0.0, state.next_turn_s - now_s)
-        ),
+        turn_wait_s=turn_wait_s,
+        is_brittle=is_brittle,
         is_relayed=state.is_relayed,
         needs_trial=now_s - state.answered_s > LIMIT_TRIAL_INTERVAL_S,
     )
--- a/src/sapphirerock/process/engines/limits.py
+++ b/src/sapphirerock/process/engines/limits.py
@@ -11,10 +11,10 @@
 from loguru import logger
 
 from sapphirerock.connection.messages import EngineLimits, TurnReply, TurnRequest
-from sapphirerock.decisions.rendezvous import pick_candidate
 from sapphirerock.decisions.turns import Turn, TurnSchedule
 from sapphirerock.process.peers.gossip import EngineLimitUpdate
 from sapphirerock.process.peers.hosts import DEAD_HOST_COOLDOWN_S
+from sapphirerock.process.peers.owners import find_owner
 
 # Twice a round trip between regions and a busy owner.
 TURN_TIMEOUT_S = 0.25
@@ -225,10 +225,7 @@
         without : str or None
             Host that is left out.
         """
-        names = [address.host for address in self._peers.hosts.list_live()]
-        if not self._peers.is_shutting_down:
-            names.append(self._own_host)
-        return pick_candidate([name for name in names if name != without], engine)
+        return find_owner(self._peers, engine, without)
 
     def _handle_turn_request(self, stream, message):
         """Return the reply to a peer's request for a turn, or a coroutine of it.
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -92,6 +92,13 @@
         Whether a probe of the engine is waiting for its answer.
     is_relayed : bool
         Whether this host reaches the engine only through a peer.
+    statement_times : dict
+        `StatementTimes` of what the engine states of itself, by name.
+    refusal_tolerance : float or None
+        Requests that the engine may turn away in a second before it crashes, as it last
+        stated; None if it states none.
+    next_slot_s : float
+        Monotonic time before which the engine has no free slot, as far as known.
     limit_per_s : float or None
         Requests per second that the engine accepts from all hosts together, as it last
         stated; None if it states no limit.
@@ -118,6 +125,9 @@
     is_removed: bool = False
     is_probe_pending: bool = False
     is_relayed: bool = False
+    statement_times: dict = field(default_factory=dict)
+    refusal_tolerance: float | None = None
+    next_slot_s: float = 0.0
     limit_per_s: float | None = None
     limit_changed_s: float = -math.inf
     limit_stated_s: float = -math.inf
@@ -288,6 +298,24 @@
             if state.entry.service == service and self.is_usable(state)
         ]
 
+    def get_refusal_tolerance(self, state):
+        """Return the refusals a second that an engine bears; None if it bears any.
+
+        An engine that has not answered this host since its start is taken to be as the
+        most brittle one of its service.
+        """
+        if state.refusal_tolerance is not None or state.answered_s > -math.inf:
+            return state.refusal_tolerance
+        return min(
+            (
+                other.refusal_tolerance
+                for other in self._states.values()
+                if other.entry.service == state.entry.service
+                and other.refusal_tolerance is not None
+            ),
+            default=None,
+        )
+
     def is_usable(self, state):
         """Return whether an engine may get new work."""
         if state.is_removed or state.entry.is_draining:
--- a/src/sapphirerock/process/peers/gossip.py
+++ b/src/sapphirerock/process/peers/gossip.py
@@ -137,6 +137,29 @@
     limit_per_s: float
 
 
+@register_topic("engine-statement")
+@dataclass(slots=True, frozen=True)
+class EngineStatementUpdate:
+    """A host observed what an engine states of itself in its responses.
+
+    Parameters
+    ----------
+    engine : str
+        The engine's id.
+    born_ms : int
+        Start time in Unix milliseconds; a later start has stated nothing.
+    name : str
+        Name of the statement.
+    value : float
+        Its value; negative if the engine does not state it any more.
+    """
+
+    engine: str
+    born_ms: int
+    name: str
+    value: float
+
+
 @register_topic("sound-prompt-parts")
 @dataclass(slots=True, frozen=True)
 class SoundPartsUpdate:
--- a/src/sapphirerock/process/peers/hosts.py
+++ b/src/sapphirerock/process/peers/hosts.py
@@ -107,6 +107,13 @@
             if not known.is_shutting_down and known.dead_until_s <= now_s
         ]
 
+    def list_dead(self):
+        """Return the names of hosts that are considered dead."""
+        now_s = self._clock.monotonic()
+        return [
+            name for name, known in self._hosts.items() if known.dead_until_s > now_s
+        ]
+
     def count_possibly_running(self):
         """Return the number of hosts that may be running, this one included.
 
--- /dev/null
+++ b/src/sapphirerock/process/peers/owners.py
@@ -0,0 +1,21 @@
+"""The host that owns a thing which all hosts share, such as an engine's turns."""
+
+from sapphirerock.decisions.rendezvous import pick_candidate
+
+
+def find_owner(peers, name, without=None):
+    """Return the live host that owns a thing by rendezvous hashing, or None.
+
+    Parameters
+    ----------
+    peers : PeerTable
+        Streams to the other hosts.
+    name : str
+        Name of the thing.
+    without : str or None
+        Host that is left out.
+    """
+    names = [address.host for address in peers.hosts.list_live()]
+    if not peers.is_shutting_down:
+        names.append(peers.hosts.own_address.host)
+    return pick_candidate([host for host in names if host != without], name)
--- a/src/sapphirerock/request/backupkeeper.py
+++ b/src/sapphirerock/request/backupkeeper.py
@@ -88,7 +88,7 @@
         """
         runtime, source = self._runtime, self._attempt.state.entry
         turns = TurnTaker(runtime, self._call)
-        if not await turns.take(self._attempt.state, 0.0):
+        if not await turns.take_turn(self._attempt.state, 0.0):
             return None
         request = runtime.dialect.make_copy_request(
             self._call.metadata.attempt_id, holder.entry
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -184,7 +184,8 @@
 
     async def _send(self, state):
         """Send the call to an engine, keep its response, and return the outcome."""
-        with UpstreamAttempt(self._runtime, self._call, state) as attempt:
+        slot = self._turns.pop_slot()
+        with UpstreamAttempt(self._runtime, self._call, state, slot=slot) as attempt:
             read = await attempt.open()
             if read.is_ok():
                 read = await attempt.read_all()
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -179,8 +179,14 @@
 
         The first attempt waits for admission.
         """
-        copy, self._kv_copy = self._kv_copy, None
         turns = TurnTaker(self._runtime, self._call)
+        try:
+            return await self._place_and_run(step, turns)
+        finally:
+            turns.release()
+
+    async def _place_and_run(self, step, turns):
+        copy, self._kv_copy = self._kv_copy, None
         if step is RecoveryStep.RESUME_FROM_COPY:
             holder = self._runtime.fleet.engines.get(copy.holder.name)
             if (
@@ -188,12 +194,12 @@
                 and holder.entry.version == self._origin.version
                 and await turns.take(holder, RESUMPTION_MAX_WAIT_S)
             ):
-                return await self._run_attempt(holder, copy, None)
+                return await self._run_attempt(turns, holder, copy, None)
         if self._origin is not None:
             placement = await self._place_resumption(turns)
             if placement is None:
                 return StreamOutcome.NO_ENGINE
-            return await self._run_attempt(placement.state, None, placement)
+            return await self._run_attempt(turns, placement.state, None, placement)
         placement = None
         if not self._sends:
             admitted = await self._runtime.admission.admit(self._call)
@@ -205,7 +211,7 @@
             placement = admitted.ok
         placement = await self._take_turn(turns, placement)
         if placement is not None:
-            return await self._run_attempt(placement.state, None, placement)
+            return await self._run_attempt(turns, placement.state, None, placement)
         if self._sends or not turns.engines_without_turn:
             return StreamOutcome.NO_ENGINE
         await self._responder.send_problem(turns.make_problem())
@@ -226,6 +232,7 @@
             if placement is not None:
                 if await self._has_registered_start(placement.state):
                     return placement
+                turns.release()
                 self._tried_engines.add(placement.state.name)
                 continue
             lost_engines = self._tried_engines - self._full_engines
@@ -299,7 +306,7 @@
         waited_s = self._runtime.clock.monotonic() - self._started_s
         return choose_max_wait(call.route.target_latency_s - waited_s, call.priority)
 
-    async def _run_attempt(self, state, copy, placement):
+    async def _run_attempt(self, turns, state, copy, placement):
         """Run an attempt on an engine, keep a KV copy of it, and return its outcome."""
         backup = self._runtime.fleet.choose_backup_engine(self._call, state)
         self._sends += 1
@@ -312,6 +319,7 @@
             prompt.tokens if copy is None else 0,
             prompt.memory_tokens,
             backup,
+            turns.pop_slot(),
         )
         continuation = None
         if self._responder.has_begun or copy is not None:
--- a/src/sapphirerock/request/turntaker.py
+++ b/src/sapphirerock/request/turntaker.py
@@ -1,13 +1,17 @@
-"""Turns that a call takes at engines with a limit on requests."""
+"""Turns and slots that a call takes at limited and at brittle engines."""
 
 from loguru import logger
 
 from sapphirerock.decisions.retryafter import choose_retry_after
+from sapphirerock.decisions.slots import EngineRoom
 from sapphirerock.request.problem import OVERLOADED, Problem
 
+# A call may end this much later than its deadline.
+SLOT_HOLD_SLACK_S = 0.5
+
 
 class TurnTaker:
-    """Takes a turn for one attempt at a call.
+    """Takes a turn and a slot for one attempt at a call.
 
     Parameters
     ----------
@@ -19,18 +23,31 @@
     Attributes
     ----------
     engines_without_turn : set of str
-        Limited engines that had no turn for the call.
+        Engines that had no turn or no slot for the call.
     """
 
-    __slots__ = ("engines_without_turn", "_runtime", "_call", "_waits_s")
+    __slots__ = ("engines_without_turn", "_runtime", "_call", "_waits_s", "_slot")
 
     def __init__(self, runtime, call):
         self.engines_without_turn = set()
         self._runtime = runtime
         self._call = call
         self._waits_s = []
+        self._slot = None
 
     async def take(self, state, max_wait_s):
+        """Take what a call needs at an engine and wait for it; return whether it could.
+
+        A limited engine needs a turn, and a brittle one a slot.
+        """
+        if not await self._take_slot(state, max_wait_s):
+            return False
+        if await self.take_turn(state, max_wait_s):
+            return True
+        self.release()
+        return False
+
+    async def take_turn(self, state, max_wait_s):
         """Take a turn at an engine and wait for it; return whether there was one.
 
         An engine without a limit needs no turn.
@@ -47,13 +64,59 @@
             max_wait_s=round(max_wait_s, 3),
         ).info("turn at limited engine")
         if not turn.is_granted:
-            self.engines_without_turn.add(state.name)
-            self._waits_s.append(turn.wait_s)
+            self._record_wait(state, turn.wait_s)
             return False
         if turn.wait_s:
             await self._runtime.clock.sleep(turn.wait_s)
         return True
 
+    async def _take_slot(self, state, max_wait_s):
+        """Lease a slot of a brittle engine; return whether the call may be sent."""
+        runtime, call = self._runtime, self._call
+        tolerance = runtime.fleet.engines.get_refusal_tolerance(state)
+        if tolerance is None:
+            return True
+        memory_tokens = call.metadata.prompt.memory_tokens
+        room = EngineRoom(
+            state.entry.slots,
+            runtime.fleet.get_memory_tokens(call.service) if memory_tokens else 0,
+            tolerance,
+        )
+        started_s = runtime.clock.monotonic()
+        hold_s = call.response_deadline_s - started_s + SLOT_HOLD_SLACK_S
+        leased = await runtime.engine_slots.take(
+            state, room, memory_tokens, hold_s, max_wait_s
+        )
+        is_granted = not isinstance(leased, float)
+        logger.bind(
+            request=call.metadata.attempt_id,
+            engine=state.name,
+            tolerance=tolerance,
+            granted=is_granted,
+            waited_s=round(runtime.clock.monotonic() - started_s, 3),
+            max_wait_s=round(max_wait_s, 3),
+        ).info("slot at brittle engine")
+        if is_granted:
+            self._slot = leased
+        else:
+            self._record_wait(state, leased)
+        return is_granted
+
+    def _record_wait(self, state, wait_s):
+        self.engines_without_turn.add(state.name)
+        self._waits_s.append(wait_s)
+
+    def pop_slot(self):
+        """Return the slot that was taken, which the caller releases; None if none."""
+        slot, self._slot = self._slot, None
+        return slot
+
+    def release(self):
+        """Release the slot that was taken, unless it has been handed on."""
+        slot = self.pop_slot()
+        if slot is not None:
+            slot.release()
+
     def make_problem(self):
         """Return the refusal of a call for which no engine had a turn."""
         retry_after_s = choose_retry_after(min(self._waits_s), self._runtime.generator)
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -37,6 +37,8 @@
         load of the engine.
     backup : EngineState or None
         Engine that holds a copy of the KV memory.
+    slot : SlotLease or None
+        Slot of a brittle engine, released when the attempt ends.
 
     Attributes
     ----------
@@ -56,6 +58,7 @@
         "has_output",
         "relay",
         "_runtime",
+        "_slot",
         "_prompt_tokens",
         "_memory_tokens",
         "_response",
@@ -64,7 +67,14 @@
     )
 
     def __init__(
-        self, runtime, call, state, prompt_tokens=0, memory_tokens=0, backup=None
+        self,
+        runtime,
+        call,
+        state,
+        prompt_tokens=0,
+        memory_tokens=0,
+        backup=None,
+        slot=None,
     ):
         self.state = state
         self.backup = backup
@@ -73,6 +83,7 @@
         self.relay = None
         self._runtime = runtime
         self.call = call
+        self._slot = slot
         self._prompt_tokens = prompt_tokens
         self._memory_tokens = memory_tokens
         self._response = None
@@ -100,6 +111,8 @@
         self._count_kv_copy(-1)
         if self._response is not None:
             self._response.close()
+        if self._slot is not None:
+            self._slot.release()
 
     def _count_kv_copy(self, sign):
         """Add the KV copy to the backup's load if ``sign`` is 1; subtract it if -1."""
@@ -160,7 +173,10 @@
             return Error(
                 UpstreamBroken(entry.name, "the answer belongs to another call")
             )
+        runtime.engine_statements.record_response(self.state, self.head, sent_s)
         runtime.engine_limits.record_response(self.state, self.head, sent_s)
+        if self._slot is not None and self.head.was_not_executed:
+            self._slot.was_refused = not self.head.is_other_engine
         return Ok(self.head)
 
     async def _open_on_path(self, path, continuation):
