--- /dev/null
+++ b/features/enginerests.feature
@@ -0,0 +1,31 @@
+Feature: Engines that ask for rest, or say that they leave, are left alone
+
+  Scenario Outline: An engine that asks a host for rest gets two requests from it at most: <hosts> hosts, <engines> of three, <share>, <seconds> s, <load>
+    Given a shared platform with <hosts> edges and 3 engines of each service in 3 zones
+    When <engines> of the three engines of a service turn <share> away and ask for <seconds> s of rest, under <load> for 12 seconds
+    Then no engine got more than 2 requests from a host within a rest that it had asked for
+    And <served> in 100 calls are served at the first attempt
+
+    Examples:
+      | hosts | engines | share         | seconds | load                            | served |
+      | 9     | 2       | all calls     | 2       | 60 calls a second               | 95     |
+      | 6     | 2       | all calls     | 3       | 40 calls a second               | 95     |
+      | 9     | 3       | 1 call in 10  | 1.5     | 60 calls a second               | 50     |
+      | 9     | 2       | all calls     | 3       | 10 calls and 8 streams a second | 95     |
+
+  Scenario: Calls to a service whose engines all ask for rest are refused at once
+    Given a shared platform with 6 edges and 3 engines of each service in 3 zones
+    When 3 of the three engines of a service turn all calls away and ask for 5 s of rest, under 40 calls a second for 12 seconds
+    Then no engine got more than 2 requests from a host within a rest that it had asked for
+    And refused calls take 0.1 s at most, and are told to come back after the rest
+
+  Scenario: The rest that an engine asks of a relaying host binds that host
+    Given a shared platform with 9 edges and 3 engines of each service in 3 zones
+    When engines are cut off from two thirds of the hosts, and 2 of three turn all calls away and ask for 2 s of rest, under 40 calls a second for 14 seconds
+    Then no engine got more than 2 requests from a host within a rest that it had asked for
+
+  Scenario: An engine that says in its responses that it leaves gets no calls after 3 seconds
+    Given a shared platform with 9 edges and 3 engines of each service in 3 zones
+    When one of three engines says that it leaves, under 40 calls and 8 streams a second for 10 seconds
+    Then it got no calls from a host later than 3 s after a response to that host
+    And 95 in 100 calls are served at the first attempt
--- a/features/steps/enginecut_steps.py
+++ b/features/steps/enginecut_steps.py
@@ -50,6 +50,8 @@
         at_s=time.monotonic() - context.started_s,
         status=0,
         is_served=False,
+        took_s=0.0,
+        retry_after=None,
     )
     context.results.append(result)
     try:
@@ -75,6 +77,8 @@
         # The connection was closed, or broken off within a stream.
         return
     result.status = response.status
+    result.took_s = time.monotonic() - context.started_s - result.at_s
+    result.retry_after = response.headers.get("retry-after")
     result.is_served = response.status == 200 and response.is_complete and is_whole
 
 
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -32,6 +32,10 @@
 NOT_EXECUTED = "Sapphirerock-Not-Executed"
 ENGINE_LOAD = "Sapphirerock-Server-Load"
 REQUEST_LIMIT = "Server-Limit"
+# Seconds for which an engine that turns a request away wants none from this host.
+RETRY_AFTER = "Retry-After"
+# In all responses of an engine that is about to end.
+LEAVING = "Server-Leaving"
 # Number of requests that the engine may turn away in a second before it crashes.
 REFUSAL_TOLERANCE = "Server-Brittle"
 TOKEN_USAGE = "Sapphirerock-Token-Usage"
@@ -59,6 +63,7 @@
         ENGINE_LOAD,
         REQUEST_LIMIT,
         REFUSAL_TOLERANCE,
+        LEAVING,
         KV_BACKUP,
         KV_SOURCE,
         "Kv-Fetch",
@@ -77,5 +82,6 @@
         ENGINE_LOAD,
         REQUEST_LIMIT,
         REFUSAL_TOLERANCE,
+        LEAVING,
     )
 )
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import hashlib
+import random
 import time
 import uuid
 from collections import deque
@@ -25,7 +26,13 @@
     encode_report,
     make_response_headers,
 )
-from sapphirerock.platform.names import ENGINES_KIND, MOVE_PATH, REPORT_PATH
+from sapphirerock.platform.names import (
+    ENGINES_KIND,
+    LEAVING,
+    MOVE_PATH,
+    REPORT_PATH,
+    RETRY_AFTER,
+)
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.telemetry.metrics import Metrics
 from sapphirerock.process.web import BACKLOG
@@ -173,6 +180,18 @@
         Wall time of the first response that states the tolerance; 0 before it.
     falls : list of float
         Wall times of the crashes after too many refusals.
+    rest_text : str
+        Value of ``Retry-After`` in refusals; empty if the engine asks for no rest.
+    refused_share : float
+        Share of the calls that are turned away while ``rest_text`` is set.
+    rests : list of [float, str]
+        Wall time and receiver's address of the refusals that asked for rest.
+    contacts : deque of [float, str]
+        Wall time and sender's address of the latest requests of any kind.
+    says_leaving : bool
+        Whether responses state that the engine is leaving.
+    left_at_s : dict
+        Wall time at which each address first got a response that states it.
     cut_sources : frozenset of str
         Addresses of the hosts that the engine is cut off from.
     cut_manner : str
@@ -203,6 +222,12 @@
         self.slots = traits.slots
         self.brittle_at_s = 0.0
         self.falls = []
+        self.rest_text = ""
+        self.refused_share = 1.0
+        self.rests = []
+        self.contacts = deque(maxlen=MAX_RUNS)
+        self.says_leaving = False
+        self.left_at_s = {}
         self.cut_sources = frozenset()
         self.cut_manner = ""
         self.cut_until_s = 0.0
@@ -276,6 +301,8 @@
     @web.middleware
     async def _drop_cut_hosts(self, request, handler):
         """Hang or reset connections of hosts that the engine is cut off from."""
+        if not request.path.startswith("/standin") and request.path != "/faults":
+            self.contacts.append([time.time(), request.remote])
         if self.is_cut_off_from(request.remote):
             if self.cut_manner == "reset":
                 return drop_connection(request)
@@ -283,6 +310,8 @@
         response = await handler(request)
         if self.is_cut_off_from(request.remote):
             await asyncio.sleep(HANG_S)
+        if self.says_leaving and LEAVING in response.headers:
+            self.left_at_s.setdefault(request.remote, time.time())
         return response
 
     def reset_cut_connections(self):
@@ -308,6 +337,9 @@
             "limited_at_s": self.limited_at_s,
             "brittle_at_s": self.brittle_at_s,
             "falls": self.falls,
+            "rests": self.rests,
+            "contacts": list(self.contacts),
+            "left_at_s": self.left_at_s,
         }
         return web.json_response(document)
 
@@ -376,6 +408,11 @@
             return self._make_refusal(request_head, 421)
         if not request_head.attempt_id:
             return self._make_refusal(request_head, 400)
+        if self.rest_text and random.random() < self.refused_share:
+            self.rests.append([time.time(), request.remote])
+            refusal = self._make_refusal(request_head, 503)
+            refusal.headers[RETRY_AFTER] = self.rest_text
+            return refusal
         if self.running >= self.slots:
             if self._has_refused_too_many():
                 self.falls.append(time.time())
@@ -436,13 +473,16 @@
             self.limited_at_s = time.time()
         if self.refusal_tolerance and not self.brittle_at_s:
             self.brittle_at_s = time.time()
-        return make_response_headers(
+        headers = make_response_headers(
             request_head.attempt_id,
             self.engine_id,
             was_executed,
             self.request_limit,
             self.refusal_tolerance,
         )
+        if self.says_leaving:
+            headers[LEAVING] = "1"
+        return headers
 
     async def _run_plain_call(self, request, request_head, run, body):
         await asyncio.sleep(self.traits.work_s * self.slowdown)
@@ -550,6 +590,19 @@
     standin.slots = int(fault.amount)
 
 
+@register_fault("rest")
+def ask_for_rest(standin, fault):
+    """Refuse a share ``amount`` of the calls with ``Retry-After: manner``."""
+    standin.rest_text = fault.manner
+    standin.refused_share = fault.amount
+
+
+@register_fault("say-leaving")
+def say_leaving(standin, fault):
+    """State in all responses that the engine is leaving."""
+    standin.says_leaving = True
+
+
 @register_fault("cut")
 def cut_off_hosts(standin, fault):
     """Cut the engine off from the hosts in ``source`` for ``seconds``.
