Engine rests: an engine that asks for rest gets no more requests

Cause: the adapter dropped Retry-After, so the engine that had just turned a call away stayed the first choice of the next one.

A refusal (429, 503) with Retry-After now takes the engine out of this host's choice for that time: for calls, retries, resumptions, requests for KV copies, and all probes but one. Rests that overlap end with the longest; a text that is no number counts as 1 s, a time is at most 600 s, so that one wrong response does not lose an engine for good. A call that waited for a turn or a slot looks again before it is sent. For a relayed request the rest binds the relaying host, which is told and refuses connections to the engine, also those of other hosts. Where all engines of a service rest, a call waits if the rest is over in time, else it is refused at once with the time that is left. KV copies at a resting engine are kept; running streams go on.

--- a/features/enginerests.feature
+++ b/features/enginerests.feature
@@ -29,3 +29,47 @@
     When one of three engines says that it leaves, under 40 calls and 8 streams a second for 10 seconds
     Then it got no calls from a host later than 3 s after a response to that host
     And 95 in 100 calls are served at the first attempt
+
+  Scenario Outline: The rest in a refusal's headers is decoded: <status>, <header>
+    Then the rest in a response of status <status> with <header> is decoded as <seconds>
+
+    Examples:
+      | status | header                        | seconds |
+      | 503    | 2                             | 2       |
+      | 503    | 0.25                          | 0.25    |
+      | 429    | 3                             | 3       |
+      | 503    | 0                             | 0       |
+      | 503    | -4                            | 0       |
+      | 503    | 1e99                          | 600     |
+      | 503    | inf                           | 600     |
+      | 503    | nan                           | 1       |
+      | 503    | soon                          | 1       |
+      | 503    | Wed, 21 Oct 2026 07:28:00 GMT | 1       |
+      | 503    | 2 and 5                       | 5       |
+      | 503    | none                          | none    |
+      | 200    | 3                             | none    |
+
+  Scenario Outline: Rests of an engine that overlap: <events>
+    Given a host with an engine
+    When the engine asks for rest: <events>
+    Then after that the engine rests for <seconds> s more
+
+    Examples:
+      | events                                         | seconds |
+      | at 1.0 for 3                                   | 3       |
+      | at 1.0 for 3, at 2.0 for 1                     | 2       |
+      | at 1.0 for 3, at 2.0 for 3                     | 3       |
+      | at 1.0 for 3, at 5.0 for 0                     | 0       |
+      | at 1.0 for 3, at 2.0 it starts again           | 0       |
+      | at 1.0 for 3, at 2.0 a peer relayed a rest of 4 | 4       |
+      | at 1.0 for 3, at 2.0 a peer relayed a rest of 4 for an earlier start | 2 |
+
+  Scenario Outline: An engine that rests is probed once: <probes> probes in <seconds> s
+    Given a host with an engine that answers probes and has asked for rest
+    When the host probes it <probes> times
+    Then the engine gets <arrived> probes
+
+    Examples:
+      | probes | seconds | arrived |
+      | 1      | 1       | 1       |
+      | 5      | 1       | 1       |
--- a/features/steps/rest_steps.py
+++ b/features/steps/rest_steps.py
@@ -2,10 +2,23 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
+from expression import Ok
+from multidict import CIMultiDict
 
 from features.steps.enginecut_steps import plan_calls, send_one
+from features.steps.relay_steps import CutHost, RawEngine, send_report
+from sapphirerock.connection.messages import EngineRest
+from sapphirerock.platform.dialect import PlatformDialect
+from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.engines.prober import ProbeOutcome
+from sapphirerock.process.engines.rests import EngineRestTable
+from sapphirerock.process.engines.table import EngineTable
+from sapphirerock.process.replicas.replica import ReplicaChange
+from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
+from sapphirerock.version.engineentry import EngineEntry
 
 # Requests that are on their way when an engine asks for rest do not count.
 REST_SLACK_S = 0.5
@@ -160,3 +173,95 @@
             late += told_s is not None and at_s > told_s + bound
     assert any(engine["left_at_s"] for engine in context.engines.values())
     assert not late, f"{late} calls"
+
+
+@then(
+    "the rest in a response of status {status:d} with {header} is decoded as {seconds}"
+)
+def check_rest_decoded(context, status, header, seconds):
+    texts = [] if header == "none" else header.split(" and ")
+    headers = CIMultiDict(("Retry-After", text) for text in texts)
+    response = SimpleNamespace(
+        status=status, headers=headers, content_type="text/plain"
+    )
+    head = PlatformDialect().decode_response_head(response)
+    assert head.rest_s == (None if seconds == "none" else float(seconds)), head.rest_s
+
+
+@given("a host with an engine")
+def make_host_with_engine(context):
+    clock = context.clock = ManualClock()
+    context.engines = EngineTable(lambda name, spec: Ok(spec), clock, EdgeMetrics())
+    context.handlers = {}
+    peers = SimpleNamespace(
+        register_handler=lambda kind, handler: context.handlers.update({kind: handler})
+    )
+    context.rests = EngineRestTable(context.engines, peers, clock)
+    add_engine(context, 1000)
+
+
+def add_engine(context, born_ms):
+    """Register the engine, or a later start of it."""
+    entry = EngineEntry("e1", "model", "e1:1", "zone-a", 16, born_ms=born_ms)
+    context.engines.apply_changes([ReplicaChange("e1", born_ms, entry)])
+
+
+@when("the engine asks for rest: {events}")
+def ask_in_turn(context, events):
+    started_s = context.clock.monotonic()
+    for event in events.split(", "):
+        _, at, *words = event.split()
+        context.clock.advance(started_s + float(at) - context.clock.monotonic())
+        state = context.engines.get("e1")
+        if "relayed" in words:
+            born_ms = 999 if "earlier" in words else 1000
+            message = EngineRest("e1", born_ms, 4.0)
+            context.handlers[EngineRest](SimpleNamespace(host="b1"), message)
+        elif "starts" in words:
+            add_engine(context, 2000)
+        else:
+            head = SimpleNamespace(
+                rest_s=float(words[-1]), invalid_rest=None, is_other_engine=False
+            )
+            context.rests.record_response(state, head, None)
+
+
+@then("after that the engine rests for {seconds:g} s more")
+def check_rest(context, seconds):
+    state = context.engines.get("e1")
+    rest_s = context.engines.measure_rest_s(state)
+    assert abs(rest_s - seconds) < 1e-6, rest_s
+    assert context.engines.is_usable(state) is (seconds == 0)
+    assert context.engines.is_alive(state)
+
+
+@given("a host with an engine that answers probes and has asked for rest")
+def make_resting_engine(context):
+    async def run():
+        context.engine = RawEngine(send_report)
+        context.host = CutHost(await context.engine.start())
+        context.host.state.rest_until_s = context.host.clock.monotonic() + 5.0
+
+    context.run(run())
+
+
+@when("the host probes it {probes:d} times")
+def probe_resting_engine(context, probes):
+    async def run():
+        host = context.host
+        context.outcomes = [
+            (await host.paths.probe_and_confirm(host.state.entry, 0.3)).outcome
+            for _ in range(probes)
+        ]
+        await host.paths.on_stop()
+        await host.session.close()
+
+    context.run(run())
+
+
+@then("the engine gets {count:d} probes")
+def check_probes(context, count):
+    assert len(context.engine.requests) == count, context.outcomes
+    assert context.outcomes[0] is ProbeOutcome.RUNNING, context.outcomes
+    assert set(context.outcomes[1:]) <= {ProbeOutcome.RESTING}, context.outcomes
+    assert context.host.engines.is_alive(context.host.state)
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -661,6 +661,26 @@
     was_refused: bool
 
 
+@register_message(66)
+@dataclass(slots=True)
+class EngineRest(Message):
+    """An engine asked the receiver for rest, in a response that the receiver relayed.
+
+    Parameters
+    ----------
+    engine : str
+        The engine's id.
+    born_ms : int
+        Start time of the engine in Unix milliseconds.
+    rest_s : float
+        Time for which the engine wants no requests, in seconds.
+    """
+
+    engine: str
+    born_ms: int
+    rest_s: float
+
+
 def encode_frame(correlation, message):
     """Return a message as the bytes of a frame."""
     return msgpack.packb([message.code, correlation, *message.to_fields()])
--- a/src/sapphirerock/connection/response.py
+++ b/src/sapphirerock/connection/response.py
@@ -49,6 +49,11 @@
         states no limit.
     invalid_limit : str or None
         Text of a limit that could not be decoded.
+    rest_s : float or None
+        Time for which an engine that turned a request away wants no more of them from
+        the sender, in seconds; None if it asks for none.
+    invalid_rest : str or None
+        Text of a time that could not be decoded.
     refusal_tolerance : float or None
         Requests that the engine may turn away in a second before it crashes; None if it
         states no such number.
@@ -64,6 +69,8 @@
     load: EngineLoad | None
     limit_per_s: float | None = None
     invalid_limit: str | None = None
+    rest_s: float | None = None
+    invalid_rest: str | None = None
     refusal_tolerance: float | None = None
 
     @property
--- a/src/sapphirerock/decisions/admission.py
+++ b/src/sapphirerock/decisions/admission.py
@@ -48,6 +48,8 @@
         Time spent in the queue so far, in seconds.
     max_outage_wait_s : float
         Longest wait while no engine is usable, in seconds.
+    rest_s : float or None
+        Time until the first engine has rested, in seconds; None if no engine is up.
     """
 
     needed_tokens: int
@@ -59,6 +61,7 @@
     run_s: float
     waited_s: float
     max_outage_wait_s: float
+    rest_s: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,8 +113,12 @@
 def _admit_without_engines(view):
     """Let a call wait for a limited time while no engine is usable.
 
-    The engines of an availability zone become usable again at about the same time.
+    The engines of an availability zone become usable again at about the same time. If
+    all engines ask for a rest that is longer, the call is refused at once.
     """
+    max_wait_s = min(view.max_outage_wait_s - view.waited_s, view.remaining_s)
+    if view.rest_s and view.rest_s > max_wait_s:
+        return Admission(Verdict.REFUSE, "all engines ask for rest", view.rest_s)
     if view.waited_s < min(view.max_outage_wait_s, view.remaining_s):
         return Admission(Verdict.WAIT, "no engine")
     return Admission(Verdict.REFUSE, "no engine", None)
--- a/src/sapphirerock/platform/dialect.py
+++ b/src/sapphirerock/platform/dialect.py
@@ -23,6 +23,7 @@
     REPORT_PATH,
     REQUEST_LIMIT,
     RESPONSE_SEAL,
+    RETRY_AFTER,
 )
 
 MS_PER_S = 1000.0
@@ -32,6 +33,12 @@
 MIN_LIMIT_PER_S = 0.01
 MAX_LIMIT_PER_S = 1e6
 MAX_TOLERANCE = 1e6
+# Statuses with which an engine turns a request away and may ask for rest.
+REFUSAL_STATUSES = (429, 503)
+# Rest after a Retry-After that is no number, such as a date.
+DEFAULT_REST_S = 1.0
+# Without a bound, one wrong response would take an engine out of use for good.
+MAX_REST_S = 600.0
 
 
 @register_dialect("platform")
@@ -69,6 +76,10 @@
         headers = response.headers
         limit_texts = headers.getall(REQUEST_LIMIT, ())
         limits = [_decode_limit(text) for text in limit_texts]
+        rest_texts = ()
+        if response.status in REFUSAL_STATUSES:
+            rest_texts = headers.getall(RETRY_AFTER, ())
+        rests_s = [_decode_rest(text) for text in rest_texts]
         return ResponseHead(
             status=response.status,
             attempt_id=headers.get(ATTEMPT_ID),
@@ -82,6 +93,11 @@
             load=_decode_load(headers.get(ENGINE_LOAD)),
             limit_per_s=min((limit for limit in limits if limit), default=None),
             invalid_limit=", ".join(limit_texts) if None in limits else None,
+            rest_s=max(
+                (DEFAULT_REST_S if rest_s is None else rest_s for rest_s in rests_s),
+                default=None,
+            ),
+            invalid_rest=", ".join(rest_texts) if None in rests_s else None,
             refusal_tolerance=_decode_tolerance(headers.getall(REFUSAL_TOLERANCE, ())),
         )
 
@@ -122,6 +138,17 @@
     return min(MAX_LIMIT_PER_S, max(MIN_LIMIT_PER_S, limit_per_s))
 
 
+def _decode_rest(text):
+    """Decode a time in seconds, at most `MAX_REST_S`; None if it is no number."""
+    try:
+        rest_s = float(text)
+    except ValueError:
+        return None
+    if math.isnan(rest_s):
+        return None
+    return min(MAX_REST_S, max(0.0, rest_s))
+
+
 def _decode_tolerance(texts):
     """Decode the refusals a second that an engine bears; None if none is stated.
 
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -44,6 +44,7 @@
 from sapphirerock.process.engines.limits import EngineLimitTable
 from sapphirerock.process.engines.monitor import EngineMonitor
 from sapphirerock.process.engines.paths import EnginePaths
+from sapphirerock.process.engines.rests import EngineRestTable
 from sapphirerock.process.engines.slots import EngineSlotTable
 from sapphirerock.process.engines.soundparts import SoundPartSpread
 from sapphirerock.process.engines.statements import EngineStatementTable
@@ -288,6 +289,7 @@
             fleet=fleet,
             engine_limits=engine_limits,
             engine_slots=EngineSlotTable(self.peers, clock),
+            engine_rests=EngineRestTable(self.engines, self.peers, clock),
             engine_statements=engine_statements,
             stream_origins=self.stream_origins,
             version_history=self.version_history,
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -25,6 +25,8 @@
         Limits of engines on requests, and turns at limited engines.
     engine_slots : EngineSlotTable
         Slots at brittle engines.
+    engine_rests : EngineRestTable
+        Rests that engines ask for.
     engine_statements : EngineStatementTable
         What engines state of themselves in responses.
     stream_origins : StreamOriginTable
@@ -51,6 +53,7 @@
     fleet: object
     engine_limits: object
     engine_slots: object
+    engine_rests: object
     engine_statements: object
     stream_origins: object
     version_history: object
--- a/src/sapphirerock/process/engines/admission.py
+++ b/src/sapphirerock/process/engines/admission.py
@@ -132,6 +132,7 @@
                 remaining_s=call.response_deadline_s - now_s,
                 run_s=run_s,
                 waited_s=now_s - started_s,
+                rest_s=self._fleet.engines.measure_service_rest_s(call.service),
                 max_outage_wait_s=MAX_OUTAGE_WAIT_SHARE * call.route.target_latency_s,
             )
         )
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -35,6 +35,11 @@
 # A peer's report that an engine is down is verified if the engine has sent data to this
 # host within this time.
 VERIFIED_CONTACT_S = 5.0
+INCONCLUSIVE_OUTCOMES = (
+    ProbeOutcome.NO_ANSWER,
+    ProbeOutcome.HOST_BUSY,
+    ProbeOutcome.RESTING,
+)
 CRASHED = "crashed"
 SILENT = "silent"
 REPLACED = "replaced"
@@ -256,7 +261,7 @@
         finally:
             loss.is_probed.set()
         for delay_s in PROBE_RETRY_DELAYS_S:
-            if outcome not in (ProbeOutcome.NO_ANSWER, ProbeOutcome.HOST_BUSY):
+            if outcome not in INCONCLUSIVE_OUTCOMES:
                 return
             await self._clock.sleep(delay_s)
             if self._crash_log.has_crash(make_run(state)):
@@ -330,7 +335,7 @@
             self._record_crash(run, None)
             return
         silent_s = self._clock.monotonic() - state.last_received_s
-        if silent_s <= VERIFIED_CONTACT_S and self._engines.is_usable(state):
+        if silent_s <= VERIFIED_CONTACT_S and self._engines.is_alive(state):
             self._engines.mark_down(state, update.cause)
             self._tasks.spawn(self._verify_report(state, update.cause))
         else:
@@ -369,7 +374,7 @@
 
     def _can_be_silent(self, state, cause):
         """Return whether a report of silence can be true of a usable engine."""
-        if state is None or not self._engines.is_usable(state):
+        if state is None or not self._engines.is_alive(state):
             return False
         if self._clock.monotonic() - state.last_received_s >= CORRELATED_CRASH_S:
             return True
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -193,6 +193,10 @@
         """Return whether an engine is known and may get new work."""
         return state is not None and self.engines.is_usable(state)
 
+    def is_alive(self, state):
+        """Return whether an engine is known and up, although it may rest."""
+        return state is not None and self.engines.is_alive(state)
+
     def _get_engine_settings(self, service):
         """Return the engine settings of a service, or None if it has no engines."""
         service_settings = self._routing.current.services.get(service)
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -58,6 +58,8 @@
         if result.outcome is ProbeOutcome.RUNNING:
             state.last_received_s = self._clock.monotonic()
             return
+        if result.outcome is ProbeOutcome.RESTING:
+            return
         if result.outcome is ProbeOutcome.HOST_BUSY:
             # The next check probes again.
             logger.bind(engine=state.name, detail=result.detail).info(
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -24,6 +24,8 @@
 CONFIRMING_PEERS = 3
 # Peers that are asked in turn to relay a call or a probe.
 MAX_RELAYS_ASKED = 3
+# An engine that wants no requests of this host may get two of them.
+MAX_PROBES_IN_REST = 1
 # Interval at which one engine that is reached through peers is probed directly.
 RECHECK_INTERVAL_S = 0.5
 # After a path was lost, the paths to all other engines are checked once in this time.
@@ -167,7 +169,7 @@
     async def probe(self, entry, timeout_s):
         """Probe an engine on the path that this host's calls to it take."""
         if not self._is_relayed(entry):
-            return await super().probe(entry, timeout_s)
+            return await self._probe_directly(entry, timeout_s)
         in_use = {attempt.relay for attempt in self._engines.get(entry.name).attempts}
         paths = self._list_relayed_paths()
         paths.sort(key=lambda path: path.relay not in in_use)
@@ -176,7 +178,19 @@
             result = await self._probe_through(path, entry)
             if result.outcome is not ProbeOutcome.RELAY_FAILED:
                 return result
-        return ProbeResult(ProbeOutcome.NO_ANSWER, result.detail)
+        # A peer that replies and relays nothing shows nothing about the engine.
+        has_replied = result.is_answered
+        outcome = ProbeOutcome.RESTING if has_replied else ProbeOutcome.NO_ANSWER
+        return ProbeResult(outcome, result.detail)
+
+    async def _probe_directly(self, entry, timeout_s):
+        """Probe an engine directly, but only once while it wants no requests."""
+        state = self._engines.get(entry.name)
+        if state is not None and self._engines.measure_rest_s(state):
+            if state.rest_probes >= MAX_PROBES_IN_REST:
+                return ProbeResult(ProbeOutcome.RESTING, "engine asked for rest")
+            state.rest_probes += 1
+        return await super().probe(entry, timeout_s)
 
     async def _probe_through(self, path, entry):
         result = await self._probe(path.session, entry, RELAYED_PROBE_TIMEOUT_S)
@@ -301,7 +315,7 @@
         bool
             Whether the engine answered.
         """
-        result = await super().probe(state.entry, DIRECT_PROBE_TIMEOUT_S)
+        result = await self._probe_directly(state.entry, DIRECT_PROBE_TIMEOUT_S)
         if result.outcome is not ProbeOutcome.RUNNING:
             return False
         self._set_relayed(state, False, "engine path restored", result.detail)
--- a/src/sapphirerock/process/engines/prober.py
+++ b/src/sapphirerock/process/engines/prober.py
@@ -21,6 +21,8 @@
     NO_ANSWER = "no answer"
     # A peer reaches the engine, and this host does not.
     PATH_LOST = "path lost"
+    # The engine wants no requests of this host now.
+    RESTING = "resting"
     # The peer that was to relay the probe is not connected to the engine.
     RELAY_FAILED = "relay failed"
     # This host was too busy to read an answer in time.
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -92,6 +92,10 @@
         Whether a probe of the engine is waiting for its answer.
     is_relayed : bool
         Whether this host reaches the engine only through a peer.
+    rest_until_s : float
+        Monotonic time until which the engine wants no requests of this host.
+    rest_probes : int
+        Probes that this host has sent to the engine since it asked for rest.
     statement_times : dict
         `StatementTimes` of what the engine states of itself, by name.
     refusal_tolerance : float or None
@@ -125,6 +129,8 @@
     is_removed: bool = False
     is_probe_pending: bool = False
     is_relayed: bool = False
+    rest_until_s: float = -math.inf
+    rest_probes: int = 0
     statement_times: dict = field(default_factory=dict)
     refusal_tolerance: float | None = None
     next_slot_s: float = 0.0
@@ -318,10 +324,35 @@
 
     def is_usable(self, state):
         """Return whether an engine may get new work."""
+        return self.is_alive(state) and not self.measure_rest_s(state)
+
+    def is_alive(self, state):
+        """Return whether an engine may get new work, now or after its rest."""
         if state.is_removed or state.entry.is_draining:
             return False
         return state.down_until_s <= self._clock.monotonic()
 
+    def measure_rest_s(self, state):
+        """Return how much longer an engine wants no requests of this host, in s."""
+        return max(0.0, state.rest_until_s - self._clock.monotonic())
+
+    def measure_service_rest_s(self, service, excluded=()):
+        """Return the time until the first engine of a service has rested, in seconds.
+
+        Returns
+        -------
+        float or None
+            None if there is no engine that only has to rest.
+        """
+        rests_s = [
+            self.measure_rest_s(state)
+            for state in self._states.values()
+            if state.entry.service == service
+            and state.name not in excluded
+            and self.is_alive(state)
+        ]
+        return min(rests_s, default=None)
+
     def mark_replaced(self, state):
         """Remove an engine permanently because another one answers at its address."""
         if not state.is_removed:
--- a/src/sapphirerock/process/peers/relayserver.py
+++ b/src/sapphirerock/process/peers/relayserver.py
@@ -114,6 +114,8 @@
             return "unknown engine"
         if state.is_relayed:
             return "engine not reached directly"
+        if self._engines.measure_rest_s(state):
+            return "engine asked for rest"
         if self._open_connections >= MAX_RELAYED_CONNECTIONS:
             return "too many relayed connections"
         return None
--- a/src/sapphirerock/request/backupkeeper.py
+++ b/src/sapphirerock/request/backupkeeper.py
@@ -52,11 +52,15 @@
             return self._kv_copy
         return None
 
+    def _has_live_copy(self):
+        """Return whether the holder of the KV copy is up, though it may rest."""
+        return self._kv_copy is not None and self._runtime.fleet.is_alive(self._holder)
+
     async def maintain(self):
         """Replace the KV copy whenever its holder is lost, until cancelled."""
         while True:
             await self._runtime.clock.sleep(CHECK_INTERVAL_S)
-            if self._attempt.head is None or self.get_usable_copy() is not None:
+            if self._attempt.head is None or self._has_live_copy():
                 continue
             if not self._runtime.fleet.is_usable(self._attempt.state):
                 # A draining engine finishes its runs; an engine that is down has none.
@@ -74,7 +78,7 @@
             return
         backup_ttl_s = fleet.get_backup_ttl_s(self._call.service)
         self._attempt.replace_backup(holder)
-        while fleet.is_usable(holder):
+        while fleet.is_alive(holder) and fleet.is_usable(self._attempt.state):
             copy = await self._request_copy(holder)
             if copy is None:
                 return
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -115,9 +115,24 @@
         self._turns = TurnTaker(self._runtime, self._call)
         while True:
             state = self._choose_candidate(self._turns.engines_without_turn)
+            if state is None and await self._wait_for_rest():
+                continue
             if state is None or await self._turns.take(state, self._choose_max_wait()):
                 return state
 
+    async def _wait_for_rest(self):
+        """Wait until an untried engine has rested; return whether there is one in time.
+
+        Engines ask for rest when they turn calls away.
+        """
+        excluded = self._tried_engines | self._turns.engines_without_turn
+        engines = self._runtime.fleet.engines
+        rest_s = engines.measure_service_rest_s(self._call.service, excluded)
+        if not rest_s or rest_s > self._choose_max_wait():
+            return False
+        await self._runtime.clock.sleep(rest_s)
+        return True
+
     def _choose_candidate(self, excluded):
         """Return an untried engine, else one that responded with a server error."""
         fleet, service = self._runtime.fleet, self._call.service
@@ -178,7 +193,9 @@
         elif self._turns.engines_without_turn:
             await self._responder.send_problem(self._turns.make_problem())
         else:
-            retry_after_s = choose_retry_after(None, self._runtime.generator)
+            engines = self._runtime.fleet.engines
+            rest_s = engines.measure_service_rest_s(self._call.service) or None
+            retry_after_s = choose_retry_after(rest_s, self._runtime.generator)
             problem = Problem(UNAVAILABLE, "no engine took the call", retry_after_s)
             await self._responder.send_problem(problem)
 
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -526,6 +526,8 @@
         elif self._losses or self._failures:
             problem = Problem(UPSTREAM_FAILED, "no engine finished the call")
         else:
-            retry_after_s = choose_retry_after(None, self._runtime.generator)
+            engines = self._runtime.fleet.engines
+            rest_s = engines.measure_service_rest_s(self._call.service) or None
+            retry_after_s = choose_retry_after(rest_s, self._runtime.generator)
             problem = Problem(UNAVAILABLE, "no engine took the call", retry_after_s)
         await self._responder.send_problem(problem)
--- a/src/sapphirerock/request/turntaker.py
+++ b/src/sapphirerock/request/turntaker.py
@@ -42,10 +42,15 @@
         """
         if not await self._take_slot(state, max_wait_s):
             return False
-        if await self.take_turn(state, max_wait_s):
-            return True
-        self.release()
-        return False
+        if not await self.take_turn(state, max_wait_s):
+            self.release()
+            return False
+        if not self._runtime.fleet.is_usable(state):
+            # The engine asked for rest, drains or went down during the wait.
+            self._record_wait(state, self._runtime.fleet.engines.measure_rest_s(state))
+            self.release()
+            return False
+        return True
 
     async def take_turn(self, state, max_wait_s):
         """Take a turn at an engine and wait for it; return whether there was one.
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -173,6 +173,7 @@
             return Error(
                 UpstreamBroken(entry.name, "the answer belongs to another call")
             )
+        runtime.engine_rests.record_response(self.state, self.head, self.relay)
         runtime.engine_statements.record_response(self.state, self.head, sent_s)
         runtime.engine_limits.record_response(self.state, self.head, sent_s)
         if self._slot is not None and self.head.was_not_executed:
