Engine statements: an engine that says in its answers that it leaves gets no new work

Cause: as for rests, the statement was dropped. It now counts as draining, for the host that saw it at once and for all others by gossip; it is final for that start of the engine, also if its registration lapses while the store is away and comes back. Running streams go on, as at an engine whose registration says that it drains.

--- a/features/enginerests.feature
+++ b/features/enginerests.feature
@@ -73,3 +73,29 @@
       | probes | seconds | arrived |
       | 1      | 1       | 1       |
       | 5      | 1       | 1       |
+
+  Scenario Outline: The statement that an engine leaves is decoded: <header>
+    Then the statement <header> is decoded as <result>
+
+    Examples:
+      | header   | result  |
+      | 1        | leaving |
+      | 1 and 1  | leaving |
+      | yes      | leaving |
+      | 0        | staying |
+      | none     | staying |
+
+  Scenario Outline: A host that knows that an engine leaves gives it no work: <events>
+    Given a host with an engine that has stated that it leaves
+    When then <events>
+    Then the host <result> the engine
+
+    Examples:
+      | events                                                | result       |
+      | nothing else happens                                  | does not use |
+      | a later response has no such statement                | does not use |
+      | another host reports that it stays                    | does not use |
+      | its registration lapses and comes back                | does not use |
+      | its registration changes                              | does not use |
+      | it starts again under its id                          | uses         |
+      | another engine gets its address                       | uses         |
--- a/features/steps/rest_steps.py
+++ b/features/steps/rest_steps.py
@@ -15,6 +15,7 @@
 from sapphirerock.process.clock import ManualClock
 from sapphirerock.process.engines.prober import ProbeOutcome
 from sapphirerock.process.engines.rests import EngineRestTable
+from sapphirerock.process.engines.statements import EngineStatementTable
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
@@ -265,3 +266,63 @@
     assert context.outcomes[0] is ProbeOutcome.RUNNING, context.outcomes
     assert set(context.outcomes[1:]) <= {ProbeOutcome.RESTING}, context.outcomes
     assert context.host.engines.is_alive(context.host.state)
+
+
+@then("the statement {header} is decoded as {result}")
+def check_leaving_decoded(context, header, result):
+    texts = [] if header == "none" else header.split(" and ")
+    headers = CIMultiDict(("Server-Leaving", text) for text in texts)
+    response = SimpleNamespace(status=200, headers=headers, content_type="text/plain")
+    head = PlatformDialect().decode_response_head(response)
+    assert head.leaving == (1.0 if result == "leaving" else None), head.leaving
+
+
+def record_leaving(context, leaving):
+    """Record a response that states, or does not, that the engine leaves."""
+    head = SimpleNamespace(
+        is_other_engine=False, leaving=leaving, refusal_tolerance=None
+    )
+    state = context.engines.get("e1")
+    context.statements.record_response(state, head, context.clock.monotonic())
+
+
+@given("a host with an engine that has stated that it leaves")
+def make_leaving_engine(context):
+    context.execute_steps("Given a host with an engine")
+    peers = SimpleNamespace(
+        register_handler=lambda *arguments: None,
+        announce_support=lambda *arguments: None,
+    )
+    gossip = SimpleNamespace(
+        subscribe=lambda *arguments: None, broadcast=lambda update: None
+    )
+    context.statements = EngineStatementTable(
+        context.engines, peers, gossip, context.clock
+    )
+    record_leaving(context, 1.0)
+    context.clock.advance(10.0)
+
+
+@when("then {events}")
+def change_leaving_engine(context, events):
+    if events.startswith("a later response"):
+        record_leaving(context, None)
+    elif events.startswith("another host"):
+        context.statements._apply("e1", 1000, "leaving", -1.0, "gossip")
+    elif events.startswith("its registration"):
+        if "lapses" in events:
+            context.engines.apply_changes([ReplicaChange("e1", 1001, None)])
+            assert context.engines.get("e1") is None
+        entry = EngineEntry("e1", "model", "e1:1", "zone-a", 32, born_ms=1000)
+        context.engines.apply_changes([ReplicaChange("e1", 1002, entry)])
+    elif events.startswith("it starts"):
+        add_engine(context, 2000)
+    elif events.startswith("another engine"):
+        entry = EngineEntry("e2", "model", "e1:1", "zone-a", 16, born_ms=3000)
+        context.engines.apply_changes([ReplicaChange("e2", 1002, entry)])
+
+
+@then("the host {result} the engine")
+def check_use(context, result):
+    state = context.engines.get("e2") or context.engines.get("e1")
+    assert context.engines.is_usable(state) is (result == "uses"), state
--- a/src/sapphirerock/connection/response.py
+++ b/src/sapphirerock/connection/response.py
@@ -54,6 +54,8 @@
         the sender, in seconds; None if it asks for none.
     invalid_rest : str or None
         Text of a time that could not be decoded.
+    leaving : float or None
+        1 if the engine states that it is about to end, else None.
     refusal_tolerance : float or None
         Requests that the engine may turn away in a second before it crashes; None if it
         states no such number.
@@ -71,6 +73,7 @@
     invalid_limit: str | None = None
     rest_s: float | None = None
     invalid_rest: str | None = None
+    leaving: float | None = None
     refusal_tolerance: float | None = None
 
     @property
--- a/src/sapphirerock/platform/dialect.py
+++ b/src/sapphirerock/platform/dialect.py
@@ -16,6 +16,7 @@
     KV_BACKUP,
     KV_SOURCE,
     LAST_EVENT_ID,
+    LEAVING,
     MOVE_PATH,
     NOT_EXECUTED,
     ORGANISATION,
@@ -98,6 +99,7 @@
                 default=None,
             ),
             invalid_rest=", ".join(rest_texts) if None in rests_s else None,
+            leaving=1.0 if _is_leaving(headers.getall(LEAVING, ())) else None,
             refusal_tolerance=_decode_tolerance(headers.getall(REFUSAL_TOLERANCE, ())),
         )
 
@@ -138,6 +140,11 @@
     return min(MAX_LIMIT_PER_S, max(MIN_LIMIT_PER_S, limit_per_s))
 
 
+def _is_leaving(texts):
+    """Return whether a header says that the engine leaves: any value but ``0`` does."""
+    return any(text.strip() not in ("", "0") for text in texts)
+
+
 def _decode_rest(text):
     """Decode a time in seconds, at most `MAX_REST_S`; None if it is no number."""
     try:
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -185,7 +185,7 @@
             and state.entry.version == version
             and state.name not in excluded
             and not state.is_removed
-            and not state.entry.is_draining
+            and not state.is_draining
             for state in self.engines.list_all()
         )
 
--- a/src/sapphirerock/process/engines/statements.py
+++ b/src/sapphirerock/process/engines/statements.py
@@ -1,7 +1,7 @@
 """What engines state of themselves in their responses, told to all hosts.
 
 A statement of one run of an engine holds for all hosts, until a later response to a
-later request no longer has it.
+later request no longer has it. A final statement holds until the run ends.
 """
 
 from dataclasses import dataclass
@@ -18,9 +18,10 @@
 # what they saw may be older.
 END_GUARD_S = 1.0
 STATEMENTS = {}
+FINAL_STATEMENTS = set()
 
 
-def register_statement(name, attribute):
+def register_statement(name, attribute, is_final=False):
     """Register a statement under its name in messages between hosts.
 
     Parameters
@@ -28,11 +29,16 @@
     attribute : str
         Attribute of `ResponseHead` and of `EngineState` that holds the value; None if
         the engine does not state it.
+    is_final : bool
+        Whether a statement that was made once holds until the engine ends.
     """
     STATEMENTS[name] = attribute
+    if is_final:
+        FINAL_STATEMENTS.add(name)
 
 
 register_statement("refusal-tolerance", "refusal_tolerance")
+register_statement("leaving", "leaving", is_final=True)
 
 
 @dataclass(slots=True)
@@ -81,6 +87,8 @@
                 times.stated_s = now_s
             if value == getattr(state, attribute):
                 continue
+            if value is None and name in FINAL_STATEMENTS:
+                continue
             if value is None and times is not None and sent_s <= times.changed_s:
                 # Responses overtake each other: this one may be older.
                 continue
@@ -100,6 +108,8 @@
             source=source,
         ).info("engine statement changed")
         setattr(state, attribute, value)
+        if name in FINAL_STATEMENTS:
+            self._engines.keep_statement(state, attribute, value)
         state.statement_times[name] = StatementTimes(self._clock.monotonic(), stated_s)
 
     def _apply_update(self, update):
@@ -111,6 +121,8 @@
         if state is None or state.entry.born_ms != born_ms or name not in STATEMENTS:
             return
         value = None if value < 0 else value
+        if value is None and name in FINAL_STATEMENTS:
+            return
         if value == getattr(state, STATEMENTS[name]):
             return
         times = state.statement_times.get(name)
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -1,7 +1,7 @@
 """Registered engines and their state as seen from this host."""
 
 import math
-from collections import Counter
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
 from loguru import logger
@@ -15,6 +15,8 @@
 # Streams of a version go on being taken up for less than this time after its last
 # engine is gone.
 VERSION_HISTORY_S = 60.0
+# Engines whose statements are kept beyond their registrations.
+MAX_KEPT_STATEMENTS = 1_000
 
 
 @dataclass(slots=True)
@@ -98,6 +100,8 @@
         Probes that this host has sent to the engine since it asked for rest.
     statement_times : dict
         `StatementTimes` of what the engine states of itself, by name.
+    leaving : float or None
+        1 if the engine has stated that it is about to end, else None.
     refusal_tolerance : float or None
         Requests that the engine may turn away in a second before it crashes, as it last
         stated; None if it states none.
@@ -132,6 +136,7 @@
     rest_until_s: float = -math.inf
     rest_probes: int = 0
     statement_times: dict = field(default_factory=dict)
+    leaving: float | None = None
     refusal_tolerance: float | None = None
     next_slot_s: float = 0.0
     limit_per_s: float | None = None
@@ -146,6 +151,11 @@
         """The engine's id."""
         return self.entry.name
 
+    @property
+    def is_draining(self):
+        """Whether the engine has registered or stated that it gets no new work."""
+        return self.entry.is_draining or bool(self.leaving)
+
     def record_received(self, now_s):
         """Record that bytes were received from the engine; reset its failures."""
         self.last_received_s = now_s
@@ -177,6 +187,7 @@
         "_clock",
         "_metrics",
         "_states",
+        "_kept_statements",
         "_last_seen_s_by_version",
     )
 
@@ -186,6 +197,9 @@
         self._clock = clock
         self._metrics = metrics
         self._states = {}
+        # Statements by the engine's id and start, since a registration may lapse while
+        # the engine lives, and come back.
+        self._kept_statements = OrderedDict()
         self._last_seen_s_by_version = {}
 
     def apply_changes(self, changes):
@@ -217,11 +231,22 @@
             if state.entry.address == entry.address:
                 state.is_removed = True
                 ended.append(state)
-        self._states[entry.name] = EngineState(entry)
+        added = self._states[entry.name] = EngineState(entry)
+        for attribute, value in self._kept_statements.get(
+            (entry.name, entry.born_ms), {}
+        ).items():
+            setattr(added, attribute, value)
         for state in ended:
             if 0 < state.entry.born_ms < entry.born_ms:
                 self._notify_of_restart(state)
 
+    def keep_statement(self, state, attribute, value):
+        """Keep a statement for as long as the run of an engine may last."""
+        key = (state.name, state.entry.born_ms)
+        self._kept_statements.setdefault(key, {})[attribute] = value
+        while len(self._kept_statements) > MAX_KEPT_STATEMENTS:
+            self._kept_statements.popitem(last=False)
+
     def _notify_of_restart(self, state):
         for notify in self.on_restart:
             notify(state)
@@ -285,7 +310,7 @@
         return Counter(
             state.entry.version
             for state in self._states.values()
-            if state.entry.service == service and state.entry.is_draining
+            if state.entry.service == service and state.is_draining
         )
 
     def get(self, name):
@@ -328,7 +353,7 @@
 
     def is_alive(self, state):
         """Return whether an engine may get new work, now or after its rest."""
-        if state.is_removed or state.entry.is_draining:
+        if state.is_removed or state.is_draining:
             return False
         return state.down_until_s <= self._clock.monotonic()
 
