--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -194,7 +194,9 @@
         if self.reached_address is None:
             return state
         entry = SimpleNamespace(address=self.reached_address)
-        return SimpleNamespace(name="e1", is_relayed=False, entry=entry)
+        return SimpleNamespace(
+            name="e1", is_relayed=False, rest_until_s=0.0, entry=entry
+        )
 
 
 class RelayingPeer:
