Store documents: an odd object costs that object alone

An entry of another writer among the engines, nested 2,000 deep, with a number of 1e400 or with a lone surrogate, made the whole list unreadable: an engine that registered later got no calls. With port 99999 calls to it ended in 500 and a traceback; addresses with blanks, host names, ports of 0 and below, slots of 2**70 or true, a start before 1970 or beyond any date were taken, and an infinite start raised out of the decoder.

Cause: a list was decoded as one document, and fields were checked for their type only. A list that can't be decoded is now split without recursion, and each object decoded by itself; one without a usable name or revision is left out, one with unreadable content has none, which names no engine. Content nested deeper than hosts can send to each other counts as unreadable. Ports, addresses, slots and start times are checked for their range, in hosts' entries too. Each odd entry has one log line.

--- a/src/sapphirerock/connection/store.py
+++ b/src/sapphirerock/connection/store.py
@@ -298,5 +298,5 @@
                 StoreUnavailable(f"status {status}", may_have_run=may_have_run)
             )
         return Ok(decode(body, era))
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
         return Error(StoreUnavailable(f"malformed answer: {error!r}"))
--- a/src/sapphirerock/platform/configuration.py
+++ b/src/sapphirerock/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from expression import Error, Ok
 
+from sapphirerock.platform.registrations import DECODING_ERRORS
 from sapphirerock.version.faults import SettingsError, SettingsFault
 from sapphirerock.version.routing import (
     CallerIdentity,
@@ -38,9 +39,9 @@
     """
     try:
         return Ok(_decode_version(spec, revision))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         return Error(
-            SettingsError([SettingsFault("$", repr(error), "a configuration")])
+            SettingsError([SettingsFault("$", repr(error)[:200], "a configuration")])
         )
 
 
--- a/src/sapphirerock/platform/registrations.py
+++ b/src/sapphirerock/platform/registrations.py
@@ -1,14 +1,52 @@
 """Decoding of the registrations that engines write to the store."""
 
+from ipaddress import IPv4Address
+
 from expression import Error, Ok
 
-from sapphirerock.process.settings.hostprofile import parse_endpoint
 from sapphirerock.version.engineentry import EngineEntry
 from sapphirerock.version.faults import SettingsError, SettingsFault
 
+MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
+# Up to which floating-point numbers hold whole milliseconds exactly.
+MAX_BORN_MS = 1 << 53
+MAX_TEXT_CHARACTERS = 1_000
+# What decoding of a document by others may raise.
+DECODING_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    IndexError,
+)
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
+def check_integer(name, value, lowest, highest):
+    """Raise TypeError or ValueError unless a value is an integer within bounds."""
+    if type(value) is not int:
+        raise TypeError(f"{name} must be an integer")
+    if not lowest <= value <= highest:
+        raise ValueError(f"{name} must be from {lowest} to {highest}")
+
+
+def decode_address(text):
+    """Return an address of the form ``ip:port`` that can be connected to.
+
+    Raises
+    ------
+    TypeError, ValueError
+        The text is malformed.
+    """
+    address, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError(f"no port in address {text!r:.80}")
+    check_integer("port", int(port[:10]), 1, MAX_PORT)
+    return f"{IPv4Address(address)}:{int(port)}"
+
+
 def decode_registration(name, spec):
     """Decode an engine's registration in the store.
 
@@ -20,9 +58,11 @@
     """
     try:
         return Ok(_decode_fields(name, spec))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         return Error(
-            SettingsError([SettingsFault("$", repr(error), "an engine registration")])
+            SettingsError(
+                [SettingsFault("$", repr(error)[:200], "an engine registration")]
+            )
         )
 
 
@@ -31,17 +71,22 @@
     version = spec["version"]
     if not all(isinstance(text, str) for text in (service, zone, version)):
         raise TypeError("service, zone and version must be strings")
-    if not isinstance(slots, int) or slots < 1:
-        raise TypeError("slots must be a positive integer")
+    if max(len(service), len(zone), len(version)) > MAX_TEXT_CHARACTERS:
+        raise ValueError("service, zone or version is too long")
+    check_integer("slots", slots, 1, MAX_SLOTS)
+    born_ms = spec.get("born", 0)
+    check_integer("born", born_ms, 0, MAX_BORN_MS)
     models = spec.get("models") or ()
+    if not isinstance(models, list | tuple):
+        raise TypeError("models must be a list")
     return EngineEntry(
         name=name,
         service=service,
-        address=str(parse_endpoint(spec["address"])),
+        address=decode_address(spec["address"]),
         availability_zone=zone,
         slots=slots,
         is_draining=DRAINING_BY_STATE[spec["state"]],
         models=tuple(model["name"] for model in models),
-        born_ms=int(spec.get("born", 0)),
+        born_ms=born_ms,
         version=version,
     )
--- a/src/sapphirerock/platform/storewire.py
+++ b/src/sapphirerock/platform/storewire.py
@@ -4,6 +4,7 @@
 from urllib.parse import quote
 
 import orjson
+from loguru import logger
 
 from sapphirerock.connection.storeobjects import (
     ObjectEvent,
@@ -13,6 +14,7 @@
     qualify_revision,
     strip_era,
 )
+from sapphirerock.platform.documents import limit_depth, load_document, load_element
 from sapphirerock.platform.names import OBJECTS_PATH, STORE_ERA
 
 MS_PER_S = 1000
@@ -167,24 +169,32 @@
 
     Raises
     ------
-    KeyError, TypeError
+    KeyError, TypeError, ValueError, OverflowError
         The document does not describe an object.
     """
     metadata = document["metadata"]
-    revision = qualify_revision(era, int(metadata["revision"]))
-    return StoredObject(metadata["name"], revision, document.get("spec"))
+    name, revision = metadata["name"], metadata["revision"]
+    if not isinstance(name, str) or type(revision) is not int or revision < 0:
+        raise ValueError(f"odd name {name!r:.80} or revision {revision!r:.80}")
+    return StoredObject(
+        name, qualify_revision(era, revision), limit_depth(document.get("spec"))
+    )
 
 
 def decode_object_body(body, era=0):
     """Decode the body of a response with one object."""
-    return decode_object(orjson.loads(body), era)
+    document = load_element(body)
+    if document is None:
+        raise ValueError("the body is no object")
+    return decode_object(document, era)
 
 
 def decode_page_body(body, era=0):
-    """Decode the body of one page of a list."""
-    document = orjson.loads(body)
+    """Decode the body of one page of a list; odd objects are left out."""
+    document = load_document(body, "items")
+    objects = (_decode_or_log(decode_object, item, era) for item in document["items"])
     return ObjectPage(
-        tuple(decode_object(item, era) for item in document["items"]),
+        tuple(item for item in objects if item is not None),
         bool(document["has_more"]),
         # `at` is a revision of the store, not a time.
         qualify_revision(era, int(document["at"])),
@@ -192,12 +202,27 @@
 
 
 def decode_events_body(body, era=0):
-    """Decode the body of a response to a watch."""
-    document = orjson.loads(body)
+    """Decode the body of a response to a watch; odd events are left out."""
+    document = load_document(body, "events")
+    events = (_decode_or_log(_decode_event, item, era) for item in document["events"])
     return ObjectEvents(
-        tuple(
-            ObjectEvent(decode_object(event["object"], era), bool(event["deleted"]))
-            for event in document["events"]
-        ),
+        tuple(item for item in events if item is not None),
         qualify_revision(era, int(document["at"])),
     )
+
+
+def _decode_event(document, era):
+    return ObjectEvent(
+        decode_object(document["object"], era), bool(document["deleted"])
+    )
+
+
+def _decode_or_log(decode, document, era):
+    """Decode an object or event; log one that is odd and return None."""
+    try:
+        return decode(document, era)
+    except (KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
+        logger.bind(cause=repr(error)[:200]).warning(
+            "malformed object of the store left out"
+        )
+        return None
--- a/src/sapphirerock/process/engines/blockedrequests.py
+++ b/src/sapphirerock/process/engines/blockedrequests.py
@@ -139,5 +139,5 @@
         blocked_at = datetime.fromisoformat(item.spec[BLOCKED_AT])
         age_s = (now - blocked_at.astimezone(UTC)).total_seconds()
         return StoredBlock(bytes.fromhex(item.name), age_s)
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError):
         return None
--- a/src/sapphirerock/process/peers/membership.py
+++ b/src/sapphirerock/process/peers/membership.py
@@ -1,6 +1,7 @@
 """Registration of entry hosts in the store, and discovery through seeds."""
 
 import asyncio
+from ipaddress import IPv4Address
 
 from expression import Error
 from loguru import logger
@@ -16,6 +17,7 @@
 # A working store answers within this time; a host that shuts down waits no longer.
 DEREGISTER_TIMEOUT_S = 0.5
 SEED_DIAL_INTERVAL_S = 1.0
+MAX_PORT = 65_535
 
 
 class Membership(Service):
@@ -74,7 +76,7 @@
                 continue
             try:
                 hosts.update_from_registration(decode_host(change.name, change.spec))
-            except (KeyError, TypeError, ValueError) as error:
+            except (KeyError, TypeError, ValueError, OverflowError) as error:
                 logger.bind(entry=change.name, cause=repr(error)).warning(
                     "invalid host registration ignored"
                 )
@@ -149,14 +151,14 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError
+    KeyError, TypeError, ValueError, OverflowError
         The entry has a missing or malformed field.
     """
-    return HostAddress(
-        name,
-        spec["availability_zone"],
-        spec["region"],
-        spec["address"],
-        int(spec["caller_port"]),
-        int(spec["peer_port"]),
-    )
+    texts = (spec["availability_zone"], spec["region"], spec["address"])
+    ports = (int(spec["caller_port"]), int(spec["peer_port"]))
+    if not all(isinstance(text, str) for text in texts):
+        raise TypeError("zone, region and address must be strings")
+    if not all(0 < port <= MAX_PORT for port in ports):
+        raise ValueError("a port is out of range")
+    IPv4Address(spec["address"])
+    return HostAddress(name, *texts, *ports)
--- a/src/sapphirerock/standin/platform.py
+++ b/src/sapphirerock/standin/platform.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass, replace
 
+import orjson
 from aiohttp import web
 
 from sapphirerock.connection.storeobjects import (
@@ -19,7 +20,7 @@
 )
 from sapphirerock.platform import storewire
 from sapphirerock.platform.names import OBJECTS_PATH, STORE_ERA
-from sapphirerock.standin.faults import FaultState, drop_connection
+from sapphirerock.standin.faults import FaultState, drop_connection, register_fault
 
 VALUE_LIMIT_BYTES = 1 << 20
 MAX_PAGE_OBJECTS = 500
@@ -288,6 +289,13 @@
         return web.Response(body=storewire.encode_events(events))
 
 
+@register_fault("raw-object")
+def put_raw_object(standin, fault):
+    """Write the object ``source`` (kind/name) with the JSON text in ``manner``."""
+    kind, _, name = fault.source.partition("/")
+    standin.put_object(kind, name, orjson.Fragment(fault.manner))
+
+
 def make_object_response(item, status=200):
     """Return a response whose body is the object."""
     return web.Response(status=status, body=storewire.encode_stored_object(item))
