Engine paths: hosts that are cut off keep to their peers while these are busy

Cause: a host that found no peer to relay in three tries, most of which were cut off as well, took the engine for down and forgot that it reaches it through peers only; the next call went to it directly and hung. Only a direct probe that is answered ends that state now.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -69,7 +69,8 @@
       | b1 in zone-b of region-1, a2 in zone-a of region-1              | a2             |
       | c1 in zone-c of region-2, b1 in zone-b of region-1              | b1             |
       | a2 in zone-a of region-1 failed 0.2 s ago, c1 in zone-c of region-2 | c1         |
-      | a2 in zone-a of region-1 failed 2 s ago, c1 in zone-c of region-2   | a2         |
+      | a2 in zone-a of region-1 failed 2 s ago, c1 in zone-c of region-2   | c1         |
+      | a2 in zone-a of region-1 failed 4 s ago, c1 in zone-c of region-2   | a2         |
       | a2 in zone-a of region-1 failed 0.2 s ago, a3 in zone-a of region-1 failed 0.7 s ago | a3 |
       | a2 in zone-a of region-1, a3 in zone-a of region-1              | a2, a3         |
 
@@ -100,6 +101,11 @@
       | never answers        | no peers                                 | down                       |
       | never answers        | three peers that never answer            | down                       |
 
+  Scenario: An engine that was reached through peers is not tried directly because they are busy
+    Given a host that can't reach an engine that never answers, and three peers that never answer
+    When the host has reached the engine through peers, and checks it
+    Then the engine is down, and still to be reached through peers
+
   Scenario Outline: A peer's report that an engine is down is checked: <cause>, <engine>
     Given a host with an attempt on an engine that <engine>
     When a peer reports that the engine is <cause>
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -663,6 +663,18 @@
     context.run(run())
 
 
+@when("the host has reached the engine through peers, and checks it")
+def check_relayed_engine(context):
+    context.host.state.is_relayed = True
+    check_engine(context)
+
+
+@then("the engine is down, and still to be reached through peers")
+def check_still_relayed(context):
+    host = context.host
+    assert host.state.is_relayed and not host.engines.is_usable(host.state)
+
+
 @then("the engine is {state}")
 def check_engine_state(context, state):
     host = context.host
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -22,8 +22,11 @@
 # Peers that relay a probe at the same time. If a cut affects several hosts, it is
 # unlikely that all of these are among them.
 CONFIRMING_PEERS = 3
-# Peers that are asked in turn to relay a call or a probe.
-MAX_RELAYS_ASKED = 3
+# Peers that are asked in turn to relay a call or a probe. Most may be cut off as well,
+# and refuse at once.
+MAX_RELAYS_ASKED = 6
+# Peers among them that may leave the question unanswered.
+MAX_SILENT_RELAYS = 2
 # An engine that wants no requests of this host may get two of them.
 MAX_PROBES_IN_REST = 1
 # Interval at which one engine that is reached through peers is probed directly.
@@ -174,10 +177,14 @@
         paths = self._list_relayed_paths()
         paths.sort(key=lambda path: path.relay not in in_use)
         result = ProbeResult(ProbeOutcome.NO_ANSWER, "no peer to relay")
+        silent_relays = 0
         for path in paths[:MAX_RELAYS_ASKED]:
             result = await self._probe_through(path, entry)
             if result.outcome is not ProbeOutcome.RELAY_FAILED:
                 return result
+            silent_relays += not result.is_answered
+            if silent_relays >= MAX_SILENT_RELAYS:
+                break
         # A peer that replies and relays nothing shows nothing about the engine.
         has_replied = result.is_answered
         outcome = ProbeOutcome.RESTING if has_replied else ProbeOutcome.NO_ANSWER
@@ -212,9 +219,6 @@
         found = await self._ask_peers(entry)
         state = self._engines.get(entry.name)
         if found is None or state is None or state.entry.born_ms != entry.born_ms:
-            if state is not None:
-                event = "engine unreachable for peers too"
-                self._set_relayed(state, False, event, result.detail)
             return result
         if found.outcome is ProbeOutcome.ENDED:
             return found
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -5,7 +5,11 @@
 
 from loguru import logger
 
-from sapphirerock.connection.errors import DeadlineExceeded, UpstreamUnreachable
+from sapphirerock.connection.errors import (
+    DeadlineExceeded,
+    RelayUnavailable,
+    UpstreamUnreachable,
+)
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.decisions.turns import choose_max_wait
@@ -233,6 +237,9 @@
         self._log.bind(engine=state.name, cause=repr(failure)).info("attempt failed")
         if isinstance(failure, DeadlineExceeded):
             return PlainCallOutcome.DEADLINE_EXCEEDED
+        if isinstance(failure, RelayUnavailable):
+            # No peer relays now, which shows nothing about the engine.
+            return PlainCallOutcome.NOT_RUN
         if isinstance(failure, UpstreamUnreachable):
             self._runtime.fleet.report_unreachable(state, failure)
             return PlainCallOutcome.NOT_RUN
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -8,6 +8,7 @@
 from sapphirerock.connection.errors import (
     AttemptInterrupted,
     DeadlineExceeded,
+    RelayUnavailable,
     UpstreamUnreachable,
 )
 from sapphirerock.connection.eventsplitter import EventOversized, EventSplitter
@@ -466,6 +467,9 @@
         )
         if isinstance(failure, DeadlineExceeded):
             return StreamOutcome.DEADLINE_EXCEEDED
+        if isinstance(failure, RelayUnavailable):
+            # No peer relays now, which shows nothing about the engine.
+            return StreamOutcome.NOT_RUN
         if isinstance(failure, UpstreamUnreachable):
             self._runtime.fleet.report_unreachable(attempt.state, failure)
             return StreamOutcome.NOT_RUN
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -11,10 +11,10 @@
     DeadlineExceeded,
     RelayUnavailable,
     UpstreamBroken,
-    UpstreamUnreachable,
 )
 from sapphirerock.connection.response import BufferedResponse
 from sapphirerock.connection.upstream import OutboundRequest, open_response, read_body
+from sapphirerock.process.engines.paths import MAX_SILENT_RELAYS
 
 
 class UpstreamAttempt:
@@ -153,17 +153,20 @@
         Returns
         -------
         expression.Result of ResponseHead or ConnectionFailure
+            After `UpstreamUnreachable` and `RelayUnavailable` nothing was sent.
         """
         call, entry, runtime = self.call, self.state.entry, self._runtime
         runtime.crash_watch.log_send(self.state, call)
         sent_s = runtime.clock.monotonic()
         opened = Error(RelayUnavailable(entry.name, "no peer to relay", True))
+        silent_relays = 0
         for path in runtime.paths.list_paths(self.state):
             opened = await self._open_on_path(path, continuation)
             if not is_relay_failure(opened):
                 break
-        if is_relay_failure(opened):
-            return Error(UpstreamUnreachable(entry.name, refused=False))
+            silent_relays += not opened.error.has_replied
+            if silent_relays >= MAX_SILENT_RELAYS:
+                break
         if opened.is_error():
             return opened
         self._response = opened.ok
