Stream origins: records survive the end of all hosts

While a service has, or had within a minute, several versions, one live host now writes the records of all hosts to one object in the store, at most every 0.5 s and only if there are new ones. Hosts load them when they start; a take-up waits up to 0.5 s for that. Without a second version nothing is written. Weighed against it: to ask the engines (they list their runs only while these last, and runs end with the connections of killed hosts; copies have no time), a write for each stream (up to 60 a second where deployments have grown).

Nine tables replay writes, lost answers and odd objects.

--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -16,6 +16,7 @@
       | three hosts are killed and an engine crashes                 | 0.9   |
       | five hosts are killed                                        | 0.9   |
       | three hosts are killed and start again                       | 0.9   |
+      | all hosts are killed and start again                         | 0.9   |
 
   Scenario Outline: Streams that can't go on end at once: <trouble>
     Given a shared platform with 6 edges and 6 model engines, three of each of two versions
@@ -26,8 +27,7 @@
     Examples:
       | trouble                                                          | ending                      | bound |
       | all engines of one version crash and start again as another      | that version                | 3     |
-      | all hosts are killed and start again                             | all versions                | 3     |
-      | all hosts are killed while the engines of one version are replaced | all versions              | 3     |
+      | all hosts are killed while the engines of one version are replaced | that version              | 3     |
 
   Scenario: Streams of the only version go on when all hosts have started again
     Given a shared platform with 6 edges and 6 model engines, three of each of two versions
@@ -105,3 +105,20 @@
     When one stream more begins on it than it can record
     Then it knows where the last streams began, and not where the first did
     And it has logged once that it dropped 1 record
+
+  Scenario Outline: Records of streams in the store: <events>
+    Given hosts that keep records of streams in the store
+    When these things happen: <events>
+    Then a host that starts now knows the streams <known>, after <writes> writes
+
+    Examples:
+      | events                                                               | known | writes |
+      | stream 1 begins on v1, a second passes                                | none  | 0      |
+      | v2 appears, stream 1 begins on v1, a second passes                    | 1     | 1      |
+      | stream 1 begins on v1, v2 appears, a second passes                    | 1     | 1      |
+      | v2 appears, stream 1 begins on v1, a second passes, a second passes   | 1     | 1      |
+      | v2 appears, stream 1 begins on v1, a second passes, stream 2 begins on v2, a second passes | 1, 2 | 2 |
+      | v2 appears, stream 1 begins on v1, the answer is lost, a second passes, a second passes | 1 | 1 |
+      | v2 appears, stream 1 begins on v1, the store fails, a second passes, a second passes    | 1 | 1 |
+      | v2 appears, stream 1 begins on v1, a second passes, an odd object is written            | 1 | 1 |
+      | v2 appears, stream 1 begins on v1, a second passes, a minute passes, stream 2 begins on v2, a second passes | 2 | 2 |
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -20,6 +20,7 @@
     ObjectPage,
     StoreConflict,
     StoredObject,
+    StoreUnavailable,
 )
 from sapphirerock.decisions.placement import EngineView
 from sapphirerock.decisions.streamversions import (
@@ -34,6 +35,7 @@
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.engines.versionhistory import VersionHistory
 from sapphirerock.process.peers.hosts import HostTable
+from sapphirerock.process.peers.storedorigins import StoredOrigins
 from sapphirerock.process.peers.streamorigins import MAX_RECORDS, StreamOriginTable
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.settings.hostsettings import HostAddress
@@ -749,3 +751,90 @@
 @then("it has logged once that it dropped 1 record")
 def check_drop_logged(context):
     assert context.log_lines == ["stream origins dropped 1"], context.log_lines
+
+
+class RecordStore:
+    """Store of the records of streams, with lost answers and failures."""
+
+    def __init__(self):
+        self.objects = {}
+        self.writes = 0
+        self.fault = ""
+        self._revision = 1
+
+    async def list_all(self, kind):
+        """Return all objects."""
+        return Ok(SimpleNamespace(objects=tuple(self.objects.values())))
+
+    async def _write(self, name, spec):
+        if self.fault == "fails":
+            self.fault = ""
+            return Error(StoreUnavailable("down", may_have_run=False))
+        self.writes += 1
+        self._revision += 1
+        self.objects[name] = StoredObject(name, self._revision, spec)
+        if self.fault == "lost":
+            self.fault = ""
+            return Error(StoreUnavailable("answer lost"))
+        return Ok(self.objects[name])
+
+    async def create(self, kind, name, spec):
+        """Create an object that must not exist."""
+        if name in self.objects:
+            return Error(StoreConflict(self.objects[name]))
+        return await self._write(name, spec)
+
+    async def replace(self, kind, name, spec, revision):
+        """Replace an object that must have a revision."""
+        current = self.objects.get(name)
+        if current is None or current.revision != revision:
+            return Error(StoreConflict(current))
+        return await self._write(name, spec)
+
+
+def make_stored_origins(context, name):
+    """Return the records of a host with the names of its store."""
+    host = OriginHost(name, "zone-a", context.clock)
+    host.hosts.list_live = lambda: []
+    host.is_shutting_down = False
+    versions = SimpleNamespace(list_versions=lambda service: context.versions)
+    stored = StoredOrigins(host.table, versions, host, context.store, context.clock)
+    return host, stored
+
+
+@given("hosts that keep records of streams in the store")
+def make_record_hosts(context):
+    context.clock, context.store = ManualClock(), RecordStore()
+    context.versions = {"v1"}
+    context.host, context.stored = make_stored_origins(context, "a")
+
+
+@when("these things happen: {events}")
+def change_records(context, events):
+    for event in events.split(", "):
+        words = event.split()
+        if words[0] == "stream":
+            origin = StreamOrigin("chat", words[4])
+            context.host.table.record(f"stream-{words[1]}", origin, 30.0)
+        elif words[-1] == "appears":
+            context.versions = context.versions | {words[0]}
+        elif words[-1] in ("lost", "fails"):
+            context.store.fault = words[-1]
+        elif words[-1] == "written":
+            context.store.objects["odd"] = StoredObject("odd", 1, {"groups": [[7]]})
+        else:
+            context.clock.advance(60.0 if "minute" in words else 1.0)
+            context.run(context.stored.write_new())
+
+
+@then("a host that starts now knows the streams {known}, after {writes:d} writes")
+def check_known_streams(context, known, writes):
+    host, stored = make_stored_origins(context, "b")
+    context.run(stored.load())
+    found = {
+        number
+        for number in ("1", "2")
+        if host.table.find(f"stream-{number}") is not None
+    }
+    assert found == (set() if known == "none" else set(known.split(", "))), found
+    assert context.store.writes == writes, context.store.writes
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -14,14 +14,15 @@
 CONFIGURATION_NAME = "main"
 ENGINES_KIND = "servers"
 # Kinds that routers define: addresses of the routers, settings of operators, claims on
-# orders, leases, requests that are blocked because they crash engines, and software
-# versions of engines.
+# orders, leases, requests that are blocked because they crash engines, software
+# versions of engines, and origins of streams.
 ROUTERS_KIND = "sapphirerock-routers"
 SETTINGS_KIND = "sapphirerock-settings"
 CLAIMS_KIND = "sapphirerock-claims"
 LEASES_KIND = "sapphirerock-leases"
 BLOCKED_REQUESTS_KIND = "sapphirerock-blocked-requests"
 ENGINE_VERSIONS_KIND = "sapphirerock-engine-versions"
+STREAM_ORIGINS_KIND = "sapphirerock-stream-origins"
 
 ATTEMPT_ID = "Sapphirerock-Attempt-Id"
 DEADLINE = "Sapphirerock-Deadline-Ms"
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -56,6 +56,7 @@
 from sapphirerock.process.peers.loadsharing import LoadSharing
 from sapphirerock.process.peers.membership import MEMBERSHIP_WATCH_TIMEOUT_S, Membership
 from sapphirerock.process.peers.relayserver import RelayServer
+from sapphirerock.process.peers.storedorigins import StoredOrigins
 from sapphirerock.process.peers.streamorigins import StreamOriginTable
 from sapphirerock.process.peers.table import PeerTable
 from sapphirerock.process.replicas.feed import ObjectFeed, ReplicatedKind
@@ -118,6 +119,7 @@
             self.membership,
             self.load_sharing,
             self.stream_origins,
+            self.stored_origins,
             self.version_history,
             self.crash_log_exchange,
             self.blocked_requests,
@@ -217,6 +219,9 @@
         )
         self.load_sharing = LoadSharing(self.engines, self.peers, clock)
         self.stream_origins = StreamOriginTable(self.peers, clock)
+        self.stored_origins = StoredOrigins(
+            self.stream_origins, self.engines, self.peers, self.store, clock
+        )
         self.version_history = VersionHistory(
             self.engines, self.feed, self.hosts, self.store, clock
         )
@@ -292,6 +297,7 @@
             engine_rests=EngineRestTable(self.engines, self.peers, clock),
             engine_statements=engine_statements,
             stream_origins=self.stream_origins,
+            stored_origins=self.stored_origins,
             version_history=self.version_history,
             admission=self.admission,
             retry_budget=self.retry_budget,
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -31,6 +31,8 @@
         What engines state of themselves in responses.
     stream_origins : StreamOriginTable
         Where streams of all hosts began.
+    stored_origins : StoredOrigins
+        Records of streams in the store.
     version_history : VersionHistory
         Versions that engines had, and whether these are all.
     admission : AdmissionQueue
@@ -56,6 +58,7 @@
     engine_rests: object
     engine_statements: object
     stream_origins: object
+    stored_origins: object
     version_history: object
     admission: object
     retry_budget: object
--- /dev/null
+++ b/src/sapphirerock/process/peers/storedorigins.py
@@ -0,0 +1,177 @@
+"""Origins of streams in the store, for the case that all hosts end at once.
+
+While the engines of a service have, or lately had, several software versions, one live
+host writes the records of all hosts to the store, and each host loads them when it
+starts.
+"""
+
+import asyncio
+import base64
+from functools import partial
+
+from expression import Ok
+from loguru import logger
+from mode import Service
+
+from sapphirerock.connection.storeobjects import ObjectMissing, StoreConflict
+from sapphirerock.platform.names import STREAM_ORIGINS_KIND
+from sapphirerock.process.peers.owners import find_owner
+from sapphirerock.process.storeretry import retry_store_call
+
+# A stream that is younger than this when all hosts end may have no record.
+WRITE_INTERVAL_S = 0.5
+# Records of the oldest streams are left out beyond this, which is 600 KB of the 1 MB
+# that an object may have.
+MAX_STORED_RECORDS = 50_000
+# Longer than the timeout of any caller; then nothing in an object is of use.
+OBJECT_TTL_S = 120.0
+STORE_FAILURE = "store call for stream origins failed"
+WRITTEN_AT = "written_at"
+GROUPS = "groups"
+
+
+class StoredOrigins(Service):
+    """Keeps records of streams in the store.
+
+    Parameters
+    ----------
+    origins : StreamOriginTable
+        Records of the streams of all hosts.
+    engines : EngineTable
+        Knows the software versions of services.
+    peers : PeerTable
+        Knows the live hosts, one of which writes.
+    store : StoreClient
+        The store.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, origins, engines, peers, store, clock, **kwargs):
+        super().__init__(**kwargs)
+        self._origins = origins
+        self._engines = engines
+        self._peers = peers
+        self._store = store
+        self._clock = clock
+        self._loaded = asyncio.Event()
+        self._revision = None
+        self._written_keys = frozenset()
+
+    async def wait_until_loaded(self, timeout_s):
+        """Wait until the records in the store are known, at most for a time."""
+        if self._loaded.is_set():
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._loaded.wait()
+        except TimeoutError:
+            logger.bind(timeout_s=timeout_s).info("stream origins not loaded yet")
+
+    @Service.task
+    async def _keep(self):
+        await self.load()
+        while not self.should_stop:
+            await self._clock.sleep(WRITE_INTERVAL_S)
+            await self.write_new()
+
+    async def load(self):
+        """Load the records in the store, and delete objects that are of no use."""
+        page = await retry_store_call(
+            partial(self._store.list_all, STREAM_ORIGINS_KIND),
+            self._clock,
+            STORE_FAILURE,
+            operation="list",
+        )
+        loaded = 0
+        for item in page.objects:
+            groups = decode_groups(item.spec)
+            if groups is None:
+                logger.bind(entry=item.name).warning("invalid stream origins ignored")
+                continue
+            loaded += self._origins.load_groups(groups)
+            if item.name == self._own_host:
+                self._revision = item.revision
+        self._loaded.set()
+        logger.bind(records=loaded, objects=len(page.objects)).info(
+            "stream origins loaded"
+        )
+        await self._delete_old(page.objects)
+
+    async def _delete_old(self, objects):
+        now_s = self._clock.now().timestamp()
+        for item in objects:
+            written_at = item.spec.get(WRITTEN_AT) if isinstance(item.spec, dict) else 0
+            age_s = now_s - written_at if isinstance(written_at, int | float) else now_s
+            if item.name != self._own_host and age_s > OBJECT_TTL_S:
+                deleted = await self._store.delete(
+                    STREAM_ORIGINS_KIND, item.name, item.revision
+                )
+                if deleted.is_error():
+                    logger.bind(operation="delete", cause=repr(deleted.error)).info(
+                        STORE_FAILURE
+                    )
+
+    @property
+    def _own_host(self):
+        return self._peers.hosts.own_address.host
+
+    async def write_new(self):
+        """Write the records if there are new ones of a service with several versions.
+
+        A failed write is repeated with the next one.
+        """
+        if find_owner(self._peers, STREAM_ORIGINS_KIND) != self._own_host:
+            return
+        keys = self._origins.list_keys(self._has_several_versions, MAX_STORED_RECORDS)
+        if self._written_keys.issuperset(keys):
+            return
+        spec = encode_groups(self._origins.export(keys), self._clock.now().timestamp())
+        written = await self._write(spec)
+        if written.is_error():
+            logger.bind(operation="write", cause=repr(written.error)).info(
+                STORE_FAILURE
+            )
+            return
+        self._written_keys = frozenset(keys)
+
+    def _has_several_versions(self, origin):
+        return len(self._engines.list_versions(origin.service)) > 1
+
+    async def _write(self, spec):
+        """Create or replace this host's object; return the Result of the call."""
+        kind, name = STREAM_ORIGINS_KIND, self._own_host
+        if self._revision is None:
+            written = await self._store.create(kind, name, spec)
+        else:
+            written = await self._store.replace(kind, name, spec, self._revision)
+        if written.is_ok():
+            self._revision = written.ok.revision
+            return Ok(None)
+        failure = written.error
+        if isinstance(failure, StoreConflict) and failure.current is not None:
+            # An earlier write of this host took effect without an answer.
+            self._revision = failure.current.revision
+        elif isinstance(failure, StoreConflict | ObjectMissing):
+            self._revision = None
+        return written
+
+
+def encode_groups(groups, written_at):
+    """Return the content of an object with groups of records."""
+    encoded = [
+        [service, version, ttl_s, base64.b64encode(keys).decode()]
+        for service, version, ttl_s, keys in groups
+    ]
+    return {WRITTEN_AT: written_at, GROUPS: encoded}
+
+
+def decode_groups(spec):
+    """Return the groups of records in an object; None if it is malformed."""
+    try:
+        return [
+            [str(service), str(version), float(ttl_s), base64.b64decode(keys)]
+            for service, version, ttl_s, keys in spec[GROUPS]
+        ]
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
+        return None
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -96,6 +96,43 @@
         if self._peers.is_hub(own_host):
             self._pending[own_host].append(key)
 
+    def list_keys(self, selects, limit):
+        """Return the keys of the newest records that have not expired.
+
+        Parameters
+        ----------
+        selects : callable
+            Takes an origin; returns whether its records are wanted.
+        limit : int
+            Largest number of keys.
+        """
+        now_s = self._clock.monotonic()
+        origins = {record.origin for record in self._records.values()}
+        wanted = {origin for origin in origins if selects(origin)}
+        keys = [
+            key
+            for key, record in self._records.items()
+            if record.expires_s > now_s and record.origin in wanted
+        ]
+        return keys[-limit:]
+
+    def export(self, keys):
+        """Return groups of [service, version, seconds until expiry, keys]."""
+        return self._make_message(keys).groups
+
+    def load_groups(self, groups):
+        """Store the records in groups without sending them on; return their number."""
+        now_s = self._clock.monotonic()
+        count = 0
+        for service, version, ttl_s, keys in groups:
+            record = OriginRecord(StreamOrigin(service, version), now_s + ttl_s)
+            for start in range(0, len(keys), KEY_BYTES):
+                key = keys[start : start + KEY_BYTES]
+                if key not in self._records:
+                    self._store(key, record)
+                    count += 1
+        return count
+
     def _store(self, key, record):
         self._records[key] = record
         if len(self._records) > MAX_RECORDS:
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -35,6 +35,8 @@
 SHUTDOWN_RETRY_AFTER_S = 0.1
 # Another host may know where the stream began.
 TAKE_UP_RETRY_AFTER_S = 0.5
+# A host that has just started loads the records of streams within this time.
+ORIGINS_WAIT_S = 0.5
 
 
 class CallHandler:
@@ -148,6 +150,8 @@
         priority = caller.priority if caller else None
         origin = None
         if route.kind is RouteKind.STREAMING and metadata.takes_up_stream:
+            if metadata.resumed_attempt_id:
+                await self._runtime.stored_origins.wait_until_loaded(ORIGINS_WAIT_S)
             choice = self._choose_origin(route, metadata)
             if choice.origin is None:
                 problem = Problem(GENERATION_LOST, choice.reason, TAKE_UP_RETRY_AFTER_S)
