Engine responses: a refusal that names no attempt is not believed

Here each exchange has its own connection, also through peers and to the store, so that an earlier answer cannot come with a later request; new scenarios show it for all three.

A statement that a call was not executed must now name the attempt, as engines do; without it the outcome is unknown.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -117,3 +117,26 @@
       | silent  | answers probes            | usable | goes on          |
       | crashed | refuses connections       | down   | is interrupted   |
       | silent  | never answers             | down   | is interrupted   |
+
+  Scenario Outline: An answer that is written once more is never taken for another request's: <connections>
+    Given an engine or store that sends each answer, and once more the refusal before it
+    When 10 requests are sent one after the other on <connections>
+    Then each request gets its own answer
+
+    Examples:
+      | connections                     |
+      | direct connections to an engine |
+      | connections through a peer      |
+      | connections to the store        |
+
+  Scenario Outline: An answer that comes before its request is not taken for its answer: <connections>, <refusal>
+    Given an engine that sends a refusal <refusal> before it gets a request
+    When one request is sent to it on <connections>
+    Then it is not known whether the request ran
+
+    Examples:
+      | connections                     | refusal                |
+      | direct connections to an engine | without an id          |
+      | direct connections to an engine | of an earlier request  |
+      | connections through a peer      | without an id          |
+      | connections through a peer      | of an earlier request  |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,6 +1,7 @@
 """Steps on connections to engines that a peer relays."""
 
 import asyncio
+import json
 import random
 import re
 import socket
@@ -25,6 +26,8 @@
 )
 from sapphirerock.connection.messages import Hello, encode_frame
 from sapphirerock.connection.relay import make_relay_session
+from sapphirerock.connection.sessions import make_session
+from sapphirerock.connection.store import StoreClient
 from sapphirerock.connection.upstream import (
     OutboundRequest,
     make_upstream_session,
@@ -48,6 +51,7 @@
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
+from sapphirerock.process.telemetry.metrics import Metrics
 from sapphirerock.version.engineentry import EngineEntry
 
 LOOPBACK = "127.0.0.1"
@@ -712,3 +716,101 @@
     assert host.engines.is_usable(context.state) is (state == "usable")
     assert bool(context.state.attempts) is (attempt == "goes on")
     assert state == "down" or host.crash_log.is_empty
+
+
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nSapphirerock-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+async def send_answer_twice(engine, writer):
+    """Send the number of the request as its answer, and a refusal after it."""
+    number = b"%d" % len(engine.requests)
+    body = b'{"metadata":{"name":"%b","revision":%b},"spec":{}}' % (number, number)
+    await engine.send(
+        writer, HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body + REFUSAL
+    )
+    # The connection stays open, as one that is kept.
+    await asyncio.sleep(0.2)
+
+
+async def open_connections(context, connections):
+    """Return the session of a host, and the address that it sends to."""
+    context.address = await context.engine.start()
+    if connections == "connections through a peer":
+        context.peer = RelayingPeer()
+        await context.peer.start()
+        context.peer.add_engine(context.address)
+        return context.peer.make_session()
+    return make_upstream_session(LOOPBACK)
+
+
+@given("an engine or store that sends each answer, and once more the refusal before it")
+def make_repeating_engine(context):
+    context.engine = RawEngine(send_answer_twice)
+
+
+@when("{count:d} requests are sent one after the other on {connections}")
+def send_in_turn(context, count, connections):
+    async def run():
+        if connections == "connections to the store":
+            address = await context.engine.start()
+            session = make_session(LOOPBACK, force_close=True)
+            store = StoreClient(session, f"http://{address}", Metrics())
+            read = [await store.read("servers", "a") for _ in range(count)]
+            context.answers = [item.ok.name for item in read]
+        else:
+            session = await open_connections(context, connections)
+            context.answers = []
+            for _ in range(count):
+                opened = await send_order(session, context.address)
+                body = (await read_body("e1", opened.ok)).ok
+                context.answers.append(json.loads(body)["metadata"]["name"])
+                opened.ok.close()
+        await session.close()
+
+    context.run(run())
+
+
+@then("each request gets its own answer")
+def check_own_answers(context):
+    assert context.answers == [str(number + 1) for number in range(10)], context.answers
+
+
+class EarlyEngine(RawEngine):
+    """An engine that sends a refusal as soon as a connection opens."""
+
+    refusal = REFUSAL
+
+    async def _serve(self, reader, writer):
+        writer.write(self.refusal)
+        await super()._serve(reader, writer)
+
+
+@given("an engine that sends a refusal {refusal} before it gets a request")
+def make_early_engine(context, refusal):
+    context.engine = EarlyEngine(send_nothing)
+    if refusal == "of an earlier request":
+        status_line, rest = REFUSAL.split(b"\r\n", 1)
+        attempt_id = b"Sapphirerock-Attempt-Id: ffffffffffffffff"
+        context.engine.refusal = b"\r\n".join([status_line, attempt_id, rest])
+
+
+@when("one request is sent to it on {connections}")
+def send_after_answer(context, connections):
+    async def run():
+        session = await open_connections(context, connections)
+        opened = await send_order(session, context.address)
+        context.head = None
+        if opened.is_ok():
+            context.head = PlatformDialect().decode_response_head(opened.ok)
+        await session.close()
+
+    context.run(run())
+
+
+@then("it is not known whether the request ran")
+def check_unknown(context):
+    # Without a head the connection broke, after which a request may have run.
+    assert context.head is None or not context.head.matches_attempt("9c41d07be2a35f68")
--- a/src/sapphirerock/connection/response.py
+++ b/src/sapphirerock/connection/response.py
@@ -84,8 +84,12 @@
     def matches_attempt(self, attempt_id):
         """Return whether this can be the response to an attempt.
 
-        A 2xx response must have the engine's seal.
+        A 2xx response must have the engine's seal. A statement that the call was not
+        executed must name the attempt, since a call that has run may be sent again
+        because of it.
         """
+        if self.attempt_id is None and self.was_not_executed:
+            return False
         if self.attempt_id is not None and self.attempt_id != attempt_id:
             return False
         if self.is_encoded:
