Engine paths: a host asks peers about engines that it uses, once a second

A host that relays and can't connect checked the engine itself, by asking three more peers, which did the same: an engine that is down would be asked for by all hosts again and again. Engines without a call or an answer within 5 s are not checked, and each at most once a second.

Tests of brittle and of limited engines share the start of their cluster.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -101,6 +101,16 @@
       | never answers        | no peers                                 | down                       |
       | never answers        | three peers that never answer            | down                       |
 
+  Scenario Outline: A host asks peers about engines that it uses, and once a second: <engine>
+    Given a host that can't reach an engine that refuses connections, and three peers that don't reach it
+    When the host <engine>, and fails to connect 5 times
+    Then it has asked its peers <times>
+
+    Examples:
+      | engine                                  | times   |
+      | called the engine a second ago          | 1 time  |
+      | called the engine a minute ago          | 0 times |
+
   Scenario: An engine that was reached through peers is not tried directly because they are busy
     Given a host that can't reach an engine that never answers, and three peers that never answer
     When the host has reached the engine through peers, and checks it
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -9,10 +9,8 @@
 from behave import given, then, when
 from expression import Ok
 from multidict import CIMultiDict
-from tools.sharedcluster import SharedCluster, make_configuration
 
-from features.steps.edge_steps import ZONES, has_engines
-from features.steps.enginelimit_steps import send_call
+from features.steps.enginelimit_steps import send_call, start_in_waves
 from sapphirerock.decisions.slots import EngineRoom, SlotDemand, SlotSchedule
 from sapphirerock.platform.dialect import PlatformDialect
 from sapphirerock.process.clock import ManualClock
@@ -29,7 +27,6 @@
 CONTACT_S = 4.0
 # Prefill and 20 events of a stream.
 STREAM_S = 0.1 + 20 * 0.02
-EDGES_STARTED_TOGETHER = 8
 
 
 @given(
@@ -37,31 +34,7 @@
     "calls of 50 ms"
 )
 def start_brittle_engines(context, edges):
-    async def run():
-        world = context.world
-        world.cluster = cluster = SharedCluster("brittle")
-        cluster.add_platform()
-        await cluster.wait_ready("platform")
-        for number in range(edges):
-            cluster.plan_edge(f"edge-{number}", *ZONES[number % len(ZONES)])
-        for service in ("shop", "model"):
-            for number in range(ENGINES):
-                zone = ZONES[number][0]
-                cluster.add_shared_engine(
-                    f"{service}-{number}", service, zone, slots=SLOTS, work=WORK_S
-                )
-        await cluster.put_configuration(make_configuration())
-        names = list(cluster.edges)
-        for first in range(0, edges, EDGES_STARTED_TOGETHER):
-            started = names[first : first + EDGES_STARTED_TOGETHER]
-            for name in started:
-                cluster.start_edge(name)
-            await cluster.wait_edges_ready(*started)
-        await world.wait_until(
-            lambda: has_engines(context, 2 * ENGINES), "engines are known"
-        )
-
-    context.run(run())
+    context.run(start_in_waves(context, "brittle", edges, slots=SLOTS, work=WORK_S))
 
 
 @when(
--- a/features/steps/enginelimit_steps.py
+++ b/features/steps/enginelimit_steps.py
@@ -49,34 +49,38 @@
     return register
 
 
+async def start_in_waves(context, name, edges, **options):
+    """Start edges, a few at a time, and an engine of each service in each zone.
+
+    The options are those of the engine stand-ins.
+    """
+    world = context.world
+    world.cluster = cluster = SharedCluster(name)
+    cluster.add_platform()
+    await cluster.wait_ready("platform")
+    for number in range(edges):
+        cluster.plan_edge(f"edge-{number}", *ZONES[number % len(ZONES)])
+    for service in ("shop", "model"):
+        for number, (zone, _) in enumerate(ZONES):
+            cluster.add_shared_engine(f"{service}-{number}", service, zone, **options)
+    await cluster.put_configuration(make_configuration())
+    names = list(cluster.edges)
+    for first in range(0, edges, EDGES_STARTED_TOGETHER):
+        started = names[first : first + EDGES_STARTED_TOGETHER]
+        for edge in started:
+            cluster.start_edge(edge)
+        await cluster.wait_edges_ready(*started)
+    await world.wait_until(
+        lambda: has_engines(context, 2 * len(ZONES)), "engines are known"
+    )
+
+
 @given(
     "a shared platform with {edges:d} edges and 3 plain engines that accept 2.5, 2.0 "
     "and 1.5 requests a second"
 )
 def start_limited_engines(context, edges):
-    async def run():
-        world = context.world
-        world.cluster = cluster = SharedCluster("limits")
-        cluster.add_platform()
-        await cluster.wait_ready("platform")
-        for number in range(edges):
-            cluster.plan_edge(f"edge-{number}", *ZONES[number % len(ZONES)])
-        for service in ("shop", "model"):
-            for number in range(len(LIMITS_PER_S)):
-                zone = ZONES[number][0]
-                cluster.add_shared_engine(f"{service}-{number}", service, zone)
-        await cluster.put_configuration(make_configuration())
-        names = list(cluster.edges)
-        for first in range(0, edges, EDGES_STARTED_TOGETHER):
-            started = names[first : first + EDGES_STARTED_TOGETHER]
-            for name in started:
-                cluster.start_edge(name)
-            await cluster.wait_edges_ready(*started)
-        await world.wait_until(
-            lambda: has_engines(context, 2 * len(LIMITS_PER_S)), "engines are known"
-        )
-
-    context.run(run())
+    context.run(start_in_waves(context, "limits", edges))
 
 
 @register_trouble("nothing else happens")
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -658,6 +658,7 @@
 def check_engine(context):
     async def run():
         host = context.host
+        host.state.record_received(host.clock.monotonic())
         host.engines.mark_down(host.state, "refused")
         host.paths.check(host.state)
         await asyncio.sleep(0.8)
@@ -814,3 +815,31 @@
 def check_unknown(context):
     # Without a head the connection broke, after which a request may have run.
     assert context.head is None or not context.head.matches_attempt("9c41d07be2a35f68")
+
+
+@when("the host called the engine a {unit} ago, and fails to connect {count:d} times")
+def fail_to_connect(context, unit, count):
+    async def run():
+        host = context.host
+        age_s = {"second": 1.0, "minute": 60.0}[unit]
+        host.state.record_received(host.clock.monotonic() - age_s)
+        context.asked = 0
+        ask_peers = host.paths._ask_peers
+
+        async def count_questions(entry):
+            context.asked += 1
+            return await ask_peers(entry)
+
+        host.paths._ask_peers = count_questions
+        for _ in range(count):
+            host.paths.check(host.state)
+            await asyncio.sleep(0.1)
+        await host.paths.on_stop()
+        await host.session.close()
+
+    context.run(run())
+
+
+@then("it has asked its peers {times:d} {unit:w}")
+def check_questions(context, times, unit):
+    assert context.asked == times, context.asked
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -31,6 +31,11 @@
 MAX_PROBES_IN_REST = 1
 # Interval at which one engine that is reached through peers is probed directly.
 RECHECK_INTERVAL_S = 0.5
+# An engine counts as used by this host for this time after a call or an answer.
+USED_ENGINE_S = 5.0
+# Peers are asked about one engine at most this often.
+CHECK_INTERVAL_S = 1.0
+MAX_CHECKED_ENGINES = 1_000
 # After a path was lost, the paths to all other engines are checked once in this time.
 CHECK_ALL_INTERVAL_S = 2.0
 
@@ -82,7 +87,7 @@
         self._generator = generator
         self._relay_sessions = {}
         self._relay_failed_at_s = {}
-        self._pending_checks = set()
+        self._checked_at_s = {}
         self._checked_all_at_s = -CHECK_ALL_INTERVAL_S
         self._tasks = BackgroundTasks()
         self._metrics = metrics
@@ -268,17 +273,24 @@
         ).warning(event)
 
     def check(self, state):
-        """Find out in the background whether peers reach an engine."""
-        if state.name not in self._pending_checks:
-            self._pending_checks.add(state.name)
-            self._tasks.spawn(self._check(state))
+        """Find out in the background whether peers reach an engine.
+
+        Engines that this host does not use are not checked, nor those that were a
+        moment ago: a peer that can't connect for this host checks them as well.
+        """
+        now_s = self._clock.monotonic()
+        is_used = now_s - state.last_received_s <= USED_ENGINE_S
+        checked_s = self._checked_at_s.get(state.name, -CHECK_INTERVAL_S)
+        if not is_used or now_s - checked_s < CHECK_INTERVAL_S:
+            return
+        if len(self._checked_at_s) >= MAX_CHECKED_ENGINES:
+            self._checked_at_s.clear()
+        self._checked_at_s[state.name] = now_s
+        self._tasks.spawn(self._check(state))
 
     async def _check(self, state):
-        try:
-            unreachable = ProbeResult(ProbeOutcome.NO_ANSWER, "connection failed")
-            await self.confirm(state.entry, unreachable)
-        finally:
-            self._pending_checks.discard(state.name)
+        unreachable = ProbeResult(ProbeOutcome.NO_ANSWER, "connection failed")
+        await self.confirm(state.entry, unreachable)
 
     def _check_all_soon(self, found_state):
         """Check the direct paths to all other engines, since one was lost."""
