Crash watch: calls that can't be repeated wait for a silent engine

Orders at an engine that fell silent for 0.7 s ended in 502 although the engine went on and had run them: 6 of 6 in the scenario.

Cause: silence of 0.4 s interrupted all attempts at the engine, which for a call that can't be repeated only loses the answer. Such attempts now go on until the engine answers, is known to have ended, or their deadline.

--- a/features/enginecuts.feature
+++ b/features/enginecuts.feature
@@ -27,3 +27,14 @@
       | the other hosts restart in turn          |
       | one of the other hosts is killed         |
       | one of the other hosts freezes for 4 s   |
+
+  Scenario Outline: Calls at an engine that falls silent for <seconds> s get its answers: <kind>
+    Given a shared platform with 2 edges and 1 engine of each service in 1 zone
+    When the engines fall silent for <seconds> s while 6 <kind> run
+    Then all of them get the engine's answer, and each ran once
+
+    Examples:
+      | seconds | kind    |
+      | 0.7     | orders  |
+      | 0.2     | orders  |
+      | 0.2     | lookups |
--- a/features/steps/enginecut_steps.py
+++ b/features/steps/enginecut_steps.py
@@ -251,3 +251,37 @@
         if item.kind == "stream" and item.status == 200:
             wanted = list(range(1, len(item.events) + 1))
             assert item.events == wanted, (item.attempt_id, item.events)
+
+
+@given("a shared platform with {edges:d} edges and 1 engine of each service in 1 zone")
+def start_single_engine(context, edges):
+    context.run(start_cluster(context, edges, 1, work=0.1))
+
+
+@when("the engines fall silent for {seconds:g} s while {count:d} {kind} run")
+def silence_engines(context, seconds, count, kind):
+    async def run():
+        cluster = context.world.cluster
+        edges = list(cluster.edges.values())
+        context.results, context.started_s = [], time.monotonic()
+        kind_name = "order" if kind == "orders" else "stock"
+        tasks = [
+            asyncio.ensure_future(
+                send_one(context, edges[number % len(edges)], number + 1, kind_name)
+            )
+            for number in range(count)
+        ]
+        await asyncio.sleep(0.03)
+        await cluster.inject("shop-0", "freeze", seconds=seconds)
+        await asyncio.gather(*tasks)
+        context.runs = await cluster.list_runs()
+
+    context.run(run())
+
+
+@then("all of them get the engine's answer, and each ran once")
+def check_answers(context):
+    statuses = [item.status for item in context.results]
+    assert all(item.is_served for item in context.results), statuses
+    runs = Counter(run["attempt_id"] for runs in context.runs.values() for run in runs)
+    assert set(runs.values()) == {1}, runs
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -299,6 +299,7 @@
     def __init__(self, state, call):
         self.state = state
         self.call = call
+        self.is_repeatable = True
         state.attempts.add(self)
 
     def interrupt(self, cause):
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -368,9 +368,15 @@
             self._mark_down_and_interrupt(state, CRASHED)
 
     def _mark_down_and_interrupt(self, state, cause):
+        """Give an engine no new work, and interrupt its attempts.
+
+        A silent engine may answer later. An attempt that could not be repeated goes on
+        until then, or its deadline.
+        """
         self._engines.mark_down(state, cause)
         for attempt in list(state.attempts):
-            attempt.interrupt(cause)
+            if cause != SILENT or attempt.is_repeatable:
+                attempt.interrupt(cause)
 
     def _can_be_silent(self, state, cause):
         """Return whether a report of silence can be true of a usable engine."""
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -119,6 +119,11 @@
         if self.backup is not None:
             self.backup.local_load.copy_tokens += sign * self._memory_tokens
 
+    @property
+    def is_repeatable(self):
+        """Whether the call may be sent to another engine after this attempt."""
+        return self.call.route.may_retry
+
     def replace_backup(self, backup):
         """Use another backup engine, and move the load of the KV copy to it."""
         self._count_kv_copy(-1)
