--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -191,7 +191,9 @@
 
 def make_head(tolerance):
     """Return the head of a response that states a tolerance, or None."""
-    return SimpleNamespace(is_other_engine=False, refusal_tolerance=tolerance)
+    return SimpleNamespace(
+        is_other_engine=False, refusal_tolerance=tolerance, leaving=None
+    )
 
 
 @given("a host with an engine that stated a tolerance of {number:d}")
