Engine views: the tolerance of a service is looked up once for each choice

Each choice of an engine looked at all engines once for every engine that had not answered this host. Found in review; the cost was not measured.

--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -206,9 +206,14 @@
         capacity = self.get_memory_tokens(service)
         now_s = self._clock.monotonic()
         engines = self.engines
+        is_service_brittle = engines.get_service_tolerance(service) is not None
         return [
             make_view(
-                state, capacity, now_s, engines.get_refusal_tolerance(state) is not None
+                state,
+                capacity,
+                now_s,
+                state.refusal_tolerance is not None
+                or (is_service_brittle and not state.has_answered),
             )
             for state in engines.list_usable(service)
             if state.name not in excluded and version in (None, state.entry.version)
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -151,6 +151,11 @@
         """The engine's id."""
         return self.entry.name
 
+    @property
+    def has_answered(self):
+        """Whether it is known what the engine states of itself since its start."""
+        return self.refusal_tolerance is not None or self.answered_s > -math.inf
+
     @property
     def is_draining(self):
         """Whether the engine has registered or stated that it gets no new work."""
@@ -335,14 +340,24 @@
         An engine that has not answered this host since its start is taken to be as the
         most brittle one of its service.
         """
-        if state.refusal_tolerance is not None or state.answered_s > -math.inf:
+        if state.has_answered:
             return state.refusal_tolerance
+        return self.get_service_tolerance(state.entry.service)
+
+    def get_service_tolerance(self, service):
+        """Return the refusals a second that the most brittle engine of a service bears.
+
+        Returns
+        -------
+        float or None
+            None if no engine of the service is brittle.
+        """
         return min(
             (
-                other.refusal_tolerance
-                for other in self._states.values()
-                if other.entry.service == state.entry.service
-                and other.refusal_tolerance is not None
+                state.refusal_tolerance
+                for state in self._states.values()
+                if state.entry.service == service
+                and state.refusal_tolerance is not None
             ),
             default=None,
         )
