Engine paths: a relay that is late interrupts only calls that may be repeated

A peer that did not reply to a probe in time ended all attempts that it relays, orders too, whose connections may be sound. An engine whose registration changed while it was probed also counted as reached directly; its start decides now.

--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -113,7 +113,8 @@
     def report_relay(self, path, is_available, has_replied=True):
         """Record whether a peer relayed a connection.
 
-        If it did not even reply, the attempts that it relays are interrupted.
+        If it did not even reply, the attempts that it relays are interrupted, but for
+        those that could not be repeated.
         """
         if path.relay is None:
             return
@@ -130,7 +131,7 @@
     def _interrupt_attempts(self, relay):
         for state in self._engines.list_all():
             for attempt in list(state.attempts):
-                if attempt.relay == relay:
+                if attempt.relay == relay and attempt.is_repeatable:
                     attempt.interrupt("relay lost")
 
     def _list_relayed_paths(self):
@@ -172,7 +173,8 @@
 
     def _is_relayed(self, entry):
         state = self._engines.get(entry.name)
-        return state is not None and state.entry is entry and state.is_relayed
+        is_same_run = state is not None and state.entry.born_ms == entry.born_ms
+        return is_same_run and state.is_relayed
 
     async def probe(self, entry, timeout_s):
         """Probe an engine on the path that this host's calls to it take."""
