--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -80,6 +80,13 @@
 
     async def run(self):
         """Send the call to engines until one responds; forward the response."""
+        try:
+            await self._run()
+        finally:
+            if self._turns is not None:
+                self._turns.release()
+
+    async def _run(self):
         service = self._call.service
         self._runtime.retry_budget.add_call(service)
         while True:
