--- a/features/enginecuts.feature
+++ b/features/enginecuts.feature
@@ -28,6 +28,19 @@
       | one of the other hosts is killed         |
       | one of the other hosts freezes for 4 s   |
 
+  Scenario Outline: Callers of a host that is cut off from some engines: <engines>, <manner>
+    Given a shared platform with 3 edges and 3 engines of each service in 3 zones
+    When one host is cut off from <engines>, which <manner> its connections, for 10 seconds under 15 calls and 3 streams a second
+    Then from 4 seconds on, calls are served at the first attempt at the cut hosts as often as at the others
+    And after the cut all hosts serve their calls at the first attempt
+    And no call ran twice, was joined from two answers, or was refused after it ran
+
+    Examples:
+      | engines                   | manner |
+      | two engines of a service  | hang   |
+      | all engines of a service  | reset  |
+      | one engine of each service | hang  |
+
   Scenario Outline: Calls at an engine that falls silent for <seconds> s get its answers: <kind>
     Given a shared platform with 2 edges and 1 engine of each service in 1 zone
     When the engines fall silent for <seconds> s while 6 <kind> run
--- a/features/steps/enginecut_steps.py
+++ b/features/steps/enginecut_steps.py
@@ -23,7 +23,13 @@
 MIN_SERVED_BESIDE_TROUBLE = 0.9
 STREAM_EVENTS = 20
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+CUT_ENGINES = {
+    "two engines of a service": ("shop-0", "shop-1"),
+    "all engines of a service": ("model-0", "model-1", "model-2"),
+    "one engine of each service": ("shop-0", "model-0"),
+}
 CUTS = {
+    "one host": lambda edges: edges[:1],
     "a third of them": lambda edges: edges[::3],
     "a whole zone": lambda edges: [
         edge for edge in edges if edge.zone == edges[0].zone
@@ -144,21 +150,22 @@
     "engines {manner} the connections of {cut} for {seconds:d} seconds while "
     "{trouble}, beside {load}"
 )
-def send_beside_trouble(context, manner, cut, seconds, load, trouble):
+def send_beside_trouble(context, manner, cut, seconds, load, trouble, engines=()):
     async def run():
         cluster = context.world.cluster
         edges = list(cluster.edges.values())
         cut_edges = CUTS[cut](edges)
         context.cut_names = {edge.name for edge in cut_edges}
         source = ",".join(edge.address for edge in cut_edges)
-        engines = [name for name in cluster.urls if name != "platform"]
-        engines = [name for name in engines if name not in cluster.edges]
+        cut_engines = engines or [
+            name for name in cluster.urls if name.startswith(("shop", "model"))
+        ]
         context.results, context.started_s = [], time.monotonic()
         context.cut_at_s, context.cut_end_s = BEFORE_CUT_S, BEFORE_CUT_S + seconds
 
         async def cut_off():
             await asyncio.sleep(BEFORE_CUT_S)
-            for name in engines:
+            for name in cut_engines:
                 await cluster.inject(
                     name, "cut", seconds=float(seconds), manner=manner, source=source
                 )
@@ -203,6 +210,22 @@
     )
 
 
+@when(
+    "one host is cut off from {engines}, which {manner} its connections, for "
+    "{seconds:d} seconds under {load}"
+)
+def send_beside_partial_cut(context, engines, manner, seconds, load):
+    send_beside_trouble(
+        context,
+        manner,
+        "one host",
+        seconds,
+        load,
+        "nothing else happens",
+        CUT_ENGINES[engines],
+    )
+
+
 @then(
     "from {start:d} seconds on, calls are served at the first attempt at the cut hosts "
     "as often as at the others"
