--- a/src/sapphirerock/connection/relay.py
+++ b/src/sapphirerock/connection/relay.py
@@ -71,7 +71,7 @@
     def __init__(self, loop, address):
         super().__init__(loop)
         self.opened = loop.create_future()
-        # Nobody waits for it any more if the caller has given up meanwhile.
+        # Unread if the caller gave up before the peer replied.
         self.opened.add_done_callback(consume_exception)
         self._address = address
         self._unpacker = msgpack.Unpacker(max_buffer_size=RELAY_BUFFER_BYTES)
--- a/src/sapphirerock/decisions/relays.py
+++ b/src/sapphirerock/decisions/relays.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-# A peer that relayed no connection is not asked again for this time.
+# A peer that relayed no connection is asked after all others for this time.
 RELAY_RETRY_S = 3.0
 # Share of a service's engines that must be reached directly for the others to be left
 # out: fewer would be overloaded.
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -27,7 +27,8 @@
 MAX_RELAYS_ASKED = 6
 # Peers among them that may leave the question unanswered.
 MAX_SILENT_RELAYS = 2
-# An engine that wants no requests of this host may get two of them.
+# Probes of an engine that asked this host for rest. It may get two requests in a rest;
+# the other is left to a call that was under way.
 MAX_PROBES_IN_REST = 1
 # Interval at which one engine that is reached through peers is probed directly.
 RECHECK_INTERVAL_S = 0.5
