--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -68,6 +68,12 @@
       | lost       | of a blocked call                    | give up                |
       | time is up | with a KV copy                       | give up                |
       | no engine  | without a KV copy                    | give up                |
+      | silent     | with a KV copy                       | continue from the copy |
+      | silent     | without a KV copy                    | send again             |
+      | silent     | on as many engines as may run it     | give up                |
+      | silent     | on one engine less than may run it   | send again             |
+      | silent     | after two failures, on three engines | give up                |
+      | lost       | on as many engines as may run it     | give up                |
 
   Scenario Outline: The estimated duration of a long stream follows the longest streams: <case>
     When streams end after <durations> seconds, <times> times each
--- /dev/null
+++ b/features/enginesilence.feature
@@ -0,0 +1,27 @@
+Feature: An engine that is silent for a moment and goes on costs no call
+
+  Scenario Outline: Calls at sound engines that stand still: <engines>, <seconds> s, <beside>
+    Given a shared platform with 6 edges and 3 engines of each service, with room for 48 streams each
+    When <engines> stand still for <seconds> s every 3.7 s for 15 s, under 8 calls and 8 streams a second, <beside>
+    Then every stream arrives whole, and every call gets an engine's answer
+    And no call ran twice, was joined from two answers, or was refused after it ran
+
+    Examples:
+      | engines           | seconds | beside                         |
+      | one of them       | 1.2     | nothing else happens           |
+      | two thirds        | 0.6     | nothing else happens           |
+      | all of them       | 1.2     | nothing else happens           |
+      | all of them       | 1.2     | a configuration every 0.5 s    |
+      | all model engines | 1.2     | a configuration every 0.5 s    |
+
+  Scenario Outline: Streams at sound engines that stand still while there is little room: <engines>, <seconds> s
+    Given a shared platform with 6 edges and 3 engines of each service, with room for 16 streams each
+    When <engines> stand still for <seconds> s every 3.7 s for 15 s, under 8 calls and 8 streams a second, a configuration every 0.5 s
+    Then every stream arrives whole or is refused with a time to come back, and every call gets an engine's answer
+    And no call ran twice, was joined from two answers, or was refused after it ran
+
+    Examples:
+      | engines           | seconds |
+      | one of them       | 1.2     |
+      | two thirds        | 0.6     |
+      | all of them       | 1.2     |
--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -65,7 +65,7 @@
   Scenario: The calls on a draining engine that goes silent are interrupted
     Given a host with a call on an engine that crashes
     When the engine drains and goes silent
-    Then the call is interrupted, and the crash log is empty
+    Then the call is told that its engine is silent, and the crash log is empty
 
   Scenario Outline: A crash is evidence beside reports that explain nothing: <report>
     Given a host with a call on an engine that crashes
--- a/features/relays.feature
+++ b/features/relays.feature
@@ -126,7 +126,7 @@
       | crashed | answers probes            | usable | goes on          |
       | silent  | answers probes            | usable | goes on          |
       | crashed | refuses connections       | down   | is interrupted   |
-      | silent  | never answers             | down   | is interrupted   |
+      | silent  | never answers             | down   | hears of it      |
 
   Scenario Outline: An answer that is written once more is never taken for another request's: <connections>
     Given an engine or store that sends each answer, and once more the refusal before it
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -167,6 +167,11 @@
 register_case("after six lost engines")({"losses": 6})
 register_case("after ten attempts")({"sends": 10})
 register_case("of a blocked call")({"is_blocked": True})
+register_case("on as many engines as may run it")({"other_engines": 5})
+register_case("on one engine less than may run it")({"other_engines": 4})
+register_case("after two failures, on three engines")(
+    {"failures": 2, "other_engines": 3}
+)
 
 
 @given("a stream whose attempt ended with the outcome {outcome}, {case}")
--- a/features/steps/enginecut_steps.py
+++ b/features/steps/enginecut_steps.py
@@ -47,8 +47,13 @@
     context.run(start_cluster(context, edges, engines, zones=3, slots=64))
 
 
-async def send_one(context, edge, number, kind):
-    """Send one call without retries and record what its caller gets."""
+async def send_one(
+    context, edge, number, kind, event_count=STREAM_EVENTS, timeout_ms=1000
+):
+    """Send one call without retries and record what its caller gets.
+
+    A stream has `event_count` events, a plain call has `timeout_ms`.
+    """
     result = SimpleNamespace(
         edge=edge.name,
         attempt_id=f"{number:016x}",
@@ -64,14 +69,14 @@
         async with RawConnection(edge) as connection:
             if kind == "stream":
                 headers, target = (
-                    make_headers(number, STREAM_EVENTS),
+                    make_headers(number, event_count),
                     f"/review/{number}",
                 )
                 response = await connection.request("POST", target, headers, b"x")
                 result.events = response.events
-                is_whole = len(response.events) == STREAM_EVENTS
+                is_whole = len(response.events) == event_count
             else:
-                headers = make_headers(number, timeout_ms=1000)
+                headers = make_headers(number, timeout_ms=timeout_ms)
                 method, prefix = (
                     ("POST", "order") if kind == "order" else ("GET", "stock")
                 )
--- /dev/null
+++ b/features/steps/silence_steps.py
@@ -0,0 +1,176 @@
+"""Steps on engines that are silent for a moment."""
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+
+from behave import given, then, when
+from tools.sharedcluster import (
+    LOOKUP_PREFIX,
+    ORDER_PREFIX,
+    STREAM_PREFIX,
+    make_configuration,
+    make_route,
+)
+
+from features.steps.edge_steps import start_cluster
+from features.steps.enginecut_steps import plan_calls, send_one
+
+# 70 events of a stream take about 4 s, as on the users' sites.
+STREAM_EVENTS = 70
+EVENT_S = 0.057
+PLAIN_TIMEOUT_MS = 3000
+SILENCE_PERIOD_S = 3.7
+CONFIGURATION_INTERVAL_S = 0.5
+SILENT_ENGINES = {
+    "one of them": lambda names, turn: [names[turn % len(names)]],
+    "two thirds": lambda names, turn: [
+        name for number, name in enumerate(names) if (number + turn) % 3
+    ],
+    "all of them": lambda names, turn: names,
+    "all model engines": lambda names, turn: [
+        name for name in names if name.startswith("model")
+    ],
+}
+
+
+def make_patient_configuration(version):
+    """Return a configuration whose plain calls may take as long as on the sites."""
+    routes = [
+        make_route("review", STREAM_PREFIX, "streaming", "model"),
+        make_route(
+            "order",
+            ORDER_PREFIX,
+            "non_idempotent",
+            "shop",
+            max_attempts=1,
+            timeout_ms=PLAIN_TIMEOUT_MS,
+        ),
+        make_route(
+            "stock", LOOKUP_PREFIX, "idempotent", "shop", timeout_ms=PLAIN_TIMEOUT_MS
+        ),
+    ]
+    return make_configuration(version, routes)
+
+
+@given(
+    "a shared platform with {edges:d} edges and {engines:d} engines of each service, "
+    "with room for {slots:d} streams each"
+)
+def start_patient_cluster(context, edges, engines, slots):
+    async def run():
+        await start_cluster(
+            context, edges, engines, zones=3, slots=slots, event=EVENT_S
+        )
+        context.versions = itertools.count(2)
+        await put_next_configuration(context)
+        await asyncio.sleep(1.0)
+
+    context.run(run())
+
+
+async def put_next_configuration(context):
+    """Write the same configuration once more, as a new version."""
+    document = make_patient_configuration(next(context.versions))
+    await context.world.cluster.put_configuration(document)
+
+
+async def put_configurations(context):
+    """Write a new version again and again, until cancelled."""
+    while True:
+        await put_next_configuration(context)
+        await asyncio.sleep(CONFIGURATION_INTERVAL_S)
+
+
+async def silence_engines(cluster, choose, seconds, until_s):
+    """Stop and continue engines again and again until a monotonic time."""
+    names = [name for name in cluster.urls if name.startswith(("shop", "model"))]
+    for turn in itertools.count():
+        await asyncio.sleep(SILENCE_PERIOD_S - seconds)
+        if time.monotonic() > until_s:
+            return
+        chosen = choose(names, turn)
+        try:
+            for name in chosen:
+                cluster.processes[name].pause()
+            await asyncio.sleep(seconds)
+        finally:
+            for name in chosen:
+                cluster.processes[name].resume()
+
+
+@when(
+    "{engines} stand still for {seconds:g} s every 3.7 s for {duration:d} s, under "
+    "{load}, {beside}"
+)
+def send_beside_silence(context, engines, seconds, duration, load, beside):
+    async def run():
+        cluster = context.world.cluster
+        edges = list(cluster.edges.values())
+        context.results, context.started_s = [], time.monotonic()
+        until_s = context.started_s + duration
+        trouble = [
+            asyncio.ensure_future(
+                silence_engines(cluster, SILENT_ENGINES[engines], seconds, until_s)
+            )
+        ]
+        if beside != "nothing else happens":
+            trouble.append(asyncio.ensure_future(put_configurations(context)))
+        calls = []
+        for number, (at_s, kind) in enumerate(plan_calls(load, duration), 1):
+            await asyncio.sleep(max(0.0, context.started_s + at_s - time.monotonic()))
+            # Each edge gets calls of each kind.
+            edge = edges[number // 2 % len(edges)]
+            calls.append(
+                asyncio.ensure_future(
+                    send_one(
+                        context, edge, number, kind, STREAM_EVENTS, PLAIN_TIMEOUT_MS
+                    )
+                )
+            )
+        await asyncio.gather(*calls)
+        for task in trouble:
+            task.cancel()
+        await asyncio.gather(*trouble, return_exceptions=True)
+        context.runs = await cluster.list_runs()
+
+    context.run(run())
+
+
+def count_failures(results):
+    """Return how often each kind of call failed with each status and events."""
+    return Counter(
+        (item.kind, item.status, len(getattr(item, "events", ())))
+        for item in results
+        if not item.is_served
+    )
+
+
+@then("every stream arrives whole, and every call gets an engine's answer")
+def check_all_served(context):
+    assert context.results
+    failures = count_failures(context.results)
+    assert not failures, failures
+
+
+@then(
+    "every stream arrives whole or is refused with a time to come back, and every call "
+    "gets an engine's answer"
+)
+def check_served_or_refused(context):
+    assert context.results
+    refused = [
+        item
+        for item in context.results
+        if item.kind == "stream" and item.status == 503 and item.retry_after
+    ]
+    others = [item for item in context.results if item not in refused]
+    failures = count_failures(others)
+    assert not failures, (failures, len(refused))
+    for item in refused:
+        assert not any(
+            run["attempt_id"] == item.attempt_id
+            for runs in context.runs.values()
+            for run in runs
+        ), item
--- a/src/sapphirerock/decisions/continuation.py
+++ b/src/sapphirerock/decisions/continuation.py
@@ -1,4 +1,4 @@
-"""Recovery of a stream whose attempt has ended before the stream was complete.
+"""Recovery of a stream whose attempt ended too early, or whose engine is silent.
 
 Handles the loss of all engines of an availability zone. A run that has a KV copy on
 another engine is resumed from the copy, so that its prompt is not prefilled again.
@@ -25,10 +25,14 @@
     NOT_RUN = "not run"
     # The engine failed or the connection to it broke.
     LOST = "lost"
+    # The engine is silent. The attempt goes on.
+    SILENT = "silent"
     # The engine returned an error or a malformed response.
     FAILED = "failed"
     DEADLINE_EXCEEDED = "time is up"
     NO_ENGINE = "no engine"
+    # No further attempt is made now.
+    GIVEN_UP = "given up"
 
 
 class RecoveryStep(Enum):
@@ -41,7 +45,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StreamView:
-    """Inputs of the decision for a stream whose attempt has ended.
+    """Inputs of the decision for a stream whose attempt has ended or is silent.
 
     Parameters
     ----------
@@ -58,9 +62,12 @@
     failures : int
         Attempts with the outcome ``FAILED``.
     max_attempts : int
-        Number of failures after which the stream is given up; losses don't count.
+        Number of engines that may run the call; lost ones don't count.
     is_blocked : bool
         Whether the call is blocked as a poison request.
+    other_engines : int
+        Engines besides that run it, or ran it until another one went on first. Engines
+        that have ended since, or can't be reached, don't count.
     """
 
     outcome: StreamOutcome
@@ -71,6 +78,7 @@
     failures: int
     max_attempts: int
     is_blocked: bool
+    other_engines: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -94,10 +102,11 @@
         return StepChoice(RecoveryStep.GIVE_UP, "blocked as a poison request")
     if view.outcome is not StreamOutcome.NOT_RUN and not view.may_retry:
         return StepChoice(RecoveryStep.GIVE_UP, "call may run only once")
-    if view.failures >= view.max_attempts:
-        return StepChoice(RecoveryStep.GIVE_UP, "max failed attempts reached")
+    if view.failures + view.other_engines >= view.max_attempts:
+        return StepChoice(RecoveryStep.GIVE_UP, "max attempts reached")
     if view.losses >= MAX_ENGINE_LOSSES or view.sends >= MAX_SENDS:
         return StepChoice(RecoveryStep.GIVE_UP, "max sends or engine losses reached")
-    if view.outcome is StreamOutcome.LOST and view.has_copy:
+    is_engine_gone = view.outcome in (StreamOutcome.LOST, StreamOutcome.SILENT)
+    if is_engine_gone and view.has_copy:
         return StepChoice(RecoveryStep.RESUME_FROM_COPY, "kv copy available")
     return StepChoice(RecoveryStep.RETRY_ON_OTHER_ENGINE, view.outcome.value)
--- a/src/sapphirerock/process/engines/admission.py
+++ b/src/sapphirerock/process/engines/admission.py
@@ -9,6 +9,7 @@
 from sapphirerock.decisions.admission import AdmissionView, Verdict, decide_admission
 from sapphirerock.decisions.fairqueue import FairQueue, Ticket
 from sapphirerock.decisions.retryafter import choose_retry_after
+from sapphirerock.decisions.silence import choose_silence_wait
 from sapphirerock.request.problem import OVERLOADED, UNAVAILABLE, Problem
 
 # Short against the time between the ends of two runs on a few engines, at which
@@ -133,11 +134,19 @@
                 run_s=run_s,
                 waited_s=now_s - started_s,
                 rest_s=self._fleet.engines.measure_service_rest_s(call.service),
-                max_outage_wait_s=MAX_OUTAGE_WAIT_SHARE * call.route.target_latency_s,
+                max_outage_wait_s=self._choose_max_outage_wait(call, started_s),
             )
         )
         return admission, placement
 
+    def _choose_max_outage_wait(self, call, started_s):
+        """Return how long a call may wait while no engine is usable, in seconds."""
+        max_wait_s = MAX_OUTAGE_WAIT_SHARE * call.route.target_latency_s
+        if self._fleet.engines.has_silent_engine(call.service):
+            remaining_s = call.response_deadline_s - started_s
+            max_wait_s = max(max_wait_s, choose_silence_wait(remaining_s))
+        return max_wait_s
+
     def _refuse(self, call, admission):
         retry_after_s = choose_retry_after(admission.wait_s, self._generator)
         kind = UNAVAILABLE if admission.wait_s is None else OVERLOADED
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -26,6 +26,9 @@
 
 # Two round trips between regions, with room for a busy engine.
 PROBE_TIMEOUT_S = 0.3
+# An engine that has sent data within this time gets calls without a check.
+RECENT_DATA_S = 0.2
+CHECK_TIMEOUT_S = 0.2
 # An engine that doesn't answer is probed again, since a lost packet, a busy engine or a
 # network partition hides a crash.
 PROBE_RETRY_DELAYS_S = (0.1, 0.4, 1.0)
@@ -106,6 +109,7 @@
         "_clock",
         "_metrics",
         "_losses",
+        "_checks",
         "_tasks",
     )
 
@@ -119,6 +123,7 @@
         self._clock = clock
         self._metrics = metrics
         self._losses = {}
+        self._checks = {}
         self._tasks = BackgroundTasks()
         gossip.subscribe(CrashSuspectsUpdate, self._apply_suspects)
         gossip.subscribe(EngineDownUpdate, self._apply_engine_down)
@@ -293,13 +298,62 @@
             self._mark_down_and_interrupt(state, CRASHED)
             self._broadcast_down(state, CRASHED)
 
-    def interrupt_silent(self, state):
-        """Mark an engine down that doesn't answer this host."""
-        self._mark_down_and_interrupt(state, SILENT)
+    async def apply_failed_probe(self, state, result):
+        """Mark an engine that failed a probe, and tell peers what they confirm.
+
+        The first probe that a silent engine leaves unanswered is confirmed by peers.
+        """
+        if result.outcome is ProbeOutcome.NO_ANSWER and not self.mark_silent(state):
+            return
+        confirmed = await self._prober.confirm(state.entry, result)
+        if confirmed.shows_running:
+            return
+        if confirmed.outcome is ProbeOutcome.ENDED:
+            self.report_crash(state)
+        else:
+            self.report_silent(state)
+
+    async def check_answers(self, state):
+        """Return whether an engine answers; probe it if it has sent nothing lately.
+
+        Calls that check an engine at the same time share one probe.
+        """
+        if self._clock.monotonic() - state.heard_s <= RECENT_DATA_S:
+            return True
+        check = self._checks.get(state.name)
+        if check is None:
+            check = self._tasks.spawn(self._check_answers(state))
+            self._checks[state.name] = check
+            check.add_done_callback(lambda _: self._checks.pop(state.name))
+        return await asyncio.shield(check)
+
+    async def _check_answers(self, state):
+        result = await self._prober.probe(state.entry, CHECK_TIMEOUT_S)
+        if result.outcome is ProbeOutcome.RUNNING:
+            state.record_received(self._clock.monotonic())
+        elif result.outcome in (ProbeOutcome.NO_ANSWER, ProbeOutcome.ENDED):
+            self._tasks.spawn(self.apply_failed_probe(state, result))
+            return False
+        return True
+
+    def mark_silent(self, state):
+        """Give an engine that doesn't answer no new work, and notify its attempts.
+
+        They go on, since a sound engine may be silent for a second.
+
+        Returns
+        -------
+        bool
+            Whether the engine was not marked down before.
+        """
+        is_new = self._engines.mark_down(state, SILENT, is_silent=True)
+        for attempt in list(state.attempts):
+            attempt.report_silence()
+        return is_new
 
     def report_silent(self, state):
-        """Mark an engine down that doesn't answer, and notify peers."""
-        self.interrupt_silent(state)
+        """Mark an engine as silent, and notify peers."""
+        self.mark_silent(state)
         self._broadcast_down(state, SILENT)
 
     def report_replaced(self, state):
@@ -336,7 +390,9 @@
             return
         silent_s = self._clock.monotonic() - state.last_received_s
         if silent_s <= VERIFIED_CONTACT_S and self._engines.is_alive(state):
-            self._engines.mark_down(state, update.cause)
+            self._engines.mark_down(
+                state, update.cause, is_silent=update.cause == SILENT
+            )
             self._tasks.spawn(self._verify_report(state, update.cause))
         else:
             self._apply_down(state, update.cause)
@@ -353,6 +409,9 @@
         self._apply_down(state, cause)
 
     def _apply_down(self, state, cause):
+        if cause == SILENT:
+            self.mark_silent(state)
+            return
         if cause == CRASHED:
             self._record_crash(make_run(state), state)
         self._mark_down_and_interrupt(state, cause)
@@ -368,15 +427,10 @@
             self._mark_down_and_interrupt(state, CRASHED)
 
     def _mark_down_and_interrupt(self, state, cause):
-        """Give an engine no new work, and interrupt its attempts.
-
-        A silent engine may answer later. An attempt that could not be repeated goes on
-        until then, or its deadline.
-        """
+        """Give an engine whose run has ended no new work, and end its attempts."""
         self._engines.mark_down(state, cause)
         for attempt in list(state.attempts):
-            if cause != SILENT or attempt.is_repeatable:
-                attempt.interrupt(cause)
+            attempt.interrupt(cause)
 
     def _can_be_silent(self, state, cause):
         """Return whether a report of silence can be true of a usable engine."""
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -226,7 +226,8 @@
     def report_unreachable(self, state, failure):
         """Mark an engine down because a connection to it failed."""
         logger.bind(engine=state.name, cause=repr(failure)).info("engine unreachable")
-        self.engines.mark_down(state, "refused" if failure.refused else "unreachable")
+        cause = "refused" if failure.refused else "unreachable"
+        self.engines.mark_down(state, cause, is_silent=not failure.refused)
         for notify in self.on_unreachable:
             notify(state)
 
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -1,14 +1,20 @@
-"""Detects engines that crash or go silent while they run attempts of this host."""
+"""Detects engines that crash or go silent while they run attempts of this host.
+
+A sound engine may be silent for a second. Its attempts are told that it is, and go on.
+"""
 
 from loguru import logger
 from mode import Service
 
+from sapphirerock.decisions.silence import MAX_SILENCE_WAIT_S
 from sapphirerock.process.engines.prober import ProbeOutcome
 
 CHECK_INTERVAL_S = 0.05
 # Even a busy engine sends its events within about 200 ms of each other.
 SILENCE_TIMEOUT_S = 0.2
 PROBE_TIMEOUT_S = 0.2
+# Interval at which an engine that is known to be silent is probed.
+SILENT_ENGINE_PROBE_INTERVAL_S = 0.25
 
 
 class EngineMonitor(Service):
@@ -39,12 +45,22 @@
             await self._clock.sleep(CHECK_INTERVAL_S)
             now_s = self._clock.monotonic()
             for state in self._engines.list_all():
-                if not state.attempts or state.is_probe_pending:
-                    continue
-                if now_s - state.last_received_s > SILENCE_TIMEOUT_S:
+                if self._is_probe_due(state, now_s):
                     state.is_probe_pending = True
+                    state.probed_s = now_s
                     self.add_future(self._probe(state))
 
+    def _is_probe_due(self, state, now_s):
+        """Return whether an engine is silent and should be probed now."""
+        if state.is_probe_pending:
+            return False
+        if self._engines.is_marked_silent(state):
+            may_answer = now_s - state.silent_since_s <= MAX_SILENCE_WAIT_S
+            is_due = now_s - state.probed_s >= SILENT_ENGINE_PROBE_INTERVAL_S
+            return is_due and (may_answer or bool(state.attempts))
+        is_silent = now_s - state.last_received_s > SILENCE_TIMEOUT_S
+        return bool(state.attempts) and is_silent
+
     async def _probe(self, state):
         try:
             await self._probe_and_report(state)
@@ -56,7 +72,7 @@
         probed_at_s = self._clock.monotonic()
         result = await self._prober.probe(state.entry, PROBE_TIMEOUT_S)
         if result.outcome is ProbeOutcome.RUNNING:
-            state.last_received_s = self._clock.monotonic()
+            state.record_received(self._clock.monotonic())
             return
         if result.outcome is ProbeOutcome.RESTING:
             return
@@ -71,12 +87,4 @@
         logger.bind(
             engine=state.name, outcome=result.outcome.value, detail=result.detail
         ).info("engine probe failed")
-        if result.outcome is ProbeOutcome.NO_ANSWER:
-            self._crash_watch.interrupt_silent(state)
-        confirmed = await self._prober.confirm(state.entry, result)
-        if confirmed.outcome is ProbeOutcome.PATH_LOST:
-            return
-        if confirmed.outcome is ProbeOutcome.ENDED:
-            self._crash_watch.report_crash(state)
-        else:
-            self._crash_watch.report_silent(state)
+        await self._crash_watch.apply_failed_probe(state, result)
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -114,13 +114,12 @@
     def report_relay(self, path, is_available, has_replied=True):
         """Record whether a peer relayed a connection.
 
-        If it did not even reply, the attempts that it relays are interrupted, but for
-        those that could not be repeated.
+        If it did not even reply, the attempts that it relays are told of its silence.
         """
         if path.relay is None:
             return
         if not is_available and not has_replied:
-            self._interrupt_attempts(path.relay)
+            self._report_silence(path.relay)
         self._metrics.relayed_attempts.labels(
             "opened" if is_available else "refused"
         ).inc()
@@ -129,11 +128,11 @@
         else:
             self._relay_failed_at_s[path.relay] = self._clock.monotonic()
 
-    def _interrupt_attempts(self, relay):
+    def _report_silence(self, relay):
         for state in self._engines.list_all():
             for attempt in list(state.attempts):
-                if attempt.relay == relay and attempt.is_repeatable:
-                    attempt.interrupt("relay lost")
+                if attempt.relay == relay:
+                    attempt.report_silence()
 
     def _list_relayed_paths(self):
         own_address, now_s = self._hosts.own_address, self._clock.monotonic()
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -15,6 +15,10 @@
 # Streams of a version go on being taken up for less than this time after its last
 # engine is gone.
 VERSION_HISTORY_S = 60.0
+# A silent engine that has not answered a probe after this time gets no call that looks
+# for another engine. Shorter than the time by which probes of engines that fall silent
+# together are apart.
+SUSPICION_S = 0.05
 # Engines whose statements are kept beyond their registrations.
 MAX_KEPT_STATEMENTS = 1_000
 
@@ -81,17 +85,25 @@
     attempts : set of EngineAttempt
         This host's attempts that run on the engine.
     last_received_s : float
+        Monotonic time at which this host last received bytes from the engine, or began
+        an attempt while it had none there.
+    heard_s : float
         Monotonic time at which this host last received bytes from the engine.
     down_until_s : float
         Monotonic time until which the engine gets no work because it failed.
     failures : int
         Consecutive times that the engine was found down.
+    silent_since_s : float or None
+        Monotonic time at which the engine was marked down only because it did not
+        answer. Any data from it ends the mark.
     health : FailureShare
         Share of this host's calls to the engine that failed.
     is_removed : bool
         Whether the registration has ended or another engine has taken the address.
     is_probe_pending : bool
         Whether a probe of the engine is waiting for its answer.
+    probed_s : float
+        Monotonic time of the last probe of an engine that was silent.
     is_relayed : bool
         Whether this host reaches the engine only through a peer.
     rest_until_s : float
@@ -127,11 +139,14 @@
     loads_updated_s: float | None = None
     attempts: set = field(default_factory=set)
     last_received_s: float = 0.0
+    heard_s: float = -math.inf
     down_until_s: float = 0.0
     failures: int = 0
+    silent_since_s: float | None = None
     health: FailureShare = field(default_factory=FailureShare)
     is_removed: bool = False
     is_probe_pending: bool = False
+    probed_s: float = -math.inf
     is_relayed: bool = False
     rest_until_s: float = -math.inf
     rest_probes: int = 0
@@ -156,14 +171,29 @@
         """Whether it is known what the engine states of itself since its start."""
         return self.refusal_tolerance is not None or self.answered_s > -math.inf
 
+    @property
+    def is_silent(self):
+        """Whether the engine has not answered since it was marked down for that."""
+        return self.silent_since_s is not None
+
     @property
     def is_draining(self):
         """Whether the engine has registered or stated that it gets no new work."""
         return self.entry.is_draining or bool(self.leaving)
 
     def record_received(self, now_s):
-        """Record that bytes were received from the engine; reset its failures."""
-        self.last_received_s = now_s
+        """Record that bytes were received from the engine; reset its failures.
+
+        An engine that was only silent may get new work again.
+        """
+        if self.is_silent:
+            silent_s = round(now_s - self.last_received_s, 3)
+            logger.bind(
+                engine=self.name, silent_s=silent_s, attempts=len(self.attempts)
+            ).info("silent engine answered")
+            self.silent_since_s = None
+            self.down_until_s = 0.0
+        self.last_received_s = self.heard_s = now_s
         self.failures = 0
 
 
@@ -372,6 +402,37 @@
             return False
         return state.down_until_s <= self._clock.monotonic()
 
+    def is_marked_silent(self, state):
+        """Return whether an engine gets no new work only because it is silent."""
+        if state.is_removed or state.is_draining or not state.is_silent:
+            return False
+        return state.down_until_s > self._clock.monotonic()
+
+    def has_silent_engine(self, service, excluded=()):
+        """Return whether an engine of a service gets no work only for its silence."""
+        return any(
+            state.entry.service == service
+            and state.name not in excluded
+            and self.is_marked_silent(state)
+            for state in self._states.values()
+        )
+
+    def list_suspects(self, service):
+        """Return the names of engines that are late to answer a probe.
+
+        Returns
+        -------
+        list of str
+        """
+        latest_s = self._clock.monotonic() - SUSPICION_S
+        return [
+            state.name
+            for state in self._states.values()
+            if state.entry.service == service
+            and state.is_probe_pending
+            and state.probed_s <= latest_s
+        ]
+
     def measure_rest_s(self, state):
         """Return how much longer an engine wants no requests of this host, in s."""
         return max(0.0, state.rest_until_s - self._clock.monotonic())
@@ -401,15 +462,32 @@
             )
             state.is_removed = True
 
-    def mark_down(self, state, cause):
+    def mark_down(self, state, cause, is_silent=False):
         """Give an engine no new work for a time.
 
         The time doubles with consecutive failures. An engine that is already marked
-        down is left as it is.
+        down stays so for the same time.
+
+        Parameters
+        ----------
+        state : EngineState
+            The engine.
+        cause : str
+            Cause for the log.
+        is_silent : bool
+            Whether all that is known is that the engine did not answer.
+
+        Returns
+        -------
+        bool
+            Whether the engine was not marked down before.
         """
         now_s = self._clock.monotonic()
         if state.down_until_s > now_s:
-            return
+            if not is_silent:
+                state.silent_since_s = None
+            return False
+        state.silent_since_s = now_s if is_silent else None
         down_for_s = min(MAX_DOWN_DURATION_S, MIN_DOWN_DURATION_S * 2**state.failures)
         state.failures += 1
         state.down_until_s = now_s + down_for_s
@@ -419,11 +497,13 @@
             attempts=len(state.attempts),
             down_for_s=down_for_s,
         ).warning("engine marked down")
+        return True
 
     def lift_down(self, state):
         """Give an engine new work again that was marked down by mistake."""
         state.down_until_s = 0.0
         state.failures = 0
+        state.silent_since_s = None
 
 
 def is_same_start(old, new):
--- a/src/sapphirerock/request/backupkeeper.py
+++ b/src/sapphirerock/request/backupkeeper.py
@@ -52,6 +52,16 @@
             return self._kv_copy
         return None
 
+    def take_usable_copy(self):
+        """Return the KV copy if its holder is usable, and keep it no longer; or None.
+
+        A copy can be used once. While the attempt lasts another one is made.
+        """
+        copy = self.get_usable_copy()
+        if copy is not None:
+            self._kv_copy = None
+        return copy
+
     def _has_live_copy(self):
         """Return whether the holder of the KV copy is up, though it may rest."""
         return self._kv_copy is not None and self._runtime.fleet.is_alive(self._holder)
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -1,6 +1,10 @@
-"""Plain calls: buffered responses, and retries if the route allows them."""
+"""Plain calls: buffered responses, and retries if the route allows them.
+
+A call that may run again is sent to another engine beside one that is silent.
+"""
 
 import asyncio
+from dataclasses import dataclass
 from enum import Enum
 
 from loguru import logger
@@ -12,7 +16,9 @@
 )
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.retryafter import choose_retry_after
+from sapphirerock.decisions.silence import choose_silence_wait
 from sapphirerock.decisions.turns import choose_max_wait
+from sapphirerock.request.attemptrace import AttemptRace
 from sapphirerock.request.problem import (
     CRASHED_ENGINES,
     TIMED_OUT,
@@ -26,6 +32,8 @@
 MIN_SERVER_ERROR_STATUS = 500
 # Limit on the attempts at one call, including those that the engine did not execute.
 MAX_SENDS = 6
+# Interval at which a call looks whether a silent engine has answered.
+SILENT_ENGINE_CHECK_S = 0.05
 
 
 class PlainCallOutcome(Enum):
@@ -38,6 +46,26 @@
     # The engine or the connection failed, or a server error may be retried.
     FAILED = "failed"
     DEADLINE_EXCEEDED = "time is up"
+    NO_ENGINE = "no engine left"
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptResult:
+    """How an attempt at a plain call ended.
+
+    Parameters
+    ----------
+    outcome : PlainCallOutcome
+        Kind of the end.
+    state : EngineState or None
+        The engine; None if there was none.
+    response : BufferedResponse or None
+        The engine's response, if it ran the call and gave one.
+    """
+
+    outcome: PlainCallOutcome
+    state: object = None
+    response: object = None
 
 
 class PlainCall:
@@ -57,12 +85,15 @@
         "_runtime",
         "_call",
         "_responder",
+        "_race",
+        "_running",
         "_tried_engines",
         "_engines_with_server_error",
         "_sends",
         "_failures",
         "_response",
         "_turns",
+        "_started_s",
         "_log",
     )
 
@@ -70,37 +101,39 @@
         self._runtime = runtime
         self._call = call
         self._responder = responder
+        self._race = AttemptRace()
+        self._running = set()
         self._tried_engines = set()
         self._engines_with_server_error = set()
         self._sends = 0
         self._failures = 0
         self._response = None
         self._turns = None
+        self._started_s = runtime.clock.monotonic()
         self._log = logger.bind(request=call.metadata.attempt_id, route=call.route.name)
 
     async def run(self):
         """Send the call to engines until one responds; forward the response."""
+        self._runtime.retry_budget.add_call(self._call.service)
+        self._race.start(self._attempt())
         try:
-            await self._run()
+            await self._run_attempts()
         finally:
-            if self._turns is not None:
-                self._turns.release()
+            self._race.cancel()
 
-    async def _run(self):
-        service = self._call.service
-        self._runtime.retry_budget.add_call(service)
+    async def _run_attempts(self):
+        """Start another attempt whenever one fails or its engine falls silent."""
         while True:
-            state = await self._choose_engine()
-            if state is None:
-                await self._give_up("no engine left")
-                return
-            self._tried_engines.add(state.name)
-            self._sends += 1
-            outcome = await self._send(state)
-            self._record_outcome(state, outcome)
+            result = await self._race.wait()
+            if result is None:
+                if not self._is_progressing() and self._may_start_beside():
+                    self._race.start(self._attempt())
+                continue
+            outcome, state = result.outcome, result.state
             if outcome is PlainCallOutcome.ANSWERED:
-                self._log_response(state)
-                await self._responder.send_upstream_response(self._response)
+                self._log_response(state, result.response)
+                self._race.cancel()
+                await self._responder.send_upstream_response(result.response)
                 return
             if outcome is PlainCallOutcome.DEADLINE_EXCEEDED:
                 self._log.bind(engine=state.name, sends=self._sends).info(
@@ -109,44 +142,99 @@
                 problem = Problem(TIMED_OUT, "no answer within the route's time")
                 await self._responder.send_problem(problem)
                 return
-            if not self._may_retry(outcome):
+            self._response = result.response or self._response
+            if self._is_progressing():
+                continue
+            if self._may_retry(outcome):
+                self._race.start(self._attempt())
+            elif not self._race.task_count:
                 await self._give_up(outcome.value)
                 return
 
-    def _log_response(self, state):
+    def _is_progressing(self):
+        """Return whether an attempt on an engine that isn't silent runs or starts."""
+        if self._race.task_count > len(self._running):
+            return True
+        return any(not attempt.is_silent for attempt in self._running)
+
+    def _may_start_beside(self):
+        """Return whether the call may also be sent to another engine.
+
+        If so, the retry is counted.
+        """
+        engines = self._failures + len(self._running)
+        if engines >= self._call.route.max_attempts:
+            return False
+        self._log.bind(engines=engines).info("attempt silent")
+        return self._may_send_again()
+
+    async def _attempt(self):
+        """Choose an engine, send it the call, and return the result."""
+        turns = self._turns = TurnTaker(self._runtime, self._call)
+        try:
+            state = await self._choose_engine(turns)
+            if state is None:
+                return AttemptResult(PlainCallOutcome.NO_ENGINE)
+            self._tried_engines.add(state.name)
+            self._sends += 1
+            result = await self._send(state, turns)
+            if result.outcome is PlainCallOutcome.NOT_RUN and state.is_silent:
+                # The engine may take the call once it answers.
+                self._tried_engines.discard(state.name)
+        finally:
+            turns.release()
+        self._record_result(result)
+        return result
+
+    def _log_response(self, state, response):
         self._log.bind(
             engine=state.name,
-            status=self._response.head.status,
+            status=response.head.status,
             sends=self._sends,
             revision=self._call.revision,
         ).info("call answered")
 
-    async def _choose_engine(self):
+    async def _choose_engine(self, turns):
         """Return an engine, with a turn if it is limited; None if there is none."""
-        self._turns = TurnTaker(self._runtime, self._call)
         while True:
-            state = self._choose_candidate(self._turns.engines_without_turn)
-            if state is None and await self._wait_for_rest():
-                continue
-            if state is None or await self._turns.take(state, self._choose_max_wait()):
+            state = self._choose_candidate(
+                turns.engines_without_turn | turns.engines_without_answer
+            )
+            if state is None:
+                if await self._wait_for_engine(turns):
+                    continue
+                return None
+            crash_watch = self._runtime.crash_watch
+            if self._running and not await crash_watch.check_answers(state):
+                turns.engines_without_answer.add(state.name)
+            elif await turns.take(state, self._choose_max_wait()):
                 return state
 
-    async def _wait_for_rest(self):
-        """Wait until an untried engine has rested; return whether there is one in time.
+    async def _wait_for_engine(self, turns):
+        """Wait until an untried engine may be usable; return False if none will be.
 
-        Engines ask for rest when they turn calls away.
+        Engines ask for rest when they turn calls away, and may be silent for a moment.
         """
-        excluded = self._tried_engines | self._turns.engines_without_turn
-        engines = self._runtime.fleet.engines
+        excluded = self._tried_engines | turns.engines_without_turn
+        engines, clock = self._runtime.fleet.engines, self._runtime.clock
         rest_s = engines.measure_service_rest_s(self._call.service, excluded)
-        if not rest_s or rest_s > self._choose_max_wait():
+        if rest_s and rest_s <= self._choose_max_wait():
+            await clock.sleep(rest_s)
+            return True
+        if not engines.has_silent_engine(self._call.service, excluded):
             return False
-        await self._runtime.clock.sleep(rest_s)
+        now_s = clock.monotonic()
+        remaining_s = self._call.response_deadline_s - self._started_s
+        if now_s - self._started_s > choose_silence_wait(remaining_s):
+            return False
+        await clock.sleep(SILENT_ENGINE_CHECK_S)
         return True
 
     def _choose_candidate(self, excluded):
         """Return an untried engine, else one that responded with a server error."""
         fleet, service = self._runtime.fleet, self._call.service
+        if self._running:
+            excluded = excluded.union(fleet.engines.list_suspects(service))
         state = fleet.choose_plain_call_engine(service, self._tried_engines | excluded)
         if state is None:
             tried = self._tried_engines - self._engines_with_server_error
@@ -161,23 +249,30 @@
         remaining_s = call.response_deadline_s - self._runtime.clock.monotonic()
         return choose_max_wait(remaining_s, call.priority)
 
-    def _record_outcome(self, state, outcome):
+    def _record_result(self, result):
         """Count the attempt in the metrics and in the failure share of the engine."""
         runtime = self._runtime
-        runtime.metrics.observe_attempt(self._call.route.kind.value, outcome)
-        has_served = outcome is PlainCallOutcome.ANSWERED
+        runtime.metrics.observe_attempt(self._call.route.kind.value, result.outcome)
+        self._failures += result.outcome is PlainCallOutcome.FAILED
+        has_served = result.outcome is PlainCallOutcome.ANSWERED
         if has_served:
-            has_served = self._response.head.status < MIN_SERVER_ERROR_STATUS
-        runtime.fleet.record_outcome(state, not has_served)
+            has_served = result.response.head.status < MIN_SERVER_ERROR_STATUS
+        runtime.fleet.record_outcome(result.state, not has_served)
 
     def _may_retry(self, outcome):
         """Return whether the call may be sent again; if so, count the retry."""
+        if outcome is PlainCallOutcome.NO_ENGINE:
+            return False
         if outcome is PlainCallOutcome.FAILED:
-            self._failures += 1
             if not self._call.route.may_retry:
                 return False
-            if self._failures >= self._call.route.max_attempts:
+            engines = self._failures + len(self._running)
+            if engines >= self._call.route.max_attempts:
                 return False
+        return self._may_send_again()
+
+    def _may_send_again(self):
+        """Return whether limits on all sends allow another; if so, count the retry."""
         if self._sends >= MAX_SENDS or self._runtime.crash_watch.is_blocked(self._call):
             return False
         if self._runtime.clock.monotonic() >= self._call.response_deadline_s:
@@ -210,15 +305,27 @@
             problem = Problem(UNAVAILABLE, "no engine took the call", retry_after_s)
             await self._responder.send_problem(problem)
 
-    async def _send(self, state):
-        """Send the call to an engine, keep its response, and return the outcome."""
-        slot = self._turns.pop_slot()
-        with UpstreamAttempt(self._runtime, self._call, state, slot=slot) as attempt:
-            read = await attempt.open()
-            if read.is_ok():
-                read = await attempt.read_all()
+    async def _send(self, state, turns):
+        """Send the call to an engine and return the result."""
+        attempt = UpstreamAttempt(
+            self._runtime,
+            self._call,
+            state,
+            slot=turns.pop_slot(),
+            on_silence=(
+                self._race.report_silence if self._call.route.may_retry else None
+            ),
+        )
+        with attempt:
+            self._running.add(attempt)
+            try:
+                read = await attempt.open()
+                if read.is_ok():
+                    read = await attempt.read_all()
+            finally:
+                self._running.discard(attempt)
         if read.is_error():
-            return await self._handle_failure(state, read.error)
+            return AttemptResult(await self._handle_failure(state, read.error), state)
         response = read.ok
         if response.head.is_other_engine:
             self._runtime.crash_watch.report_replaced(state)
@@ -226,8 +333,7 @@
             self._log.bind(engine=state.name, status=response.head.status).info(
                 "engine did not execute call"
             )
-            return PlainCallOutcome.NOT_RUN
-        self._response = response
+            return AttemptResult(PlainCallOutcome.NOT_RUN, state)
         if (
             response.head.status >= MIN_SERVER_ERROR_STATUS
             and self._call.route.may_retry
@@ -236,8 +342,8 @@
             self._log.bind(engine=state.name, status=response.head.status).info(
                 "engine responded with server error"
             )
-            return PlainCallOutcome.FAILED
-        return PlainCallOutcome.ANSWERED
+            return AttemptResult(PlainCallOutcome.FAILED, state, response)
+        return AttemptResult(PlainCallOutcome.ANSWERED, state, response)
 
     async def _handle_failure(self, state, failure):
         """Log a failure, report it for the engine, and return the outcome."""
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -1,4 +1,8 @@
-"""Streamed calls: events are relayed, and a lost stream resumes on another engine."""
+"""Streamed calls: events are relayed, and a lost stream resumes on another engine.
+
+A stream whose engine is silent resumes on another engine beside the first attempt,
+which goes on if the silent engine is the first to send a new event.
+"""
 
 import asyncio
 from dataclasses import dataclass
@@ -21,9 +25,11 @@
 from sapphirerock.decisions.poisonrequests import SUSPECT_LOSSES
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.retryafter import choose_retry_after
+from sapphirerock.decisions.silence import choose_silence_wait
 from sapphirerock.decisions.streamversions import StreamOrigin
 from sapphirerock.decisions.turns import RESUMPTION_MAX_WAIT_S, choose_max_wait
 from sapphirerock.process.engines.prober import ProbeOutcome
+from sapphirerock.request.attemptrace import AttemptRace
 from sapphirerock.request.backupkeeper import BackupKeeper
 from sapphirerock.request.problem import (
     CRASHED_ENGINES,
@@ -41,6 +47,11 @@
 # A stream that goes on asks the engines of its version again after this time, if all
 # of them are full.
 FULL_ENGINE_RETRY_S = 0.5
+# Interval at which a stream with a silent engine looks for another one, if there was
+# none before.
+SILENT_ENGINE_RETRY_S = 0.5
+# Interval at which a call without an engine looks whether a silent one has answered.
+SILENT_ENGINE_CHECK_S = 0.05
 # Several round trips between regions.
 START_CHECK_TIMEOUT_S = 0.3
 
@@ -112,6 +123,9 @@
         "_responder",
         "_progress",
         "_kv_copy",
+        "_race",
+        "_running",
+        "_outrun_engines",
         "_tried_engines",
         "_sends",
         "_losses",
@@ -129,6 +143,11 @@
         self._responder = responder
         self._progress = StreamProgress(call.metadata.last_event_id)
         self._kv_copy = None
+        self._race = AttemptRace()
+        # The backup keeper of each attempt that is running.
+        self._running = {}
+        # Engines whose attempts were cancelled since another one went on first.
+        self._outrun_engines = set()
         self._tried_engines = set()
         self._sends = 0
         self._losses = 0
@@ -142,23 +161,82 @@
     async def run(self):
         """Relay the stream to the caller, over several attempts if engines are lost."""
         self._runtime.retry_budget.add_call(self._call.service)
-        step = RecoveryStep.RETRY_ON_OTHER_ENGINE
+        self._race.start(self._run_next_attempt(RecoveryStep.RETRY_ON_OTHER_ENGINE))
         try:
-            while step is not RecoveryStep.GIVE_UP:
-                outcome = await self._run_next_attempt(step)
-                self._runtime.metrics.observe_attempt(
-                    self._call.route.kind.value, outcome
-                )
-                if outcome is StreamOutcome.COMPLETE:
-                    elapsed_s = self._runtime.clock.monotonic() - self._started_s
-                    self._runtime.stream_durations.record_stream(elapsed_s)
-                if outcome in (StreamOutcome.COMPLETE, StreamOutcome.RELAYED):
-                    return
-                step = await self._choose_step(outcome)
-            await self._give_up(outcome)
+            await self._run_attempts()
         finally:
+            self._race.cancel()
             self._log_stream_end()
 
+    async def _run_attempts(self):
+        """Start another attempt whenever one fails or its engine falls silent."""
+        failure = None
+        while True:
+            outcome = await self._race.wait()
+            if outcome is None:
+                if not self._is_progressing():
+                    self._race.start(self._recover(StreamOutcome.SILENT))
+                continue
+            if outcome is StreamOutcome.GIVEN_UP:
+                if not self._race.task_count:
+                    await self._give_up(failure)
+                    return
+                self._race.start(self._recover_later())
+                continue
+            failure = outcome
+            self._record_outcome(outcome)
+            if outcome in (StreamOutcome.COMPLETE, StreamOutcome.RELAYED):
+                return
+            if outcome is StreamOutcome.DEADLINE_EXCEEDED:
+                self._race.cancel()
+            if not self._is_progressing():
+                self._race.start(self._recover(outcome))
+
+    def _record_outcome(self, outcome):
+        """Count how an attempt ended."""
+        self._runtime.metrics.observe_attempt(self._call.route.kind.value, outcome)
+        self._losses += outcome is StreamOutcome.LOST
+        self._failures += outcome is StreamOutcome.FAILED
+        if outcome is StreamOutcome.COMPLETE:
+            elapsed_s = self._runtime.clock.monotonic() - self._started_s
+            self._runtime.stream_durations.record_stream(elapsed_s)
+
+    def _is_progressing(self):
+        """Return whether an attempt on an engine that isn't silent runs or starts."""
+        if self._race.task_count > len(self._running):
+            return True
+        return any(not attempt.is_silent for attempt in self._running)
+
+    async def _recover(self, outcome):
+        """Choose the step after an outcome, and take it; return the new outcome."""
+        copy, self._kv_copy = self._kv_copy, None
+        if outcome is StreamOutcome.SILENT and self._responder.has_begun:
+            copy = self._take_copy_of_silent_attempt()
+        step = await self._choose_step(outcome, copy)
+        if step is RecoveryStep.GIVE_UP:
+            return StreamOutcome.GIVEN_UP
+        return await self._run_next_attempt(step, copy)
+
+    async def _recover_later(self):
+        """Look for another engine again, if the engine of an attempt is still silent.
+
+        Returns
+        -------
+        StreamOutcome
+        """
+        await self._runtime.clock.sleep(SILENT_ENGINE_RETRY_S)
+        if any(not attempt.is_silent for attempt in self._running):
+            return StreamOutcome.GIVEN_UP
+        return await self._recover(StreamOutcome.SILENT)
+
+    def _take_copy_of_silent_attempt(self):
+        """Return a usable KV copy of an attempt whose engine is silent, or None."""
+        for attempt, backup_keeper in self._running.items():
+            copy = backup_keeper.take_usable_copy() if attempt.is_silent else None
+            if copy is not None:
+                return copy
+        return None
+
     def _log_stream_end(self):
         progress, started_s = self._progress, self._started_s
         first_s = None
@@ -175,24 +253,24 @@
             status=self._responder.status,
         ).info("stream ended")
 
-    async def _run_next_attempt(self, step):
+    async def _run_next_attempt(self, step, copy=None):
         """Choose an engine for the next attempt, run it and return its outcome.
 
         The first attempt waits for admission.
         """
         turns = TurnTaker(self._runtime, self._call)
         try:
-            return await self._place_and_run(step, turns)
+            return await self._place_and_run(step, turns, copy)
         finally:
             turns.release()
 
-    async def _place_and_run(self, step, turns):
-        copy, self._kv_copy = self._kv_copy, None
+    async def _place_and_run(self, step, turns, copy):
         if step is RecoveryStep.RESUME_FROM_COPY:
             holder = self._runtime.fleet.engines.get(copy.holder.name)
             if (
                 holder is not None
                 and holder.entry.version == self._origin.version
+                and await self._check_answers(holder)
                 and await turns.take(holder, RESUMPTION_MAX_WAIT_S)
             ):
                 return await self._run_attempt(turns, holder, copy, None)
@@ -211,6 +289,9 @@
                 return StreamOutcome.NOT_RUN
             placement = admitted.ok
         placement = await self._take_turn(turns, placement)
+        while placement is None and self._may_wait_for_silent_engine():
+            await self._runtime.clock.sleep(SILENT_ENGINE_CHECK_S)
+            placement = await self._take_turn(turns, None)
         if placement is not None:
             return await self._run_attempt(turns, placement.state, None, placement)
         if self._sends or not turns.engines_without_turn:
@@ -218,6 +299,20 @@
         await self._responder.send_problem(turns.make_problem())
         return StreamOutcome.RELAYED
 
+    def _may_wait_for_silent_engine(self):
+        """Return whether an engine may answer soon that gets no work for its silence.
+
+        A call that runs on a silent engine already does not wait for others.
+        """
+        call, engines = self._call, self._runtime.fleet.engines
+        if self._running or not engines.has_silent_engine(
+            call.service, self._tried_engines
+        ):
+            return False
+        remaining_s = call.response_deadline_s - self._started_s
+        waited_s = self._runtime.clock.monotonic() - self._started_s
+        return waited_s <= choose_silence_wait(remaining_s)
+
     async def _place_resumption(self, turns):
         """Wait for an engine of the version that began the stream.
 
@@ -249,6 +344,7 @@
             await clock.sleep(FULL_ENGINE_RETRY_S)
             self._tried_engines -= self._full_engines
             turns.engines_without_turn.clear()
+            turns.engines_without_answer.clear()
 
     async def _has_registered_start(self, state):
         """Return whether an engine is still the process that it registered.
@@ -286,16 +382,39 @@
         version = self._origin.version if self._origin else None
         while True:
             if placement is None:
-                excluded = self._tried_engines | turns.engines_without_turn
+                excluded = self._list_excluded().union(
+                    turns.engines_without_turn, turns.engines_without_answer
+                )
                 placement = self._runtime.fleet.place(
                     self._call, excluded, isolate, version
                 )
-            if placement is None or await turns.take(
-                placement.state, self._choose_max_wait()
-            ):
+            if placement is None:
+                return None
+            state = placement.state
+            if not await self._check_answers(state):
+                turns.engines_without_answer.add(state.name)
+            elif await turns.take(state, self._choose_max_wait()):
                 return placement
             placement = None
 
+    async def _check_answers(self, state):
+        """Return whether an engine answers, if an attempt on a silent one goes on.
+
+        Engines may fall silent together. Without the check, all calls of silent
+        engines would move to those of which it is not known yet.
+        """
+        return not self._running or await self._runtime.crash_watch.check_answers(state)
+
+    def _list_excluded(self):
+        """Return the names of engines that the next attempt is not placed on."""
+        excluded = self._tried_engines.union(
+            attempt.state.name for attempt in self._running
+        )
+        if self._running:
+            engines = self._runtime.fleet.engines
+            excluded.update(engines.list_suspects(self._call.service))
+        return excluded
+
     def _choose_max_wait(self):
         """Return how long the stream may wait for a turn at a limited engine."""
         call, fleet = self._call, self._runtime.fleet
@@ -321,24 +440,31 @@
             prompt.memory_tokens,
             backup,
             turns.pop_slot(),
+            self._race.report_silence if self._call.route.may_retry else None,
         )
         continuation = None
         if self._responder.has_begun or copy is not None:
             continuation = ResumePoint(self._progress.last_id, copy)
         backup_keeper = BackupKeeper(self._runtime, self._call, attempt)
         with attempt:
+            self._running[attempt] = backup_keeper
             backup_task = (
                 asyncio.ensure_future(backup_keeper.maintain()) if backup else None
             )
             try:
                 outcome = await self._relay(attempt, continuation)
+            except asyncio.CancelledError:
+                self._outrun_engines.add(state.name)
+                raise
             finally:
+                del self._running[attempt]
                 if backup_task is not None:
                     backup_task.cancel()
         has_failed = outcome not in (StreamOutcome.COMPLETE, StreamOutcome.RELAYED)
         self._runtime.fleet.record_outcome(state, has_failed)
         if has_failed:
-            self._tried_engines.add(state.name)
+            if outcome is not StreamOutcome.NOT_RUN or not state.is_silent:
+                self._tried_engines.add(state.name)
             if outcome is StreamOutcome.NOT_RUN and attempt.head is not None:
                 self._full_engines.add(state.name)
             if self._responder.has_begun:
@@ -406,6 +532,7 @@
             new_contents.append(event.content)
         if not new_contents:
             return
+        self._win_race(attempt)
         self._record_origin(attempt)
         if not self._responder.has_begun:
             await self._responder.begin_stream(
@@ -414,6 +541,14 @@
         await self._responder.send(b"".join(new_contents))
         self._progress.record_events(len(new_contents), self._runtime.clock.monotonic())
 
+    def _win_race(self, attempt):
+        """End the other attempts, since this one is the first to go on."""
+        others = self._race.win()
+        if others:
+            self._log.bind(engine=attempt.state.name, others=others).info(
+                "other attempts cancelled"
+            )
+
     def _record_origin(self, attempt):
         """Record the software version of the engine that begins the stream.
 
@@ -438,6 +573,7 @@
             self._log.bind(engine=attempt.state.name).info("stream truncated by engine")
             self._runtime.crash_watch.investigate(attempt.state, self._call)
             return StreamOutcome.LOST
+        self._win_race(attempt)
         return StreamOutcome.COMPLETE
 
     async def _handle_buffered_response(self, attempt):
@@ -457,6 +593,7 @@
             return StreamOutcome.FAILED
         if head.status >= MIN_SERVER_ERROR_STATUS and self._call.route.may_retry:
             return StreamOutcome.FAILED
+        self._win_race(attempt)
         await self._responder.send_upstream_response(read.ok)
         return StreamOutcome.RELAYED
 
@@ -477,11 +614,10 @@
             self._runtime.crash_watch.investigate(attempt.state, self._call)
         return StreamOutcome.LOST
 
-    async def _choose_step(self, outcome):
+    async def _choose_step(self, outcome, copy):
         """Return the next step: give up, or one that the retry budget allows."""
-        self._losses += outcome is StreamOutcome.LOST
-        self._failures += outcome is StreamOutcome.FAILED
-        if outcome is StreamOutcome.LOST and (
+        is_engine_gone = outcome in (StreamOutcome.LOST, StreamOutcome.SILENT)
+        if is_engine_gone and (
             self._losses >= SUSPECT_LOSSES
             or self._runtime.crash_watch.must_wait(self._call)
         ):
@@ -490,28 +626,39 @@
         choice = choose_recovery_step(
             StreamView(
                 outcome=outcome,
-                has_copy=self._kv_copy is not None,
+                has_copy=copy is not None,
                 may_retry=route.may_retry,
                 sends=self._sends,
                 losses=self._losses,
                 failures=self._failures,
                 max_attempts=route.max_attempts,
                 is_blocked=self._runtime.crash_watch.is_blocked(self._call),
+                other_engines=self._count_other_engines(),
             )
         )
         step, reason = choice.step, choice.reason
         if (
             step is not RecoveryStep.GIVE_UP
             and not self._runtime.retry_budget.try_spend(
-                self._call.service, is_resumption=outcome is StreamOutcome.LOST
+                self._call.service, is_resumption=is_engine_gone
             )
         ):
             step, reason = RecoveryStep.GIVE_UP, "retry budget exhausted"
         self._log.bind(ending=outcome.value, step=step.value, reason=reason).info(
-            "attempt ended"
+            "attempt silent" if outcome is StreamOutcome.SILENT else "attempt ended"
         )
         return step
 
+    def _count_other_engines(self):
+        """Return the number of engines that run the call, or were outrun and live."""
+        fleet = self._runtime.fleet
+        outrun = {
+            name
+            for name in self._outrun_engines
+            if fleet.is_alive(fleet.engines.get(name))
+        }
+        return len(outrun.union(attempt.state.name for attempt in self._running))
+
     async def _give_up(self, outcome):
         """Send a problem, or abort the response if it has begun."""
         if self._responder.has_begun:
--- a/src/sapphirerock/request/turntaker.py
+++ b/src/sapphirerock/request/turntaker.py
@@ -24,12 +24,22 @@
     ----------
     engines_without_turn : set of str
         Engines that had no turn or no slot for the call.
+    engines_without_answer : set of str
+        Engines that did not answer a probe.
     """
 
-    __slots__ = ("engines_without_turn", "_runtime", "_call", "_waits_s", "_slot")
+    __slots__ = (
+        "engines_without_turn",
+        "engines_without_answer",
+        "_runtime",
+        "_call",
+        "_waits_s",
+        "_slot",
+    )
 
     def __init__(self, runtime, call):
         self.engines_without_turn = set()
+        self.engines_without_answer = set()
         self._runtime = runtime
         self._call = call
         self._waits_s = []
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -39,6 +39,9 @@
         Engine that holds a copy of the KV memory.
     slot : SlotLease or None
         Slot of a brittle engine, released when the attempt ends.
+    on_silence : callable or None
+        Called without arguments when the engine falls silent; None if the call can't
+        be sent to another engine.
 
     Attributes
     ----------
@@ -48,6 +51,8 @@
         Whether an event of the response has arrived.
     relay : str or None
         Name of the peer that relays the connection; None for a direct connection.
+    is_silent : bool
+        Whether the engine, or the relay, was silent since the last data.
     """
 
     __slots__ = (
@@ -57,8 +62,10 @@
         "head",
         "has_output",
         "relay",
+        "is_silent",
         "_runtime",
         "_slot",
+        "_on_silence",
         "_prompt_tokens",
         "_memory_tokens",
         "_response",
@@ -75,15 +82,18 @@
         memory_tokens=0,
         backup=None,
         slot=None,
+        on_silence=None,
     ):
         self.state = state
         self.backup = backup
         self.head = None
         self.has_output = False
         self.relay = None
+        self.is_silent = False
         self._runtime = runtime
         self.call = call
         self._slot = slot
+        self._on_silence = on_silence
         self._prompt_tokens = prompt_tokens
         self._memory_tokens = memory_tokens
         self._response = None
@@ -119,11 +129,6 @@
         if self.backup is not None:
             self.backup.local_load.copy_tokens += sign * self._memory_tokens
 
-    @property
-    def is_repeatable(self):
-        """Whether the call may be sent to another engine after this attempt."""
-        return self.call.route.may_retry
-
     def replace_backup(self, backup):
         """Use another backup engine, and move the load of the KV copy to it."""
         self._count_kv_copy(-1)
@@ -147,6 +152,15 @@
         if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
+    def report_silence(self):
+        """Tell the call once that the engine, or the relay, is silent.
+
+        The attempt goes on. Called from another task.
+        """
+        if self._on_silence is not None and not self.is_silent:
+            self.is_silent = True
+            self._on_silence()
+
     async def open(self, continuation=None):
         """Send the call and wait for the head of the response.
 
@@ -262,6 +276,7 @@
             return Error(UpstreamBroken(self.state.name, repr(error)))
 
     def _record_contact(self):
+        self.is_silent = False
         self.state.record_received(self._runtime.clock.monotonic())
 
     async def _wait_until_deadline(self, coroutine):
