Engine paths: an engine that answers while peers are asked is not relayed

An engine that was silent for a moment left a probe unanswered and was back when peers relayed theirs. Data that the engine sent since peers were asked now shows that it is reached. The scenario in relays.feature failed before.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -101,6 +101,11 @@
       | never answers        | no peers                                 | down                       |
       | never answers        | three peers that never answer            | down                       |
 
+  Scenario: An engine that sends data while peers are asked about it is not relayed
+    Given a host that can't reach an engine that never answers, and three peers that reach it after 0.1 s
+    When the host checks the engine, which sends it data 0.05 s after its probe has failed
+    Then the engine is usable, and reached directly
+
   Scenario Outline: A host asks peers about engines that it uses, and once a second: <engine>
     Given a host that can't reach an engine that refuses connections, and three peers that don't reach it
     When the host <engine>, and fails to connect 5 times
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -43,6 +43,7 @@
 from sapphirerock.platform.dialect import PlatformDialect
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.engines.paths import EnginePaths
+from sapphirerock.process.engines.prober import ProbeOutcome, ProbeResult
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.peers import relayserver
 from sapphirerock.process.peers.hosts import HostTable
@@ -613,7 +614,13 @@
     return await RawEngine(responds[engine]).start()
 
 
-async def add_peers(host, count, reaches):
+async def send_late_report(engine, writer):
+    """Answer a request for the report after a moment."""
+    await asyncio.sleep(0.1)
+    await send_report(engine, writer)
+
+
+async def add_peers(host, count, reaches, respond=send_report):
     """Add peers of different zones; those that reach the engine use another port.
 
     A peer that is cut off gets the failure of the host.
@@ -623,7 +630,7 @@
         await peer.start()
         peer.add_engine(host.state.entry.address)
         if number < reaches:
-            peer.relay_server.reached_address = await RawEngine(send_report).start()
+            peer.relay_server.reached_address = await RawEngine(respond).start()
         host.hosts.update_from_registration(peer.host)
 
 
@@ -633,6 +640,8 @@
         context.host = CutHost(await make_engine_address(engine))
         if peers == "three peers that reach it":
             await add_peers(context.host, 3, 3)
+        elif peers == "three peers that reach it after 0.1 s":
+            await add_peers(context.host, 3, 3, send_late_report)
         elif peers == "one peer that reaches it and two cut off":
             await add_peers(context.host, 3, 1)
         elif peers == "three peers that don't reach it":
@@ -668,6 +677,31 @@
     context.run(run())
 
 
+@when(
+    "the host checks the engine, which sends it data {delay_s:g} s after its probe has "
+    "failed"
+)
+def check_waking_engine(context, delay_s):
+    async def run():
+        host = context.host
+        result = ProbeResult(ProbeOutcome.NO_ANSWER, "silent")
+        host.engines.mark_down(host.state, "silent", is_silent=True)
+        confirmed = asyncio.ensure_future(host.paths.confirm(host.state.entry, result))
+        await asyncio.sleep(delay_s)
+        host.state.record_received(host.clock.monotonic())
+        await confirmed
+        await host.paths.on_stop()
+        await host.session.close()
+
+    context.run(run())
+
+
+@then("the engine is usable, and reached directly")
+def check_reached_directly(context):
+    host = context.host
+    assert host.engines.is_usable(host.state) and not host.state.is_relayed
+
+
 @when("the host has reached the engine through peers, and checks it")
 def check_relayed_engine(context):
     context.host.state.is_relayed = True
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -223,10 +223,14 @@
             ProbeOutcome.NO_ANSWER,
         ):
             return result
+        asked_s = self._clock.monotonic()
         found = await self._ask_peers(entry)
         state = self._engines.get(entry.name)
         if found is None or state is None or state.entry.born_ms != entry.born_ms:
             return result
+        if not state.is_relayed and state.heard_s >= asked_s:
+            # The engine was silent for a moment, and so was not reached.
+            return ProbeResult(ProbeOutcome.RUNNING, "answered meanwhile", True)
         if found.outcome is ProbeOutcome.ENDED:
             return found
         self._engines.lift_down(state)
