Engine monitor: new calls don't hide that an engine is silent

Each attempt restarted the time for which its engine had sent nothing, so an engine with a new call of this host every 0.2 s or sooner was never probed, dead or not. Its calls and streams waited for their deadlines. Now only the first attempt at an engine without attempts starts that time. Scenarios with a call every 0.05 s and 0.15 s failed before (not marked within 0.7 s); one call alone kept the bound before, too.

--- a/features/enginesilence.feature
+++ b/features/enginesilence.feature
@@ -25,3 +25,14 @@
       | one of them       | 1.2     |
       | two thirds        | 0.6     |
       | all of them       | 1.2     |
+
+  Scenario Outline: A dead engine is found silent although it gets new calls: <calls>
+    Given a host, and an engine that never answers
+    When the host sends it <calls>
+    Then it is marked silent within 0.7 s
+
+    Examples:
+      | calls                |
+      | one call             |
+      | a call every 0.05 s  |
+      | a call every 0.15 s  |
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import re
 import time
 from collections import Counter
+from types import SimpleNamespace
 
 from behave import given, then, when
 from tools.sharedcluster import (
@@ -16,6 +18,8 @@
 
 from features.steps.edge_steps import start_cluster
 from features.steps.enginecut_steps import plan_calls, send_one
+from features.steps.poison_steps import HostUnderTest, make_call
+from sapphirerock.request.upstreamattempt import UpstreamAttempt
 
 # 70 events of a stream take about 4 s, as on the users' sites.
 STREAM_EVENTS = 70
@@ -23,6 +27,7 @@
 PLAIN_TIMEOUT_MS = 3000
 SILENCE_PERIOD_S = 3.7
 CONFIGURATION_INTERVAL_S = 0.5
+MARK_BOUND_S = 0.7
 SILENT_ENGINES = {
     "one of them": lambda names, turn: [names[turn % len(names)]],
     "two thirds": lambda names, turn: [
@@ -174,3 +179,39 @@
             for runs in context.runs.values()
             for run in runs
         ), item
+
+
+@given("a host, and an engine that never answers")
+def start_host(context):
+    async def run():
+        context.host = HostUnderTest()
+        context.state = context.host.add_unresponsive_engine("e1")
+
+    context.run(run())
+
+
+@when("the host sends it {calls}")
+def send_to_dead_engine(context, calls):
+    found = re.search(r"every ([0-9.]+) s", calls)
+    interval_s = float(found[1]) if found else MARK_BOUND_S
+
+    async def run():
+        host = context.host
+        await host.monitor.start()
+        runtime = SimpleNamespace(clock=host.clock)
+        started_s = time.monotonic()
+        attempts = []
+        while time.monotonic() < started_s + MARK_BOUND_S:
+            attempt = UpstreamAttempt(runtime, make_call(), context.state)
+            attempts.append(attempt.__enter__())
+            await asyncio.sleep(interval_s)
+        context.is_silent = host.engines.is_marked_silent(context.state)
+        await host.monitor.stop()
+        await host.close()
+
+    context.run(run())
+
+
+@then("it is marked silent within 0.7 s")
+def check_marked_silent(context):
+    assert context.is_silent
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -102,10 +102,12 @@
 
     def __enter__(self):
         state = self.state
+        if not state.attempts:
+            # Later attempts don't restart the time for which the engine was silent.
+            state.last_received_s = max(
+                state.last_received_s, self._runtime.clock.monotonic()
+            )
         state.attempts.add(self)
-        state.last_received_s = max(
-            state.last_received_s, self._runtime.clock.monotonic()
-        )
         state.local_load.prompt_tokens += self._prompt_tokens
         state.local_load.runs += 1
         state.local_load.memory_tokens += self._memory_tokens
