Calls: each way in which a response ends early is logged and counted

A whole request that got no complete response left a line only if no status had been sent, and none told why. So a broken off stream could not be told from a caller that left, from the end of a shutdown or from a failed handler. `response ended early` gives the cause with the age and both revisions of the configuration, the call's and the newest, and `sapphirerock_early_ends_total` counts by cause.

--- a/src/sapphirerock/connection/responder.py
+++ b/src/sapphirerock/connection/responder.py
@@ -22,13 +22,23 @@
         HTTP status sent; 0 before the response has begun.
     problem : Problem or None
         Problem that was sent to the caller.
+    is_aborted : bool
+        Whether the response was cut off.
     """
 
-    __slots__ = ("status", "problem", "_request", "_close_connection", "_response")
+    __slots__ = (
+        "status",
+        "problem",
+        "is_aborted",
+        "_request",
+        "_close_connection",
+        "_response",
+    )
 
     def __init__(self, request, close_connection=False):
         self.status = 0
         self.problem = None
+        self.is_aborted = False
         self._request = request
         self._close_connection = close_connection
         self._response = None
@@ -83,6 +93,7 @@
 
     def abort(self):
         """Close the connection, so that the caller sees an incomplete response."""
+        self.is_aborted = True
         transport = self._request.transport
         if transport is not None:
             transport.close()
--- a/src/sapphirerock/process/telemetry/edgemetrics.py
+++ b/src/sapphirerock/process/telemetry/edgemetrics.py
@@ -22,6 +22,7 @@
         "pause_seconds",
         "attempts",
         "refusals",
+        "early_ends",
         "platform_calls",
         "peer_bytes",
         "peer_links",
@@ -64,6 +65,9 @@
         )
         self.attempts = counter("attempts", "Attempts at engines", "kind", "ending")
         self.refusals = counter("refusals", "Calls turned away", "problem")
+        self.early_ends = counter(
+            "early_ends", "Whole requests without a complete response", "cause"
+        )
         self.platform_calls = counter("platform_calls", "Calls to the store", "kind")
         self.peer_bytes = counter("peer_bytes", "Bytes to peers", "kind", "reach")
         self.peer_links = gauge("peer_links", "Open peer streams")
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -1,5 +1,8 @@
 """HTTP handler for the requests of callers, which it serves or refuses."""
 
+import asyncio
+from enum import Enum
+
 from expression import Error, Ok
 from loguru import logger
 from opentelemetry.trace import SpanKind
@@ -39,6 +42,19 @@
 ORIGINS_WAIT_S = 0.5
 
 
+class EarlyEnd(Enum):
+    """Why a whole request got no complete response."""
+
+    NONE = "none"
+    CALLER_LEFT = "caller left"
+    # No engine finished a stream that had begun.
+    GIVEN_UP = "given up"
+    # The connection was cut off at the end of the shutdown.
+    SHUTDOWN = "shutdown"
+    # The handler failed.
+    ERROR = "error"
+
+
 class CallHandler:
     """Serves the requests of callers.
 
@@ -90,6 +106,7 @@
         arrived_s = runtime.clock.monotonic()
         route_kind = "none"
         call = None
+        cause = EarlyEnd.NONE
         self.active_calls += 1
         try:
             with runtime.tracer.start_as_current_span(
@@ -104,16 +121,45 @@
                     call = received.ok
                     route_kind = call.route.kind.value
                     await self._serve_call(call, responder)
+            if responder.is_aborted:
+                cause = EarlyEnd.GIVEN_UP
+        except (asyncio.CancelledError, ConnectionError):
+            cause = EarlyEnd.CALLER_LEFT
+            if self._has_shutdown_ended():
+                cause = EarlyEnd.SHUTDOWN
+            raise
+        except Exception:
+            cause = EarlyEnd.ERROR
+            raise
         finally:
-            if call is not None and not responder.status:
-                logger.bind(
-                    request=call.metadata.attempt_id, route=call.route.name
-                ).info("caller disconnected")
+            if call is not None and cause is not EarlyEnd.NONE:
+                self._record_early_end(call, responder, cause, arrived_s)
             self.active_calls -= 1
             elapsed_s = runtime.clock.monotonic() - arrived_s
             runtime.metrics.observe_call(route_kind, responder, elapsed_s)
         return responder.response
 
+    def _has_shutdown_ended(self):
+        """Return whether the time for calls in progress is over."""
+        if not self.is_shutting_down:
+            return False
+        elapsed_s = self._runtime.clock.monotonic() - self._shutdown_started_s
+        return elapsed_s >= self._shutdown_allowed_s
+
+    def _record_early_end(self, call, responder, cause, arrived_s):
+        """Log and count a whole request that got no complete response."""
+        self._runtime.metrics.early_ends.labels(cause.value).inc()
+        elapsed_s = self._runtime.clock.monotonic() - arrived_s
+        logger.bind(
+            request=call.metadata.attempt_id,
+            route=call.route.name,
+            cause=cause.value,
+            status=responder.status,
+            after_s=round(elapsed_s, 3),
+            revision=call.revision,
+            newest_revision=self._routing.current.revision,
+        ).info("response ended early")
+
     async def _read_call(self, request, arrived_s):
         """Match a request to a route and read its body.
 
