Crash watch: a peer's report of a crash doesn't replace this host's evidence

Cause: a host that finds by its probe that an engine has ended skipped its own calls if the crash was known already. A peer that had other calls on the engine makes it known with those calls alone. The host's own call then had no third crash, so there was nothing to wait for, and it was sent on. The calls were only added when the peer's second message, that the engine is down, had been verified.

Fix: the calls that a host has lost with an engine are recorded as soon as its own probe shows the end of the engine, or a probe is not answered and a peer has reported the crash. Peers get a report that the engine is down only if the crash is new, as before.

Tests: the orders of events in one process, without timing. The scenario "A suspect request waits until the cause of its third loss is known" is now an outline; its former case is the first row, unchanged.

--- a/features/poisonrequests.feature
+++ b/features/poisonrequests.feature
@@ -61,6 +61,9 @@
       | its connection breaks, probes time out, and a peer reports it      |
       | its connection breaks, probes time out, and the engine registers again |
       | its connection stays silent and the engine refuses new ones        |
+      | its connection breaks, a peer reports its own calls, and the engine refuses new ones |
+      | its connection breaks, a peer's log has the crash, and the engine refuses new ones |
+      | its connection breaks, probes time out, and a peer reports its own calls |
 
   Scenario: The calls on a draining engine that goes silent are interrupted
     Given a host with a call on an engine that crashes
@@ -82,11 +85,18 @@
     When 6 engines crash under the call, each together with another of its zone
     Then the call is blocked
 
-  Scenario: A suspect request waits until the cause of its third loss is known
+  Scenario Outline: A suspect request waits until the cause of its third loss is known: <loss>
     Given a host with a call on an engine that crashes
-    When the call has lost two engines, and a third resets the first probe
+    When the call has lost two engines, and <loss>
     Then the call is blocked once its investigations have ended
 
+    Examples:
+      | loss                                                                |
+      | a third resets the first probe                                      |
+      | a third refuses the first probe after a peer reported its own calls |
+      | a third ignores the first probe, and a peer reports its own calls   |
+      | a third refuses the first probe and is in the log of a peer         |
+
   Scenario: A request that lost engines on other hosts waits after its first loss on this one
     Given a host with a call on an engine that crashes
     When peers report 2 crashes under the call, and it loses its engine
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -22,6 +22,7 @@
 from sapphirerock.decisions.crashlog import (
     MAX_LOGGED_CRASHES,
     CrashLog,
+    CrashLogRecords,
     EngineRun,
 )
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
@@ -55,6 +56,7 @@
 FAULTS = {}
 ORDERS = {}
 REPORTS = {}
+THIRD_LOSSES = {}
 
 
 def register_in(registry, text):
@@ -382,6 +384,21 @@
     context.call = make_call()
 
 
+def report_peer_calls(host, state):
+    """Apply a peer's report of the calls that it had on a crashed engine."""
+    suspects = [fingerprint_call(make_call(2))]
+    host.gossip.broadcast(
+        CrashSuspectsUpdate(state.name, BORN_MS, "zone-a", 0, suspects)
+    )
+
+
+def merge_peer_log(host, state):
+    """Merge a peer's crash log that has the crash of an engine."""
+    suspects = [fingerprint_call(make_call(2))]
+    crash = [state.name, BORN_MS, "zone-a", 0, suspects]
+    host.crash_log.merge(CrashLogRecords([crash], []))
+
+
 def report_crash(host, state, cause="crashed"):
     """Apply a peer's report that an engine is down."""
     entry = state.entry
@@ -428,6 +445,37 @@
     await host.monitor.stop()
 
 
+@register_in(
+    ORDERS,
+    "its connection breaks, a peer reports its own calls, and the engine refuses new "
+    "ones",
+)
+async def report_calls_first(host, call):
+    state = host.add_engine("e1")
+    host.crash_watch.investigate(state, call)
+    report_peer_calls(host, state)
+
+
+@register_in(
+    ORDERS,
+    "its connection breaks, a peer's log has the crash, and the engine refuses new "
+    "ones",
+)
+async def merge_log_first(host, call):
+    state = host.add_engine("e1")
+    host.crash_watch.investigate(state, call)
+    merge_peer_log(host, state)
+
+
+@register_in(
+    ORDERS, "its connection breaks, probes time out, and a peer reports its own calls"
+)
+async def report_calls_last(host, call):
+    state = host.add_unresponsive_engine("e1")
+    host.crash_watch.investigate(state, call)
+    report_peer_calls(host, state)
+
+
 @when("the engine drains and goes silent")
 def silence_draining_engine(context):
     async def run():
@@ -568,19 +616,52 @@
     listener.close()
 
 
-@when("the call has lost two engines, and a third resets the first probe")
-def lose_three_engines(context):
+@register_in(THIRD_LOSSES, "a third resets the first probe")
+def lose_with_reset(host, call):
+    state = host.add_unresponsive_engine("e3")
+    host.crash_watch.investigate(state, call)
+    return asyncio.ensure_future(reset_first_probe(host.silent_engines[-1]))
+
+
+@register_in(
+    THIRD_LOSSES, "a third refuses the first probe after a peer reported its own calls"
+)
+def lose_after_report(host, call):
+    state = host.add_engine("e3")
+    host.crash_watch.investigate(state, call)
+    report_peer_calls(host, state)
+
+
+@register_in(
+    THIRD_LOSSES, "a third ignores the first probe, and a peer reports its own calls"
+)
+def lose_without_answer(host, call):
+    state = host.add_unresponsive_engine("e3")
+    host.crash_watch.investigate(state, call)
+    report_peer_calls(host, state)
+
+
+@register_in(
+    THIRD_LOSSES, "a third refuses the first probe and is in the log of a peer"
+)
+def lose_after_merge(host, call):
+    state = host.add_engine("e3")
+    host.crash_watch.investigate(state, call)
+    merge_peer_log(host, state)
+
+
+@when("the call has lost two engines, and {loss}")
+def lose_three_engines(context, loss):
     async def run():
         host, call = context.host, context.call
         for name in ("e1", "e2"):
             host.crash_watch.investigate(host.add_engine(name), call)
             await asyncio.sleep(0.5)
-        state = host.add_unresponsive_engine("e3")
-        reset = asyncio.ensure_future(reset_first_probe(host.silent_engines[-1]))
-        host.crash_watch.investigate(state, call)
+        reset = THIRD_LOSSES[loss](host, call)
         await host.crash_watch.wait_for_investigations(call)
         context.was_blocked = host.crash_watch.is_blocked(call)
-        await reset
+        if reset:
+            await reset
         await host.close()
 
     context.run(run())
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -264,7 +264,9 @@
             if outcome not in INCONCLUSIVE_OUTCOMES:
                 return
             await self._clock.sleep(delay_s)
-            if self._crash_log.has_crash(make_run(state)):
+            run = make_run(state)
+            if self._crash_log.has_crash(run):
+                self._record_crash(run, state)
                 return
             outcome = await self._probe(state, loss)
 
@@ -285,13 +287,18 @@
         return result.outcome
 
     def report_crash(self, state):
-        """Report to all hosts, this one included, that a run of an engine has ended."""
+        """Report to all hosts, this one included, that a run of an engine has ended.
+
+        A crash that a peer has reported is known with the peer's calls only.
+        """
         run = make_run(state)
         if not self._crash_log.has_crash(run):
             # The state may have been removed from the table since.
             self._record_crash(run, state)
             self._mark_down_and_interrupt(state, CRASHED)
             self._broadcast_down(state, CRASHED)
+        elif run in self._losses:
+            self._record_crash(run, state)
 
     def interrupt_silent(self, state):
         """Mark an engine down that doesn't answer this host."""
