Verdict: a run on sources that change meanwhile counts as failed

Cause: the sources were edited while the run went on. The three hosts ended when their engine monitor raised "'UpstreamAttempt' object has no attribute 'report_silence'", 2.6 to 3.2 s after the first call; the test sends nothing to hosts that have ended, hence 12 calls instead of 64. Hosts had loaded modules of an edit that was not complete. The six other hosts found no silent engine, so they did not get there.

The verdict now compares a digest of the sources, features and tools before and after the run. An edit that is undone before the end is not noticed.

--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -11,9 +11,27 @@
     count_results,
     parse_known_fault,
     read_results,
+    run_on_unchanged_sources,
 )
 
 FEATURE, NAME = "features/some.feature", "some scenario"
+MODULE = "src/package/module.py"
+BYTECODE = "src/package/__pycache__/module.py"
+CHANGES = {
+    "nothing changes": lambda root: None,
+    "bytecode is written": lambda root: write_source(root, BYTECODE, "1"),
+    "a module is edited": lambda root: write_source(root, MODULE, "2"),
+    "a module is added": lambda root: write_source(root, "tools/other.py", "1"),
+    "a feature is renamed": lambda root: (root / FEATURE).rename(
+        root / "features/other.feature"
+    ),
+}
+
+
+def write_source(root, name, text):
+    path = root / name
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(text)
 
 
 @given("a result with status {status} that {listed} listed as a known fault")
@@ -64,6 +82,21 @@
     context.verdict = count_results(results, [fault])
 
 
+@given("a run with a passed scenario, during which {change}")
+def run_beside_change(context, change):
+    with tempfile.TemporaryDirectory() as folder:
+        root = Path(folder)
+        for name in (MODULE, FEATURE):
+            write_source(root, name, "1")
+
+        def run_all():
+            CHANGES[change](root)
+            return [ScenarioResult(FEATURE, NAME, "passed")]
+
+        results = run_on_unchanged_sources(run_all, root)
+    context.verdict = count_results(results, [])
+
+
 @then("{passed:d} passed and {failed:d} failed, and {note} is printed")
 def check_verdict(context, passed, failed, note):
     verdict = context.verdict
--- a/features/verdict.feature
+++ b/features/verdict.feature
@@ -41,3 +41,15 @@
   Scenario: A listed example of an outline is recognised in the results of a run
     Given a results file with a failed example of an outline that is listed
     Then 0 passed and 0 failed, and known fault: is printed
+
+  Scenario Outline: A run on sources that change meanwhile is a failure: <change>
+    Given a run with a passed scenario, during which <change>
+    Then 1 passed and <failed> failed, and <note> is printed
+
+    Examples:
+      | change                    | failed | note                |
+      | nothing changes           | 0      | nothing             |
+      | bytecode is written       | 0      | nothing             |
+      | a module is edited        | 1      | the sources changed |
+      | a module is added         | 1      | the sources changed |
+      | a feature is renamed      | 1      | the sources changed |
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -4,8 +4,11 @@
 scenario that passes counts as failed, so that the list stays up to date, unless its
 entry states in how many of how many runs it failed: then it may pass or fail, and is
 printed either way.
+
+A run during which the sources change counts as failed.
 """
 
+import hashlib
 import json
 import os
 import re
@@ -13,6 +16,7 @@
 import sys
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from tools.localcluster import PORT_SLICE_VARIABLE
@@ -20,6 +24,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 RESULTS = ROOT / ".test-run" / "results"
+# Processes load these files at any time of a run.
+SOURCE_PATTERNS = ("src/**/*.py", "features/**/*", "tools/**/*.py")
+BYTECODE_FOLDER = "__pycache__"
 FIELD_SEPARATOR = "|"
 FIELD_COUNTS = (5, 6)
 FREQUENCY = re.compile(r"failed (\d+) of (\d+) runs")
@@ -139,6 +146,38 @@
         return [result for results in runs for result in results]
 
 
+def run_on_unchanged_sources(run_all, root=ROOT):
+    """Run features; add a failed result if the sources change meanwhile.
+
+    Processes that start at different times of such a run load different sources.
+
+    Parameters
+    ----------
+    run_all : callable
+        Runs the features and returns the list of their results.
+    root : pathlib.Path
+        Folder of the project.
+    """
+    digest = digest_sources(root)
+    results = run_all()
+    if digest_sources(root) != digest:
+        results.append(
+            ScenarioResult("src", "the sources changed during the run", "failed")
+        )
+    return results
+
+
+def digest_sources(root):
+    """Return a digest of the names and contents of the sources."""
+    digest = hashlib.sha256()
+    paths = {path for pattern in SOURCE_PATTERNS for path in root.glob(pattern)}
+    for path in sorted(paths):
+        if path.is_file() and BYTECODE_FOLDER not in path.parts:
+            content = hashlib.sha256(path.read_bytes()).hexdigest()
+            digest.update(f"{path.relative_to(root)}\0{content}\0".encode())
+    return digest.digest()
+
+
 def read_results(path):
     """Return the results in the JSON file that behave wrote for a feature."""
     try:
@@ -215,7 +254,8 @@
 
 def main(arguments):
     """Run the named features, or all; print the verdict and return the exit status."""
-    verdict = count_results(run_features(arguments), read_known_faults())
+    results = run_on_unchanged_sources(partial(run_features, arguments))
+    verdict = count_results(results, read_known_faults())
     for line in verdict.report_lines:
         print(line)
     print(f"{verdict.passed} passed, {verdict.failed} failed")
