--- /dev/null
+++ b/features/starts.feature
@@ -0,0 +1,6 @@
+Feature: A start of a host does only what a host needs
+
+  Scenario: The build compiles the sources, so that no start does
+    Given a copy of the sources that the build command was run in
+    When a host's modules are imported from the build without writing byte code
+    Then none of the project's modules is compiled
--- /dev/null
+++ b/features/steps/start_steps.py
@@ -0,0 +1,59 @@
+"""Steps on what a start of a host costs."""
+
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tomllib
+
+from behave import given, then, when
+from tools.localcluster import BIN, ROOT, RUN_FOLDER
+
+HOST_IMPORTS = "import sapphirerock.commands.router, sapphirerock.process.edge"
+# Python's line, with -v, on a module's code that was compiled from its source.
+COMPILED_MODULE = re.compile(
+    r"^# code object from '?(\S+/sapphirerock/\S+\.py)'?$", re.M
+)
+
+
+@given("a copy of the sources that the build command was run in")
+def run_build(context):
+    folder = context.build_folder = RUN_FOLDER / f"build-{os.getpid()}"
+    shutil.rmtree(folder, ignore_errors=True)
+    shutil.copytree(
+        ROOT / "src", folder / "src", ignore=shutil.ignore_patterns("__pycache__")
+    )
+    shutil.copy2(ROOT / "constraints.txt", folder)
+    # Marks the libraries as installed; the test environment has them.
+    (folder / "target" / "deps").mkdir(parents=True)
+    (folder / "target" / "deps" / ".built").touch()
+    build = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["build"]
+    path = f"{BIN}:{os.environ['PATH']}"
+    subprocess.run(
+        build, shell=True, check=True, cwd=folder, env={**os.environ, "PATH": path}
+    )
+
+
+@when("a host's modules are imported from the build without writing byte code")
+def import_from_build(context):
+    run = subprocess.run(
+        [sys.executable, "-v", "-c", HOST_IMPORTS],
+        cwd=context.build_folder,
+        env={
+            **os.environ,
+            "PYTHONPATH": str(context.build_folder / "target" / "deps"),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        },
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.compiled = COMPILED_MODULE.findall(run.stderr)
+    assert str(context.build_folder) in run.stderr
+
+
+@then("none of the project's modules is compiled")
+def check_compiled(context):
+    assert not context.compiled, (len(context.compiled), context.compiled[:3])
+    shutil.rmtree(context.build_folder)
