Router: a start loads no certificates

Importing aiohttp loads the certificates of the system twice, 43 ms each, for requests over TLS. Hosts speak plain HTTP only. The variables that name the certificates now point to an empty file while the router's modules are imported, and have their former values afterwards, so that a later client of TLS, such as an exporter of spans, finds the certificates.

The test gives a start a pipe without a writer for the certificates; before, the host blocked on it and was not ready within 8 s.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -4,3 +4,8 @@
     Given a copy of the sources that the build command was run in
     When a host's modules are imported from the build without writing byte code
     Then none of the project's modules is compiled
+
+  Scenario: A start reads no certificates
+    Given a shared platform with a planned edge
+    When the edge is started and would block on reading certificates
+    Then it is ready
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -8,9 +8,12 @@
 import tomllib
 
 from behave import given, then, when
-from tools.localcluster import BIN, ROOT, RUN_FOLDER
+from tools.localcluster import BIN, ROOT, RUN_FOLDER, LocalProcess
+from tools.sharedcluster import SharedCluster, make_configuration
 
 HOST_IMPORTS = "import sapphirerock.commands.router, sapphirerock.process.edge"
+ROUTER_MODULE = "sapphirerock.commands.router"
+EDGE = "edge-0"
 # Python's line, with -v, on a module's code that was compiled from its source.
 COMPILED_MODULE = re.compile(
     r"^# code object from '?(\S+/sapphirerock/\S+\.py)'?$", re.M
@@ -57,3 +60,39 @@
 def check_compiled(context):
     assert not context.compiled, (len(context.compiled), context.compiled[:3])
     shutil.rmtree(context.build_folder)
+
+
+@given("a shared platform with a planned edge")
+def plan_edge(context):
+    context.world.cluster = cluster = SharedCluster("starts")
+
+    async def run():
+        cluster.add_platform()
+        await cluster.wait_ready("platform")
+        cluster.plan_edge(EDGE, "zone-a", "region-a")
+        await cluster.put_configuration(make_configuration())
+
+    context.run(run())
+
+
+def start_edge(cluster, *command):
+    """Start the planned edge by a command that runs the router's module."""
+    arguments = [*command, "-m", ROUTER_MODULE, *cluster.make_arguments(EDGE)]
+    arguments.append(str(cluster.write_settings(EDGE)))
+    process = LocalProcess(EDGE, arguments, cluster.folder / f"{EDGE}.log")
+    process.start()
+    cluster.processes[EDGE] = process
+
+
+@when("the edge is started and would block on reading certificates")
+def start_edge_with_blocking_certificates(context):
+    cluster = context.world.cluster
+    # Opening a pipe that has no writer blocks.
+    pipe = cluster.folder / "certificates"
+    os.mkfifo(pipe)
+    start_edge(cluster, "env", f"SSL_CERT_FILE={pipe}", sys.executable)
+
+
+@then("it is ready")
+def check_ready(context):
+    context.run(context.world.cluster.wait_edges_ready())
--- /dev/null
+++ b/src/sapphirerock/commands/imports.py
@@ -0,0 +1,26 @@
+"""Cheaper imports for processes that must start fast."""
+
+import os
+from contextlib import contextmanager
+
+# Variables that name the certificates which OpenSSL loads by default.
+CERTIFICATE_VARIABLES = ("SSL_CERT_FILE", "SSL_CERT_DIR")
+
+
+@contextmanager
+def skip_certificates():
+    """Keep imports from loading the certificates of the system.
+
+    aiohttp loads them twice when it is imported, for requests over TLS. Use this in
+    processes that make none: its requests over TLS fail to verify servers afterwards.
+    """
+    previous = {name: os.environ.get(name) for name in CERTIFICATE_VARIABLES}
+    os.environ.update(dict.fromkeys(CERTIFICATE_VARIABLES, os.devnull))
+    try:
+        yield
+    finally:
+        for name, value in previous.items():
+            if value is None:
+                del os.environ[name]
+            else:
+                os.environ[name] = value
--- a/src/sapphirerock/commands/router.py
+++ b/src/sapphirerock/commands/router.py
@@ -5,6 +5,7 @@
 import click
 
 from sapphirerock import __version__
+from sapphirerock.commands.imports import skip_certificates
 from sapphirerock.commands.worker import run_service
 from sapphirerock.platform.names import SETTINGS_VARIABLE
 from sapphirerock.process.telemetry.logs import configure_logs
@@ -60,9 +61,10 @@
 
     Example: sapphirerock-router /etc/sapphirerock/host.json
     """
-    prepared = (prepare_edge if platform else prepare_router)(
-        settings_file, metrics_port
-    )
+    prepare = prepare_edge if platform else prepare_router
+    # Hosts speak plain HTTP to callers, upstreams, peers and the store.
+    with skip_certificates():
+        prepared = prepare(settings_file, metrics_port)
     if prepared.is_error():
         for fault in prepared.error.faults:
             click.echo(f"{settings_file}: {fault}", err=True)
