Router: a start collects no garbage while it imports modules

Collections during the imports, one of them of all generations, took 0.05 s to 0.07 s of processor time and found hardly anything. Collection now pauses until the router is prepared. What exists then is exempt from later collections, which otherwise go over all modules, classes and functions again soon after the start.

The test compares the counts of collections around the preparation; before, the second generation was collected 6 times and the oldest once.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -9,3 +9,9 @@
     Given a shared platform with a planned edge
     When the edge is started and would block on reading certificates
     Then it is ready
+
+  Scenario: A start collects garbage only once all modules are imported
+    Given a shared platform with a planned edge
+    When the edge's settings are checked, which imports all of its modules
+    Then the older generations of objects were not collected
+    And garbage is collected from then on
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -1,5 +1,6 @@
 """Steps on what a start of a host costs."""
 
+import json
 import os
 import re
 import shutil
@@ -96,3 +97,40 @@
 @then("it is ready")
 def check_ready(context):
     context.run(context.world.cluster.wait_edges_ready())
+
+
+# Checks settings as `sapphirerock-router --check` does; prints counts of collections.
+CHECK_AND_COUNT = f"""
+import gc, json, sys
+from {ROUTER_MODULE} import main
+
+def count():
+    return [generation["collections"] for generation in gc.get_stats()]
+
+before = count()
+main(sys.argv[1:], standalone_mode=False)
+print(json.dumps({{"before": before, "after": count(), "enabled": gc.isenabled()}}))
+"""
+
+
+@when("the edge's settings are checked, which imports all of its modules")
+def check_settings(context):
+    path = context.world.cluster.write_settings(EDGE)
+    run = subprocess.run(
+        [sys.executable, "-c", CHECK_AND_COUNT, "--platform", "--check", str(path)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.collections = json.loads(run.stdout.splitlines()[-1])
+
+
+@then("the older generations of objects were not collected")
+def check_no_collections(context):
+    counted = context.collections
+    assert counted["after"][1:] == counted["before"][1:], counted
+
+
+@then("garbage is collected from then on")
+def check_collection_enabled(context):
+    assert context.collections["enabled"]
--- a/src/sapphirerock/commands/imports.py
+++ b/src/sapphirerock/commands/imports.py
@@ -1,5 +1,6 @@
 """Cheaper imports for processes that must start fast."""
 
+import gc
 import os
 from contextlib import contextmanager
 
@@ -24,3 +25,18 @@
                 del os.environ[name]
             else:
                 os.environ[name] = value
+
+
+@contextmanager
+def pause_collection():
+    """Collect no garbage meanwhile; exempt what exists at the end from collection.
+
+    Imports make many objects and hardly any garbage, so that each collection traverses
+    all modules in vain, and so would later collections.
+    """
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.freeze()
+        gc.enable()
--- a/src/sapphirerock/commands/router.py
+++ b/src/sapphirerock/commands/router.py
@@ -5,8 +5,7 @@
 import click
 
 from sapphirerock import __version__
-from sapphirerock.commands.imports import skip_certificates
-from sapphirerock.commands.worker import run_service
+from sapphirerock.commands.imports import pause_collection, skip_certificates
 from sapphirerock.platform.names import SETTINGS_VARIABLE
 from sapphirerock.process.telemetry.logs import configure_logs
 
@@ -63,7 +62,10 @@
     """
     prepare = prepare_edge if platform else prepare_router
     # Hosts speak plain HTTP to callers, upstreams, peers and the store.
-    with skip_certificates():
+    with skip_certificates(), pause_collection():
+        # Like most modules of the router, imported while no garbage is collected.
+        from sapphirerock.commands.worker import run_service
+
         prepared = prepare(settings_file, metrics_port)
     if prepared.is_error():
         for fault in prepared.error.faults:
