Tracing: the OpenTelemetry SDK is imported only where spans are exported

A host on the shared platform has no exporter, and needs only the API.

The routers' spans still go to files (golden.feature passes).

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -15,3 +15,20 @@
     When the edge's settings are checked, which imports all of its modules
     Then the older generations of objects were not collected
     And garbage is collected from then on
+
+  Scenario: A start imports no modules that a host on the shared platform doesn't use
+    Given a shared platform with a planned edge
+    When the edge is started with a trace of its imports
+    Then it is ready
+    And none of these modules was imported
+      | module                      |
+      | fastjsonschema              |
+      | google.protobuf             |
+      | jsonschema                  |
+      | opentelemetry.exporter      |
+      | opentelemetry.sdk           |
+      | requests                    |
+      | sapphirerock.load           |
+      | sapphirerock.process.orders |
+      | sapphirerock.process.router |
+      | sapphirerock.standin        |
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -20,6 +20,9 @@
     r"^# code object from '?(\S+/sapphirerock/\S+\.py)'?$", re.M
 )
 
+# Python's line, with -X importtime, on a module that was imported.
+IMPORTED_MODULE = re.compile(r"^import time: .*\| +(\S+)$", re.M)
+
 
 @given("a copy of the sources that the build command was run in")
 def run_build(context):
@@ -134,3 +137,23 @@
 @then("garbage is collected from then on")
 def check_collection_enabled(context):
     assert context.collections["enabled"]
+
+
+@when("the edge is started with a trace of its imports")
+def start_edge_with_trace(context):
+    start_edge(context.world.cluster, sys.executable, "-X", "importtime")
+
+
+@then("none of these modules was imported")
+def check_modules(context):
+    log = context.world.cluster.processes[EDGE].log.read_text()
+    imported = IMPORTED_MODULE.findall(log)
+    assert "sapphirerock.process.edge" in imported, log[-500:]
+    unwanted = tuple(row["module"] for row in context.table)
+    found = [name for name in imported if f"{name}.".startswith(add_dots(unwanted))]
+    assert not found, (len(found), found)
+
+
+def add_dots(names):
+    """Return prefixes that match modules of these names and all of their parts."""
+    return tuple(f"{name}." for name in names)
--- a/src/sapphirerock/process/telemetry/tracing.py
+++ b/src/sapphirerock/process/telemetry/tracing.py
@@ -1,13 +1,10 @@
-"""OpenTelemetry tracing: a span for each hop, and the exporters of spans."""
+"""OpenTelemetry tracing: a span for each hop, and the exporters of spans.
+
+The packages that record and export spans are imported only by processes that do so,
+since a start must not take long.
+"""
 
 from opentelemetry import propagate, trace
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import TracerProvider
-from opentelemetry.sdk.trace.export import (
-    BatchSpanProcessor,
-    ConsoleSpanExporter,
-    SimpleSpanProcessor,
-)
 
 EXPORTERS = {}
 
@@ -28,12 +25,16 @@
 @register_exporter("console")
 def export_to_console(target):
     """Write spans to standard output."""
+    from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
+
     return SimpleSpanProcessor(ConsoleSpanExporter())
 
 
 @register_exporter("file")
 def export_to_file(target):
     """Append spans to a file, one JSON object a line."""
+    from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
+
     stream = open(target, "a", encoding="utf-8")  # noqa: SIM115
     return SimpleSpanProcessor(ConsoleSpanExporter(out=stream, formatter=format_span))
 
@@ -41,8 +42,8 @@
 @register_exporter("otlp")
 def export_over_otlp(target):
     """Send spans to a collector over HTTP."""
-    # Imported only when used: the package takes several megabytes of memory.
     from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+    from opentelemetry.sdk.trace.export import BatchSpanProcessor
 
     return BatchSpanProcessor(OTLPSpanExporter(endpoint=target))
 
@@ -64,6 +65,9 @@
     """
     if settings.exporter == "none":
         return trace.NoOpTracer()
+    from opentelemetry.sdk.resources import Resource
+    from opentelemetry.sdk.trace import TracerProvider
+
     resource = Resource.create({"service.name": "sapphirerock", "host.name": host})
     provider = TracerProvider(resource=resource)
     provider.add_span_processor(EXPORTERS[settings.exporter](settings.target))
