Edge: the pages for readiness and metrics need no aiohttp application

Each page was an application of its own. A host has two pages, which `PageService` now answers with aiohttp's low-level server.

The table of modules that a start doesn't import has five more, all of which were imported before.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -22,6 +22,11 @@
     Then it is ready
     And none of these modules was imported
       | module                      |
+      | aiohttp.web                 |
+      | aiohttp.web_app             |
+      | aiohttp.web_fileresponse    |
+      | aiohttp.web_urldispatcher   |
+      | argparse                    |
       | fastjsonschema              |
       | google.protobuf             |
       | jsonschema                  |
@@ -32,3 +37,19 @@
       | sapphirerock.process.orders |
       | sapphirerock.process.router |
       | sapphirerock.standin        |
+
+  Scenario: The pages for readiness and metrics answer one path each
+    Given a shared platform with a planned edge
+    When the edge is started
+    Then it is ready
+    And its pages answer these requests
+      | page      | method | path                    | status | Allow    |
+      | readiness | GET    | /sapphirerock/readiness | 200    |          |
+      | readiness | HEAD   | /sapphirerock/readiness | 200    |          |
+      | readiness | POST   | /sapphirerock/readiness | 405    | GET,HEAD |
+      | readiness | GET    | /metrics                | 404    |          |
+      | readiness | GET    | /                       | 404    |          |
+      | metrics   | GET    | /metrics                | 200    |          |
+      | metrics   | HEAD   | /metrics                | 200    |          |
+      | metrics   | DELETE | /metrics                | 405    | GET,HEAD |
+      | metrics   | GET    | /sapphirerock/readiness | 404    |          |
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -157,3 +157,25 @@
 def add_dots(names):
     """Return prefixes that match modules of these names and all of their parts."""
     return tuple(f"{name}." for name in names)
+
+
+@when("the edge is started")
+def start_planned_edge(context):
+    start_edge(context.world.cluster, sys.executable)
+
+
+@then("its pages answer these requests")
+def check_pages(context):
+    edge = context.world.cluster.edges[EDGE]
+    ports = {"readiness": edge.readiness_port, "metrics": edge.metrics_port}
+
+    async def send(row):
+        url = f"http://{edge.address}:{ports[row['page']]}{row['path']}"
+        async with context.world.session.request(row["method"], url) as response:
+            body = await response.read()
+        assert response.status == int(row["status"]), (row, response)
+        assert response.headers.get("Allow", "") == row["Allow"], (row, response)
+        assert bool(body) == (row["method"] != "HEAD"), (row, body)
+
+    for row in context.table:
+        context.run(send(row))
--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
+from aiohttp.web_server import Server
 
 # Time to read and discard the rest of a request that was answered before its end.
 LINGERING_TIME_S = 1.0
@@ -67,7 +67,7 @@
         return waiter is not None and not waiter.done() and not self._messages
 
 
-class CallerServer(web.Server):
+class CallerServer(Server):
     """Server whose connections are of class `CallerConnection`.
 
     Parameters
--- a/src/sapphirerock/connection/responder.py
+++ b/src/sapphirerock/connection/responder.py
@@ -1,6 +1,6 @@
 """Sends the response to a caller's request, either at once or as a stream."""
 
-from aiohttp import web
+from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
 
 from sapphirerock.request.problem import Problem
@@ -45,7 +45,7 @@
 
     async def send_upstream_response(self, upstream_response):
         """Send a `BufferedResponse` of an upstream."""
-        response = web.Response(
+        response = Response(
             status=upstream_response.head.status,
             headers=CIMultiDict(upstream_response.headers),
             body=upstream_response.body,
@@ -55,14 +55,14 @@
     async def send_problem(self, problem: Problem):
         """Send a problem document."""
         self.problem = problem
-        response = web.Response(
+        response = Response(
             status=problem.status, headers=problem.make_headers(), body=problem.encode()
         )
         await self._start_response(response)
 
     async def begin_stream(self, status, headers):
         """Send the status and headers of a streamed response."""
-        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        response = StreamResponse(status=status, headers=CIMultiDict(headers))
         response.enable_chunked_encoding()
         await self._start_response(response)
 
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -10,7 +10,7 @@
 import signal
 import time
 
-from aiohttp import web
+from aiohttp.web_response import Response, json_response
 from loguru import logger
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -50,6 +50,7 @@
 from sapphirerock.process.engines.statements import EngineStatementTable
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.engines.versionhistory import VersionHistory
+from sapphirerock.process.page import PageService
 from sapphirerock.process.peers.crashlogs import CrashLogExchange
 from sapphirerock.process.peers.gossip import Gossip
 from sapphirerock.process.peers.hosts import HostTable
@@ -65,7 +66,6 @@
 from sapphirerock.process.settings.routing import RoutingStore
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.process.telemetry.tracing import make_tracer
-from sapphirerock.process.web import WebService
 from sapphirerock.request.callhandler import CallHandler
 from sapphirerock.version.routing import CallerLimits
 
@@ -126,10 +126,15 @@
             self.paths,
             self.monitor,
             self.admission,
-            self._make_web_service(
-                profile.readiness_endpoint, READINESS_PATH, self._answer_ready
+            PageService(
+                profile.readiness_endpoint.address,
+                profile.readiness_endpoint.port,
+                READINESS_PATH,
+                self._answer_ready,
+            ),
+            PageService(
+                profile.address, self._metrics_port, METRICS_PATH, self._answer_metrics
             ),
-            self._make_metrics_service(),
         ):
             await self.add_runtime_dependency(service)
         self._server = CallerServer(self.call_handler.handle, self._get_caller_limits)
@@ -319,16 +324,6 @@
         current = self.routing.current
         return current.revision if current else 0
 
-    def _make_web_service(self, endpoint, path, handler):
-        application = web.Application()
-        application.add_routes([web.get(path, handler)])
-        return WebService(application, endpoint.address, endpoint.port)
-
-    def _make_metrics_service(self):
-        application = web.Application()
-        application.add_routes([web.get(METRICS_PATH, self._answer_metrics)])
-        return WebService(application, self.profile.address, self._metrics_port)
-
     @property
     def is_ready(self):
         """Whether the platform should send new connections to this host."""
@@ -338,10 +333,10 @@
 
     async def _answer_ready(self, request):
         status = 200 if self.is_ready else 503
-        return web.json_response({"ready": self.is_ready}, status=status)
+        return json_response({"ready": self.is_ready}, status=status)
 
     async def _answer_metrics(self, request):
-        return web.Response(
+        return Response(
             body=generate_latest(self.metrics.registry),
             headers={"Content-Type": CONTENT_TYPE_LATEST},
         )
