--- /dev/null
+++ b/features/starts.feature
@@ -0,0 +1,55 @@
+Feature: A start of a host does only what a host needs
+
+  Scenario: The build compiles the sources, so that no start does
+    Given a copy of the sources that the build command was run in
+    When a host's modules are imported from the build without writing byte code
+    Then none of the project's modules is compiled
+
+  Scenario: A start reads no certificates
+    Given a shared platform with a planned edge
+    When the edge is started and would block on reading certificates
+    Then it is ready
+
+  Scenario: A start collects garbage only once all modules are imported
+    Given a shared platform with a planned edge
+    When the edge's settings are checked, which imports all of its modules
+    Then the older generations of objects were not collected
+    And garbage is collected from then on
+
+  Scenario: A start imports no modules that a host on the shared platform doesn't use
+    Given a shared platform with a planned edge
+    When the edge is started with a trace of its imports
+    Then it is ready
+    And none of these modules was imported
+      | module                      |
+      | aiohttp.web                 |
+      | aiohttp.web_app             |
+      | aiohttp.web_fileresponse    |
+      | aiohttp.web_urldispatcher   |
+      | argparse                    |
+      | fastjsonschema              |
+      | google.protobuf             |
+      | jsonschema                  |
+      | opentelemetry.exporter      |
+      | opentelemetry.sdk           |
+      | requests                    |
+      | sapphirerock.load           |
+      | sapphirerock.process.orders |
+      | sapphirerock.process.router |
+      | sapphirerock.standin        |
+
+  Scenario: The pages for readiness and metrics answer one path each
+    Given a shared platform with a planned edge
+    When the edge is started
+    Then it is ready
+    And its pages answer these requests
+      | page      | method | path                    | status | Allow    |
+      | readiness | GET    | /sapphirerock/readiness | 200    |          |
+      | readiness | HEAD   | /sapphirerock/readiness | 200    |          |
+      | readiness | POST   | /sapphirerock/readiness | 405    | GET,HEAD |
+      | readiness | GET    | /metrics                | 404    |          |
+      | readiness | GET    | /                       | 404    |          |
+      | metrics   | GET    | /metrics                | 200    |          |
+      | metrics   | HEAD   | /metrics                | 200    |          |
+      | metrics   | DELETE | /metrics                | 405    | GET,HEAD |
+      | metrics   | GET    | /sapphirerock/readiness | 404    |          |
--- /dev/null
+++ b/features/steps/start_steps.py
@@ -0,0 +1,181 @@
+"""Steps on what a start of a host costs."""
+
+import json
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tomllib
+
+from behave import given, then, when
+from tools.localcluster import BIN, ROOT, RUN_FOLDER, LocalProcess
+from tools.sharedcluster import SharedCluster, make_configuration
+
+HOST_IMPORTS = "import sapphirerock.commands.router, sapphirerock.process.edge"
+ROUTER_MODULE = "sapphirerock.commands.router"
+EDGE = "edge-0"
+# Python's line, with -v, on a module's code that was compiled from its source.
+COMPILED_MODULE = re.compile(
+    r"^# code object from '?(\S+/sapphirerock/\S+\.py)'?$", re.M
+)
+
+# Python's line, with -X importtime, on a module that was imported.
+IMPORTED_MODULE = re.compile(r"^import time: .*\| +(\S+)$", re.M)
+
+
+@given("a copy of the sources that the build command was run in")
+def run_build(context):
+    folder = context.build_folder = RUN_FOLDER / f"build-{os.getpid()}"
+    shutil.rmtree(folder, ignore_errors=True)
+    shutil.copytree(
+        ROOT / "src", folder / "src", ignore=shutil.ignore_patterns("__pycache__")
+    )
+    shutil.copy2(ROOT / "constraints.txt", folder)
+    # Marks the libraries as installed; the test environment has them.
+    (folder / "target" / "deps").mkdir(parents=True)
+    (folder / "target" / "deps" / ".built").touch()
+    build = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["build"]
+    path = f"{BIN}:{os.environ['PATH']}"
+    subprocess.run(
+        build, shell=True, check=True, cwd=folder, env={**os.environ, "PATH": path}
+    )
+
+
+@when("a host's modules are imported from the build without writing byte code")
+def import_from_build(context):
+    run = subprocess.run(
+        [sys.executable, "-v", "-c", HOST_IMPORTS],
+        cwd=context.build_folder,
+        env={
+            **os.environ,
+            "PYTHONPATH": str(context.build_folder / "target" / "deps"),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        },
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.compiled = COMPILED_MODULE.findall(run.stderr)
+    assert str(context.build_folder) in run.stderr
+
+
+@then("none of the project's modules is compiled")
+def check_compiled(context):
+    assert not context.compiled, (len(context.compiled), context.compiled[:3])
+    shutil.rmtree(context.build_folder)
+
+
+@given("a shared platform with a planned edge")
+def plan_edge(context):
+    context.world.cluster = cluster = SharedCluster("starts")
+
+    async def run():
+        cluster.add_platform()
+        await cluster.wait_ready("platform")
+        cluster.plan_edge(EDGE, "zone-a", "region-a")
+        await cluster.put_configuration(make_configuration())
+
+    context.run(run())
+
+
+def start_edge(cluster, *command):
+    """Start the planned edge by a command that runs the router's module."""
+    arguments = [*command, "-m", ROUTER_MODULE, *cluster.make_arguments(EDGE)]
+    arguments.append(str(cluster.write_settings(EDGE)))
+    process = LocalProcess(EDGE, arguments, cluster.folder / f"{EDGE}.log")
+    process.start()
+    cluster.processes[EDGE] = process
+
+
+@when("the edge is started and would block on reading certificates")
+def start_edge_with_blocking_certificates(context):
+    cluster = context.world.cluster
+    # Opening a pipe that has no writer blocks.
+    pipe = cluster.folder / "certificates"
+    os.mkfifo(pipe)
+    start_edge(cluster, "env", f"SSL_CERT_FILE={pipe}", sys.executable)
+
+
+@then("it is ready")
+def check_ready(context):
+    context.run(context.world.cluster.wait_edges_ready())
+
+
+# Checks settings as `sapphirerock-router --check` does; prints counts of collections.
+CHECK_AND_COUNT = f"""
+import gc, json, sys
+from {ROUTER_MODULE} import main
+
+def count():
+    return [generation["collections"] for generation in gc.get_stats()]
+
+before = count()
+main(sys.argv[1:], standalone_mode=False)
+print(json.dumps({{"before": before, "after": count(), "enabled": gc.isenabled()}}))
+"""
+
+
+@when("the edge's settings are checked, which imports all of its modules")
+def check_settings(context):
+    path = context.world.cluster.write_settings(EDGE)
+    run = subprocess.run(
+        [sys.executable, "-c", CHECK_AND_COUNT, "--platform", "--check", str(path)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.collections = json.loads(run.stdout.splitlines()[-1])
+
+
+@then("the older generations of objects were not collected")
+def check_no_collections(context):
+    counted = context.collections
+    assert counted["after"][1:] == counted["before"][1:], counted
+
+
+@then("garbage is collected from then on")
+def check_collection_enabled(context):
+    assert context.collections["enabled"]
+
+
+@when("the edge is started with a trace of its imports")
+def start_edge_with_trace(context):
+    start_edge(context.world.cluster, sys.executable, "-X", "importtime")
+
+
+@then("none of these modules was imported")
+def check_modules(context):
+    log = context.world.cluster.processes[EDGE].log.read_text()
+    imported = IMPORTED_MODULE.findall(log)
+    assert "sapphirerock.process.edge" in imported, log[-500:]
+    unwanted = tuple(row["module"] for row in context.table)
+    found = [name for name in imported if f"{name}.".startswith(add_dots(unwanted))]
+    assert not found, (len(found), found)
+
+
+def add_dots(names):
+    """Return prefixes that match modules of these names and all of their parts."""
+    return tuple(f"{name}." for name in names)
+
+
+@when("the edge is started")
+def start_planned_edge(context):
+    start_edge(context.world.cluster, sys.executable)
+
+
+@then("its pages answer these requests")
+def check_pages(context):
+    edge = context.world.cluster.edges[EDGE]
+    ports = {"readiness": edge.readiness_port, "metrics": edge.metrics_port}
+
+    async def send(row):
+        url = f"http://{edge.address}:{ports[row['page']]}{row['path']}"
+        async with context.world.session.request(row["method"], url) as response:
+            body = await response.read()
+        assert response.status == int(row["status"]), (row, response)
+        assert response.headers.get("Allow", "") == row["Allow"], (row, response)
+        assert bool(body) == (row["method"] != "HEAD"), (row, body)
+
+    for row in context.table:
+        context.run(send(row))
