Client sessions: a reset never ends a response without a length

Callers of a plain service got a 200 with an empty or short body, framed as whole, when the service reset the connection after the head of a response without a length. aiohttp takes a reset for the end of such a body. The connections to engines and through peers refused this already; the sessions of the placer, the router and the store client did not.

Evidence: a new feature ends a response at each of its bytes, with a closed connection and with a reset, on connections to engines, through peers, on probes, on reads and writes of the store, on orders to plain services and on requests between hosts.

The check of the upstream protocol moves into a base class that all sessions use.

--- /dev/null
+++ b/features/halfresponses.feature
@@ -0,0 +1,36 @@
+Feature: A response that ends early is never taken for a whole one
+
+  Scenario Outline: A response may end at any byte: <connections>, <body>, <ending>
+    Given servers whose responses have <body>
+    When each response ends early at another byte, <ending>, on <connections>
+    Then none counts as whole, and no request counts as not run
+    And no request was sent more than <sends>
+
+    Examples:
+      | connections                     | body                    | ending                   | sends  |
+      | direct connections to an engine | a body with a length    | with a closed connection | once   |
+      | direct connections to an engine | a body with a length    | with a reset             | once   |
+      | direct connections to an engine | a body in chunks        | with a closed connection | once   |
+      | direct connections to an engine | a body in chunks        | with a reset             | once   |
+      | direct connections to an engine | a body without a length | with a closed connection | once   |
+      | direct connections to an engine | a body without a length | with a reset             | once   |
+      | direct connections to an engine | an interim response     | with a closed connection | once   |
+      | connections through a peer      | a body with a length    | with a closed connection | once   |
+      | connections through a peer      | a body with a length    | with a reset             | once   |
+      | connections through a peer      | a body in chunks        | with a closed connection | once   |
+      | connections through a peer      | a body without a length | with a closed connection | once   |
+      | connections through a peer      | a body without a length | with a reset             | once   |
+      | probes of an engine             | a body with a length    | with a closed connection | twice  |
+      | probes of an engine             | a body without a length | with a reset             | twice  |
+      | reads of the store              | a body with a length    | with a closed connection | twice  |
+      | reads of the store              | a body without a length | with a reset             | twice  |
+      | writes to the store             | a body with a length    | with a closed connection | once   |
+      | writes to the store             | a body with a length    | with a reset             | once   |
+      | writes to the store             | a body in chunks        | with a closed connection | once   |
+      | writes to the store             | a body without a length | with a reset             | once   |
+      | orders to a plain service       | a body with a length    | with a closed connection | once   |
+      | orders to a plain service       | a body in chunks        | with a reset             | once   |
+      | orders to a plain service       | a body without a length | with a closed connection | once   |
+      | orders to a plain service       | a body without a length | with a reset             | once   |
+      | requests to a peer              | a reply                 | with a closed connection | once   |
+      | requests to a peer              | a reply                 | with a reset             | once   |
--- /dev/null
+++ b/features/steps/halfresponse_steps.py
@@ -0,0 +1,263 @@
+"""Steps on responses that end early, at each byte, on all kinds of connections."""
+
+import asyncio
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from features.steps.relay_steps import (
+    LOOPBACK,
+    RawEngine,
+    RelayingPeer,
+    register_in,
+    reset,
+    send_order,
+)
+from sapphirerock.connection.errors import (
+    PeerUnavailable,
+    RelayUnavailable,
+    UpstreamUnreachable,
+)
+from sapphirerock.connection.messages import (
+    ClaimReply,
+    ClaimRequest,
+    Hello,
+    encode_frame,
+)
+from sapphirerock.connection.peer import open_peer_stream
+from sapphirerock.connection.plain import PlainRequest, send_plain_request
+from sapphirerock.connection.sendonce import send_once
+from sapphirerock.connection.sessions import make_session
+from sapphirerock.connection.store import StoreClient
+from sapphirerock.connection.storeobjects import StoreUnavailable
+from sapphirerock.connection.upstream import make_upstream_session, read_body
+from sapphirerock.platform.dialect import PlatformDialect
+from sapphirerock.process.clock import SystemClock
+from sapphirerock.process.engines.prober import EngineProber, ProbeOutcome
+from sapphirerock.process.peers.relayserver import RelayServer
+from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
+from sapphirerock.process.telemetry.metrics import Metrics
+from sapphirerock.version.engineentry import EngineEntry
+
+ATTEMPT_ID = "9c41d07be2a35f68"
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    b"Sapphirerock-Attempt-Id: 9c41d07be2a35f68\r\n"
+    b"Sapphirerock-Response-Seal: e1.9c41d07be2a35f68\r\n"
+)
+BODY = b'{"born":1000,"metadata":{"name":"a","revision":7},"spec":{}}'
+LENGTH = b"Content-Length: %d\r\n\r\n" % len(BODY)
+UNFRAMED = HEAD + b"Connection: close\r\n\r\n"
+WHOLE_RESPONSES = {
+    "a body with a length": HEAD + LENGTH + BODY,
+    "a body in chunks": HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"%x\r\n%b\r\n0\r\n\r\n" % (len(BODY), BODY),
+    "a body without a length": UNFRAMED + BODY,
+    "an interim response": b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + LENGTH + BODY,
+    "a reply": encode_frame(-1, ClaimReply(["key", "claimant"])),
+}
+# The response is to arrive before the reset, which discards what is unread.
+RESET_DELAY_S = 0.03
+TIMEOUT_S = 3.0
+CONCURRENT_SERVERS = 24
+SHARED_KEY = b"of all hosts"
+CLIENTS = {}
+
+
+@dataclass(slots=True, frozen=True)
+class Reading:
+    """How a client took a response.
+
+    Parameters
+    ----------
+    is_whole : bool
+        Whether it took the response for a whole one.
+    says_not_run : bool
+        Whether it took the request for one that did not run.
+    """
+
+    is_whole: bool
+    says_not_run: bool = False
+
+
+class CutResponse:
+    """Sends the first bytes of a response, and ends the connection."""
+
+    def __init__(self, data, is_reset):
+        self._data = data
+        self._is_reset = is_reset
+
+    async def __call__(self, engine, writer):
+        """Respond to one request."""
+        if self._data:
+            await engine.send(writer, self._data)
+        if self._is_reset:
+            await asyncio.sleep(RESET_DELAY_S)
+            reset(writer)
+
+
+class RelayToAnyAddress(RelayServer):
+    """Relays to any address, as if an engine were registered there."""
+
+    def _find_engine(self, address):
+        entry = SimpleNamespace(address=address)
+        return SimpleNamespace(
+            name="e1", is_relayed=False, rest_until_s=0.0, entry=entry
+        )
+
+
+class RawPeer(RawEngine):
+    """A peer that reads one request after the handshake."""
+
+    async def _serve(self, reader, writer):
+        hello = Hello("b1", "zone-b", "region-1", LOOPBACK, 1, 2, 3, b"")
+        opened = await open_peer_stream(
+            reader, writer, hello, SHARED_KEY, lambda *message: None
+        )
+        assert opened.is_ok(), opened
+        self.requests.append(await reader.read(1000))
+        await self._respond(self, writer)
+        writer.close()
+
+
+async def read_engine_response(session, address):
+    """Send an order to an engine; return the reading of its response."""
+    opened = await send_order(session, address)
+    if opened.is_error():
+        failure = opened.error
+        not_sent = isinstance(failure, UpstreamUnreachable | RelayUnavailable)
+        return Reading(False, not_sent)
+    head = PlatformDialect().decode_response_head(opened.ok)
+    read = await read_body("e1", opened.ok)
+    is_whole = read.is_ok() and head.matches_attempt(ATTEMPT_ID)
+    return Reading(is_whole, head.was_not_executed)
+
+
+@register_in(CLIENTS, "direct connections to an engine")
+async def read_direct_response(address, peer):
+    async with make_upstream_session(LOOPBACK) as session:
+        return await read_engine_response(session, address)
+
+
+@register_in(CLIENTS, "connections through a peer")
+async def read_relayed_response(address, peer):
+    async with peer.make_session() as session:
+        return await read_engine_response(session, address)
+
+
+@register_in(CLIENTS, "probes of an engine")
+async def probe_engine(address, peer):
+    entry = EngineEntry("e1", "model", address, "zone-a", 16, born_ms=1000)
+    async with make_upstream_session(LOOPBACK) as session:
+        prober = EngineProber(session, PlatformDialect(), SystemClock())
+        result = await prober.probe(entry, TIMEOUT_S)
+    return Reading(result.outcome is not ProbeOutcome.NO_ANSWER)
+
+
+def read_store_result(result):
+    """Return the reading of a call to the store."""
+    if result.is_ok() or not isinstance(result.error, StoreUnavailable):
+        return Reading(True)
+    return Reading(False, not result.error.may_have_run)
+
+
+@register_in(CLIENTS, "reads of the store")
+async def read_store(address, peer):
+    async with make_session(LOOPBACK, force_close=True) as session:
+        store = StoreClient(session, f"http://{address}", Metrics())
+        return read_store_result(await store.read("servers", "a"))
+
+
+@register_in(CLIENTS, "writes to the store")
+async def write_store(address, peer):
+    async with make_session(LOOPBACK, force_close=True) as session:
+        store = StoreClient(session, f"http://{address}", Metrics())
+        return read_store_result(await store.replace("servers", "a", {}, 6))
+
+
+@register_in(CLIENTS, "orders to a plain service")
+async def order_from_service(address, peer):
+    class Service:
+        name, url = "s1", f"http://{address}"
+
+    request = PlainRequest("POST", "order/1", "", {}, b"wool")
+    async with make_session(LOOPBACK, force_close=True) as session:
+        result = await send_plain_request(
+            session, Service, request, TIMEOUT_S, (send_once,)
+        )
+    if result.is_ok():
+        return Reading(True)
+    return Reading(False, isinstance(result.error, UpstreamUnreachable))
+
+
+@register_in(CLIENTS, "requests to a peer")
+async def ask_peer(address, peer):
+    host, _, port = address.rpartition(":")
+    hello = Hello("a1", "zone-a", "region-1", LOOPBACK, 1, 2, 3, b"")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    opened = await open_peer_stream(
+        reader, writer, hello, SHARED_KEY, lambda *message: None
+    )
+    running = asyncio.ensure_future(opened.ok.run(SystemClock()))
+    result = await opened.ok.ask(ClaimRequest("shop", 1, []), TIMEOUT_S)
+    await running
+    is_broken = result.is_error() and isinstance(result.error, PeerUnavailable)
+    # A refusal would tell that the peer did not act on the request.
+    says_not_run = is_broken and "stream closed" not in result.error.reason
+    return Reading(not is_broken, says_not_run)
+
+
+@given("servers whose responses have {body}")
+def make_response(context, body):
+    context.response = WHOLE_RESPONSES[body]
+    # Only a reset shows that a body without a length is incomplete.
+    context.is_framed = body != "a body without a length"
+
+
+@when("each response ends early at another byte, {ending}, on {connections}")
+def end_each_early(context, ending, connections):
+    is_reset = ending == "with a reset"
+    server_type = RawPeer if connections == "requests to a peer" else RawEngine
+    end = len(context.response)
+    if not context.is_framed:
+        end = end + 1 if is_reset else len(UNFRAMED)
+    limit = asyncio.Semaphore(CONCURRENT_SERVERS)
+
+    async def read_one(size, peer):
+        server = server_type(CutResponse(context.response[:size], is_reset))
+        async with limit, asyncio.timeout(2 * TIMEOUT_S):
+            reading = await CLIENTS[connections](await server.start(), peer)
+        server.close()
+        return size, reading, len(server.requests)
+
+    async def run():
+        peer = RelayingPeer()
+        peer.relay_server = RelayToAnyAddress(
+            peer.engines, LOOPBACK, peer.clock, EdgeMetrics()
+        )
+        await peer.start()
+        context.readings = await asyncio.gather(
+            *(read_one(size, peer) for size in range(end))
+        )
+        await peer.table.on_stop()
+
+    context.run(run())
+
+
+@then("none counts as whole, and no request counts as not run")
+def check_readings(context):
+    wrong = [
+        (context.response[:size][-20:], reading)
+        for size, reading, _ in context.readings
+        if reading != Reading(False)
+    ]
+    assert not wrong, f"{len(wrong)} of {len(context.readings)}: {wrong[:5]}"
+
+
+@then("no request was sent more than {times}")
+def check_requests(context, times):
+    # aiohttp sends a GET request again whose connection ended without a response.
+    counts = [requests for _, _, requests in context.readings]
+    assert max(counts) == {"once": 1, "twice": 2}[times], counts
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -95,6 +95,10 @@
         self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
         return f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
 
+    def close(self):
+        """Stop listening."""
+        self._server.close()
+
     async def _serve(self, reader, writer):
         self.writer = writer
         try:
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -5,7 +5,6 @@
 """
 
 from dataclasses import dataclass
-from functools import partial
 
 from aiohttp import (
     ClientConnectorError,
@@ -17,7 +16,6 @@
     DummyCookieJar,
     TCPConnector,
 )
-from aiohttp.client_proto import ResponseHandler
 from expression import Error, Ok
 from multidict import CIMultiDict
 from yarl import URL
@@ -30,6 +28,7 @@
     UpstreamUnreachable,
 )
 from sapphirerock.connection.sendonce import send_once
+from sapphirerock.connection.sessions import ResetAwareProtocol, use_protocol
 
 # Longer than the slowest round trip between regions, and than a retransmission within
 # a zone.
@@ -48,11 +47,9 @@
 OVERHEAD_LIMIT_BYTES = 256 << 10
 
 
-class UpstreamProtocol(ResponseHandler):
-    """aiohttp's client protocol, made safe for upstreams that fail.
+class UpstreamProtocol(ResetAwareProtocol):
+    """Client protocol that is safe for upstreams that fail.
 
-    The end of the connection ends a response without a length. aiohttp also accepts a
-    reset as this end, though the response may be incomplete; here it is an error.
     Closing does not wait for unsent bytes, which the upstream may never read.
     A connection that receives many bytes that belong to no body is aborted.
     """
@@ -75,13 +72,6 @@
             self.set_exception(error)
             self.abort()
 
-    def connection_lost(self, exc):
-        """Fail the response in progress if the connection was reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f"reset: {exc!r}"))
-        super().connection_lost(exc)
-
     def close(self):
         """Close the connection, without waiting for unsent bytes."""
         transport = self.transport
@@ -100,8 +90,7 @@
         Local IP address of outgoing connections.
     """
     connector = TCPConnector(limit=0, local_addr=(address, 0), force_close=True)
-    # aiohttp has no public way to set the protocol class.
-    connector._factory = partial(UpstreamProtocol, loop=connector._loop)
+    use_protocol(connector, UpstreamProtocol)
     return make_exchange_session(connector)
 
 
