Take-ups: an engine's report without its start confirms no version

Before a stream goes on at an engine of a service with several versions, the engine is asked for its report, because another process under its id may have another version. Any answer counted as a confirmation, also an error, or a report that was cut off and so stated no start: a stream could go on at another version.

Now the report must state the start time that the engine registered. One that is running and states none is asked once more, then the stream goes on elsewhere. Registrations without a start are accepted as before.

Evidence: a new table of reports, one cut off at each of its bytes without a length.

--- a/features/halfresponses.feature
+++ b/features/halfresponses.feature
@@ -44,3 +44,16 @@
       | a list that is its last member |
       | the events of a watch      |
       | an object                  |
+
+  Scenario Outline: A stream goes on at an engine only if its report shows the registered start: <report>
+    Given an engine of one of two versions whose report is <report>
+    When a host asks whether it is still the engine that it registered
+    Then the stream <result> there
+
+    Examples:
+      | report                                   | result          |
+      | whole                                    | goes on         |
+      | that of a later start                    | does not go on  |
+      | cut off at any byte, without a length    | does not go on  |
+      | an error without a start                 | does not go on  |
+      | cut off once, and whole the second time  | goes on         |
--- a/features/steps/halfresponse_steps.py
+++ b/features/steps/halfresponse_steps.py
@@ -43,6 +43,7 @@
 from sapphirerock.process.peers.relayserver import RelayServer
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.process.telemetry.metrics import Metrics
+from sapphirerock.request.streamcall import StreamCall
 from sapphirerock.version.engineentry import EngineEntry
 
 ATTEMPT_ID = "9c41d07be2a35f68"
@@ -304,3 +305,72 @@
 @then("each of its parts is refused as malformed")
 def check_parts(context):
     assert not context.accepted, context.accepted
+
+
+REPORT = b'{"stage":"colocated","born":1000,"running":1,"waiting":0}'
+STATUS_500 = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror"
+REPORTS = {
+    "whole": [(UNFRAMED + REPORT,)],
+    "that of a later start": [(UNFRAMED + REPORT.replace(b"1000", b"2000"),)],
+    "cut off at any byte, without a length": [
+        (UNFRAMED + REPORT[:size],) for size in range(len(REPORT))
+    ],
+    "an error without a start": [(STATUS_500,)],
+    "cut off once, and whole the second time": [
+        (UNFRAMED + REPORT[:9], UNFRAMED + REPORT)
+    ],
+}
+
+
+class ReportingEngine(RawEngine):
+    """An engine that sends given reports in turn, and the last one from then on."""
+
+    def __init__(self, reports):
+        super().__init__(self._send_report)
+        self._reports = reports
+
+    async def _send_report(self, engine, writer):
+        number = min(len(self.requests), len(self._reports)) - 1
+        await self.send(writer, self._reports[number])
+
+
+@given("an engine of one of two versions whose report is {report}")
+def choose_reports(context, report):
+    context.reports = REPORTS[report]
+
+
+async def ask_for_start(reports):
+    """Return whether a stream goes on at an engine that sends these reports."""
+    engine = ReportingEngine(reports)
+    entry = EngineEntry("e1", "model", await engine.start(), "z", 16, born_ms=1000)
+    async with make_upstream_session(LOOPBACK) as session:
+        runtime = SimpleNamespace(
+            clock=SystemClock(),
+            paths=EngineProber(session, PlatformDialect(), SystemClock()),
+            fleet=SimpleNamespace(
+                engines=SimpleNamespace(list_versions=lambda service: {"v1", "v2"})
+            ),
+        )
+        metadata = SimpleNamespace(attempt_id=ATTEMPT_ID, last_event_id=7)
+        route = SimpleNamespace(name="review")
+        call = SimpleNamespace(
+            metadata=metadata, route=route, origin=None, service="model"
+        )
+        stream = StreamCall(runtime, call, None)
+        state = SimpleNamespace(name="e1", entry=entry)
+        goes_on = await stream._has_registered_start(state)
+    engine.close()
+    return goes_on
+
+
+@when("a host asks whether it is still the engine that it registered")
+def ask_engine(context):
+    async def run():
+        context.answers = {await ask_for_start(reports) for reports in context.reports}
+
+    context.run(run())
+
+
+@then("the stream {result} there")
+def check_start(context, result):
+    assert context.answers == {result == "goes on"}, context.answers
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -233,7 +233,9 @@
         self._engines.lift_down(state)
         self._set_relayed(state, True, "engine path lost", result.detail)
         self._check_all_soon(state)
-        return ProbeResult(ProbeOutcome.PATH_LOST, result.detail)
+        return ProbeResult(
+            ProbeOutcome.PATH_LOST, result.detail, shows_start=found.shows_start
+        )
 
     async def _ask_peers(self, entry):
         """Return the first answer of an engine that a peer relays, or None."""
--- a/src/sapphirerock/process/engines/prober.py
+++ b/src/sapphirerock/process/engines/prober.py
@@ -38,11 +38,15 @@
     is_answered : bool
         Whether a process at the engine's address sent an answer; for a relay that
         failed, whether the peer did.
+    shows_start : bool
+        Whether the answer states the start time of the registered engine, or the
+        registration has none.
     """
 
     outcome: ProbeOutcome
     detail: str
     is_answered: bool = False
+    shows_start: bool = False
 
     @property
     def shows_running(self):
@@ -128,4 +132,9 @@
         born_ms = self._dialect.decode_start_ms(reply.ok)
         is_other_run = bool(entry.born_ms and born_ms and born_ms != entry.born_ms)
         outcome = ProbeOutcome.ENDED if is_other_run else ProbeOutcome.RUNNING
-        return ProbeResult(outcome, f"started at {born_ms} ms", is_answered=True)
+        return ProbeResult(
+            outcome,
+            f"started at {born_ms} ms",
+            is_answered=True,
+            shows_start=not entry.born_ms or born_ms == entry.born_ms,
+        )
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -43,6 +43,8 @@
 FULL_ENGINE_RETRY_S = 0.5
 # Several round trips between regions.
 START_CHECK_TIMEOUT_S = 0.3
+# An engine that is asked again was running, but its report could not be read.
+MAX_START_CHECKS = 2
 
 
 @dataclass(slots=True, frozen=True)
@@ -259,17 +261,24 @@
         versions = self._runtime.fleet.engines.list_versions(self._call.service)
         if len(versions) < 2 and self._runtime.version_history.knows_all():
             return True
-        prober = self._runtime.paths
-        result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
-        while result.outcome is ProbeOutcome.HOST_BUSY:
-            result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
-        if result.shows_running:
-            return True
+        for _ in range(MAX_START_CHECKS):
+            result = await self._probe_start(state)
+            if result.shows_running and result.shows_start:
+                return True
+            if not result.shows_running:
+                break
         self._log.bind(
             engine=state.name, outcome=result.outcome.value, detail=result.detail
         ).info("stream not resumed on engine")
         return False
 
+    async def _probe_start(self, state):
+        prober = self._runtime.paths
+        result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
+        while result.outcome is ProbeOutcome.HOST_BUSY:
+            result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
+        return result
+
     async def _take_turn(self, turns, placement):
         """Return a placement whose engine has a turn or no limit; None if none has.
 
