Streams: what is no event of a stream is never forwarded

A stream had begun and broke off, and the next engine answered with an error: callers found the error's text, or a second response head, in the middle of their stream, and a stream of nothing but an error ended as a complete one.

A response with status 200 and the type of an event stream was forwarded up to each blank line, whatever the bytes were. A head ends with a blank line, as do many error texts, and such a block has no id, so nothing held it back.

Now a block must be an event: it has a number, and each line is a field or a comment. Between events only comments and retry fields may come. Anything else ends the attempt as failed, and the stream goes on at another engine, or is broken off. Errors with another status or content type were kept back before and still are.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -179,3 +179,20 @@
       | id: 1\ndata: a\n\nid: 2\ndata: b      | 100  | 1      | yes     |
       | x: 3\nid:4\ndata: a\n\n               | 5    | 4      | no      |
       | : comment\n\nid: 9\n\n                | 4    | -,9    | no      |
+      | : comment\nretry: 100\n\nid: 9\n\n    | 4    | -,9    | no      |
+      | \n\nid: 1\ndata: a\n\n\nid: 2\n\n        | 3    | -,1,2  | no      |
+      | event: e\nid: 1\ndata\ndata: {:}\n\n  | 100  | 1      | no      |
+
+  Scenario Outline: Bytes that are no events are refused: <text>
+    When the bytes <text> are split in pieces of 5
+    Then they are refused as malformed, after <count> events
+
+    Examples:
+      | text                                                     | count |
+      | id: 1\ndata: a\n\nerror\n\n                              | 1     |
+      | error: upstream failed\n\n                               | 0     |
+      | event: error\ndata: upstream failed\n\nid: 1\n\n          | 0     |
+      | data: {"error":"x"}\n\n                                  | 0     |
+      | id: 1\n\nHTTP/1.1 500 Internal Server Error\r\nA: b\r\n\r\n | 1  |
+      | HTTP/1.1 200 OK\nid: 1\ndata: a\n\n                     | 0     |
+      | id: one\ndata: a\n\n                                    | 0     |
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from multidict import CIMultiDict
 
-from sapphirerock.connection.eventsplitter import EventSplitter
+from sapphirerock.connection.eventsplitter import EventMalformed, EventSplitter
 from sapphirerock.platform.configuration import decode_configuration
 from sapphirerock.platform.ingress import decode_call_metadata
 from sapphirerock.platform.registrations import decode_registration
@@ -102,14 +102,24 @@
 def split_events(context, text, size):
     data = text.replace("\\n", "\n").replace("\\r", "\r").encode()
     splitter = EventSplitter()
-    context.events = []
-    for start in range(0, len(data), size):
-        context.events += splitter.feed(data[start : start + size])
+    context.events, context.failure = [], None
+    try:
+        for start in range(0, len(data), size):
+            context.events += splitter.feed(data[start : start + size])
+    except EventMalformed as error:
+        context.failure = error
     context.has_partial_event = splitter.has_partial_event
 
 
+@then("they are refused as malformed, after {count:d} events")
+def check_malformed(context, count):
+    assert context.failure is not None
+    assert len(context.events) == count, context.events
+
+
 @then("the events are {events} and a partial event remains: {partial:w}")
 def check_events(context, events, partial):
+    assert context.failure is None, context.failure
     found = [
         "-" if item.number is None else str(item.number) for item in context.events
     ]
--- a/src/sapphirerock/connection/eventsplitter.py
+++ b/src/sapphirerock/connection/eventsplitter.py
@@ -10,12 +10,17 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]?(\d+)[ ]*\r?$", re.MULTILINE)
+# Fields and comments, one a line. A stream may begin with a byte order mark.
+FIELDS = re.compile(rb"(?:\xef\xbb\xbf)?(?:(?:[\w-]*:[^\r\n]*|data)?\r?\n)+")
+# What a stream may have between its events.
+COMMENTS = re.compile(rb"(?:\xef\xbb\xbf)?(?:(?::[^\r\n]*|retry:[ \d]*)?\r?\n)+")
 # Far above the size of any event; longer data is not an event stream.
 EVENT_LIMIT_BYTES = 1 << 20
+LOGGED_BYTES = 80
 
 
-class EventOversized(Exception):
-    """The received bytes exceed the limit without the end of an event."""
+class EventMalformed(Exception):
+    """The received bytes are no events of a stream."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,7 +30,7 @@
     Parameters
     ----------
     number : int or None
-        Id of the event; None if it has no id or one that is no number.
+        Id of the event; None for comments between events.
     content : bytes
         All bytes of the event, including the blank line that ends it.
     """
@@ -52,8 +57,9 @@
 
         Raises
         ------
-        EventOversized
-            When the incomplete event exceeds `EVENT_LIMIT_BYTES`.
+        EventMalformed
+            When an event has no number or a line that is no field, such as the text
+            of an error, or when the incomplete event exceeds `EVENT_LIMIT_BYTES`.
         """
         data = self._buffer + data if self._buffer else data
         events, start = [], 0
@@ -61,10 +67,12 @@
             content = data[start : end.end()]
             start = end.end()
             id_match = EVENT_ID.search(content)
+            if not (FIELDS if id_match else COMMENTS).fullmatch(content):
+                raise EventMalformed(f"no event: {content[:LOGGED_BYTES]!r}")
             events.append(StreamEvent(int(id_match[1]) if id_match else None, content))
         self._buffer = data[start:]
         if len(self._buffer) > EVENT_LIMIT_BYTES:
-            raise EventOversized(
+            raise EventMalformed(
                 f"{len(self._buffer)} bytes without the end of an event"
             )
         return events
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -11,7 +11,7 @@
     RelayUnavailable,
     UpstreamUnreachable,
 )
-from sapphirerock.connection.eventsplitter import EventOversized, EventSplitter
+from sapphirerock.connection.eventsplitter import EventMalformed, EventSplitter
 from sapphirerock.decisions.continuation import (
     RecoveryStep,
     StreamOutcome,
@@ -393,8 +393,8 @@
                 return self._classify_stream_end(attempt, splitter)
             try:
                 events = splitter.feed(read.ok)
-            except EventOversized as error:
-                self._log.bind(cause=str(error)).warning("event exceeds size limit")
+            except EventMalformed as error:
+                self._log.bind(cause=str(error)).warning("malformed event in stream")
                 return StreamOutcome.FAILED
             if events:
                 if not attempt.has_output:
--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -6,6 +6,7 @@
 from sapphirerock.commands.worker import run_service
 from sapphirerock.process.telemetry.logs import configure_logs
 from sapphirerock.process.web import WebService
+from sapphirerock.standin import brokenresponses  # noqa: F401 (registers faults)
 from sapphirerock.standin.batch import EnginePerformance
 from sapphirerock.standin.engine import EngineService, EngineStandin
 from sapphirerock.standin.link import LinkService, LinkStandin, parse_forward
