Streams: an engine that stops after its head does not complete a stream

A stream had begun and broke off, and the next engine closed its connection after the head of an event stream: the caller's stream ended as if it were complete.

A response without a length or chunks ends with its connection, so one without any event counted as the whole rest of the stream. Now such a response counts as lost, unless the caller has as many events as the output's tokens can fill; the stream goes on elsewhere or is broken off. A response that states that its body is empty, by a length or an empty chunk, is believed as before, and so is the end of a connection after further events: nothing else shows the end of such a response.

Evidence: rows of the feature on broken streams.

--- a/features/brokenstreams.feature
+++ b/features/brokenstreams.feature
@@ -18,6 +18,7 @@
       | events and a second head in a chunk  | no copies  | directly       |
       | a second head                        | no copies  | directly       |
       | text before an event                 | no copies  | directly       |
+      | no events                            | no copies  | directly       |
       | no events, reset                     | no copies  | directly       |
       | half a head                          | no copies  | directly       |
       | half a head, reset                   | no copies  | directly       |
@@ -28,6 +29,7 @@
       | status 500 with events               | copies     | directly       |
       | an error event                       | copies     | directly       |
       | events and text                      | copies     | directly       |
+      | no events                            | copies     | directly       |
       | half a head                          | copies     | directly       |
       | status 500 with events               | no copies  | through a peer |
       | an error event                       | no copies  | through a peer |
@@ -47,6 +49,7 @@
       | an error event             | HTTP/1.1 |
       | events and text            | HTTP/1.1 |
       | events and a second head   | HTTP/1.1 |
+      | no events                  | HTTP/1.1 |
       | half a head                | HTTP/1.1 |
 
   Scenario Outline: A stream is whole for a caller of <protocol>
@@ -79,6 +82,7 @@
       | events and text         |
       | a second head           |
       | half a head             |
+      | no events               |
 
   Scenario Outline: A stream whose engines all answer with errors does not begin: <answer>
     Given a host that reaches 3 model engines directly, and no copies of runs
@@ -91,6 +95,7 @@
       | an error event          |
       | a second head           |
       | half a head             |
+      | no events               |
 
   Scenario Outline: An answer that ends early is no success, and an order runs once: <answer>, <path>
     Given a host that reaches 3 plain engines <path>
--- a/src/sapphirerock/connection/response.py
+++ b/src/sapphirerock/connection/response.py
@@ -59,6 +59,9 @@
     refusal_tolerance : float or None
         Requests that the engine may turn away in a second before it crashes; None if it
         states no such number.
+    has_framing : bool
+        Whether the body has a length or chunks. Otherwise the end of the connection
+        ends it.
     """
 
     status: int
@@ -75,6 +78,7 @@
     invalid_rest: str | None = None
     leaving: float | None = None
     refusal_tolerance: float | None = None
+    has_framing: bool = True
 
     @property
     def is_success(self):
--- a/src/sapphirerock/platform/dialect.py
+++ b/src/sapphirerock/platform/dialect.py
@@ -101,6 +101,7 @@
             invalid_rest=", ".join(rest_texts) if None in rests_s else None,
             leaving=1.0 if _is_leaving(headers.getall(LEAVING, ())) else None,
             refusal_tolerance=_decode_tolerance(headers.getall(REFUSAL_TOLERANCE, ())),
+            has_framing="Content-Length" in headers or "Transfer-Encoding" in headers,
         )
 
     def select_response_headers(self, response):
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -197,6 +197,11 @@
         """Return whether an engine is known and up, although it may rest."""
         return state is not None and self.engines.is_alive(state)
 
+    def get_event_tokens(self, service):
+        """Return the number of tokens in one event of a service's streams."""
+        settings = self._get_engine_settings(service)
+        return settings.event_tokens if settings else 1
+
     def _get_engine_settings(self, service):
         """Return the engine settings of a service, or None if it has no engines."""
         service_settings = self._routing.current.services.get(service)
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -443,12 +443,29 @@
 
     def _classify_stream_end(self, attempt, splitter):
         """Return the outcome of a stream whose connection ended without an error."""
-        if splitter.has_partial_event or not self._responder.has_begun:
+        is_truncated = (
+            splitter.has_partial_event
+            or not self._responder.has_begun
+            or self._has_stopped_after_head(attempt)
+        )
+        if is_truncated:
             self._log.bind(engine=attempt.state.name).info("stream truncated by engine")
             self._runtime.crash_watch.investigate(attempt.state, self._call)
             return StreamOutcome.LOST
         return StreamOutcome.COMPLETE
 
+    def _has_stopped_after_head(self, attempt):
+        """Return whether an engine that was to go on closed after the head.
+
+        This ends a response without framing, also if events are still missing.
+        """
+        if attempt.has_output or attempt.head.has_framing:
+            return False
+        event_tokens = self._runtime.fleet.get_event_tokens(self._call.service)
+        received_tokens = (self._progress.last_id or 0) * event_tokens
+        max_tokens = self._call.metadata.prompt.output_tokens
+        return not max_tokens or received_tokens < max_tokens
+
     async def _handle_buffered_response(self, attempt):
         """Handle a response that is no event stream: an error or a refusal."""
         read = await attempt.read_all()
