Callers of HTTP/1.0 get streams, and see when one is incomplete

A caller of HTTP/1.0 got status 500 for each stream, after an engine had run it: chunks were asked for whatever the caller speaks, and the server refuses them for HTTP/1.0.

Now such a caller gets the events as they are, up to the end of the connection. This alone would make a stream that breaks off look complete, so its connection closes with a reset until the stream is complete; the kernel does the same if the process is killed. For HTTP/1.1 nothing changes: the last chunk is missing.

Evidence: rows of the feature on broken streams.

--- a/features/brokenstreams.feature
+++ b/features/brokenstreams.feature
@@ -51,6 +51,9 @@
       | events and a second head   | HTTP/1.1 |
       | no events                  | HTTP/1.1 |
       | half a head                | HTTP/1.1 |
+      | status 500 with events     | HTTP/1.0 |
+      | an error event             | HTTP/1.0 |
+      | half a head                | HTTP/1.0 |
 
   Scenario Outline: A stream is whole for a caller of <protocol>
     Given a host that reaches 3 model engines directly, and no copies of runs
@@ -59,6 +62,7 @@
 
     Examples:
       | protocol |
+      | HTTP/1.0 |
       | HTTP/1.1 |
 
   Scenario Outline: A stream that its host can't finish is seen to be incomplete: the host <event>, <protocol>
@@ -68,6 +72,7 @@
 
     Examples:
       | event     | protocol |
+      | is killed | HTTP/1.0 |
       | is killed | HTTP/1.1 |
 
   Scenario Outline: A stream whose first engines answer with errors begins elsewhere: <answer>
--- a/src/sapphirerock/connection/responder.py
+++ b/src/sapphirerock/connection/responder.py
@@ -1,10 +1,17 @@
 """Sends the response to a caller's request, either at once or as a stream."""
 
-from aiohttp import web
+import socket
+import struct
+
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from sapphirerock.request.problem import Problem
 
+# SO_LINGER on, with 0 s: closing resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
+
 
 class Responder:
     """Sends one response to a caller.
@@ -61,11 +68,29 @@
         await self._start_response(response)
 
     async def begin_stream(self, status, headers):
-        """Send the status and headers of a streamed response."""
+        """Send the status and headers of a streamed response.
+
+        A caller of HTTP/1.0 reads no chunks: the end of the connection ends the
+        response, and a reset shows that it is incomplete, also if the process ends.
+        """
         response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
-        response.enable_chunked_encoding()
+        if self._reads_chunks:
+            response.enable_chunked_encoding()
+        else:
+            self._set_linger(RESET_ON_CLOSE)
         await self._start_response(response)
 
+    @property
+    def _reads_chunks(self):
+        return self._request.version >= HttpVersion11
+
+    def _set_linger(self, value):
+        transport = self._request.transport
+        if transport is not None:
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, value
+            )
+
     async def _start_response(self, response):
         if self._close_connection:
             response.force_close()
@@ -77,12 +102,17 @@
         """Send a part of the body of a streamed response."""
         await self._response.write(data)
 
-    async def finish(self):
-        """End a streamed response that is complete."""
-        await self._response.write_eof()
+    def complete_stream(self):
+        """Let the server end a streamed response, which is whole."""
+        if not self._reads_chunks:
+            self._set_linger(CLOSE_IN_ORDER)
 
     def abort(self):
         """Close the connection, so that the caller sees an incomplete response."""
         transport = self._request.transport
-        if transport is not None:
+        if transport is None:
+            return
+        if self._reads_chunks:
             transport.close()
+        else:
+            transport.abort()
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -152,6 +152,7 @@
                     self._call.route.kind.value, outcome
                 )
                 if outcome is StreamOutcome.COMPLETE:
+                    self._responder.complete_stream()
                     elapsed_s = self._runtime.clock.monotonic() - self._started_s
                     self._runtime.stream_durations.record_stream(elapsed_s)
                 if outcome in (StreamOutcome.COMPLETE, StreamOutcome.RELAYED):
