--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -15,7 +15,7 @@
     RelayUnavailable,
     UpstreamUnreachable,
 )
-from sapphirerock.connection.eventsplitter import EventOversized, EventSplitter
+from sapphirerock.connection.eventsplitter import EventMalformed, EventSplitter
 from sapphirerock.decisions.continuation import (
     RecoveryStep,
     StreamOutcome,
@@ -54,6 +54,8 @@
 SILENT_ENGINE_CHECK_S = 0.05
 # Several round trips between regions.
 START_CHECK_TIMEOUT_S = 0.3
+# An engine that is asked again was running, but its report could not be read.
+MAX_START_CHECKS = 2
 
 
 @dataclass(slots=True, frozen=True)
@@ -198,6 +200,7 @@
         self._losses += outcome is StreamOutcome.LOST
         self._failures += outcome is StreamOutcome.FAILED
         if outcome is StreamOutcome.COMPLETE:
+            self._responder.complete_stream()
             elapsed_s = self._runtime.clock.monotonic() - self._started_s
             self._runtime.stream_durations.record_stream(elapsed_s)
 
@@ -355,17 +358,24 @@
         versions = self._runtime.fleet.engines.list_versions(self._call.service)
         if len(versions) < 2 and self._runtime.version_history.knows_all():
             return True
-        prober = self._runtime.paths
-        result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
-        while result.outcome is ProbeOutcome.HOST_BUSY:
-            result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
-        if result.shows_running:
-            return True
+        for _ in range(MAX_START_CHECKS):
+            result = await self._probe_start(state)
+            if result.shows_running and result.shows_start:
+                return True
+            if not result.shows_running:
+                break
         self._log.bind(
             engine=state.name, outcome=result.outcome.value, detail=result.detail
         ).info("stream not resumed on engine")
         return False
 
+    async def _probe_start(self, state):
+        prober = self._runtime.paths
+        result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
+        while result.outcome is ProbeOutcome.HOST_BUSY:
+            result = await prober.probe_and_confirm(state.entry, START_CHECK_TIMEOUT_S)
+        return result
+
     async def _take_turn(self, turns, placement):
         """Return a placement whose engine has a turn or no limit; None if none has.
 
@@ -510,8 +520,8 @@
                 return self._classify_stream_end(attempt, splitter)
             try:
                 events = splitter.feed(read.ok)
-            except EventOversized as error:
-                self._log.bind(cause=str(error)).warning("event exceeds size limit")
+            except EventMalformed as error:
+                self._log.bind(cause=str(error)).warning("malformed event in stream")
                 return StreamOutcome.FAILED
             if events:
                 if not attempt.has_output:
@@ -569,13 +579,30 @@
 
     def _classify_stream_end(self, attempt, splitter):
         """Return the outcome of a stream whose connection ended without an error."""
-        if splitter.has_partial_event or not self._responder.has_begun:
+        is_truncated = (
+            splitter.has_partial_event
+            or not self._responder.has_begun
+            or self._has_stopped_after_head(attempt)
+        )
+        if is_truncated:
             self._log.bind(engine=attempt.state.name).info("stream truncated by engine")
             self._runtime.crash_watch.investigate(attempt.state, self._call)
             return StreamOutcome.LOST
         self._win_race(attempt)
         return StreamOutcome.COMPLETE
 
+    def _has_stopped_after_head(self, attempt):
+        """Return whether an engine that was to go on closed after the head.
+
+        This ends a response without framing, also if events are still missing.
+        """
+        if attempt.has_output or attempt.head.has_framing:
+            return False
+        event_tokens = self._runtime.fleet.get_event_tokens(self._call.service)
+        received_tokens = (self._progress.last_id or 0) * event_tokens
+        max_tokens = self._call.metadata.prompt.output_tokens
+        return not max_tokens or received_tokens < max_tokens
+
     async def _handle_buffered_response(self, attempt):
         """Handle a response that is no event stream: an error or a refusal."""
         read = await attempt.read_all()
