Take-ups: a stream goes on at the engine that began it, which has its prompt

Hosts see each other's load 0.1 to 0.3 s late and chose the same engine: 7 of 10 take-ups within 0.1 s went to one of nine.

Records of streams name the engine that began them, and placement subtracts the prompt from that engine's cost. Hosts of earlier builds get and read records without the engine.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -31,6 +31,11 @@
     When the load pattern mixed-sizes is replayed once with least-prompt-tokens
     Then calls of 20000 tokens or more are served at least 0.9 times as often as all calls
 
+  Scenario: Streams that are taken up together go on as often as new ones begin
+    When the load pattern take-ups is replayed with least-prompt-tokens and with no first engine
+    Then with least-prompt-tokens streams taken up go on at least 0.5 times as often as new ones begin
+    And new streams begin at least as often as with no first engine
+
   Scenario: The same seed gives the same replay
     When the load pattern burst is replayed twice with least-prompt-tokens
     Then both replays are the same
--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -97,9 +97,15 @@
   Scenario: Hosts tell each other where streams began
     Given two hosts of a zone and one of another zone that exchange origins
     When a stream begins on each host, and a host starts later
-    Then every host knows where each stream began, until the caller's deadline
+    Then every host knows the engine that began each stream
+    And every host knows where each stream began, until the caller's deadline
     And no record was sent more than 12 times
 
+  Scenario: Hosts of an earlier build exchange records without engines
+    Given a host that exchanges origins with one of an earlier build
+    When a stream begins on each of the two
+    Then each host knows these engines of the streams: engine-0, none, none, engine-1
+
   Scenario: A host with too many records of streams drops the oldest, and logs how many
     Given a host that exchanges origins
     When one stream more begins on it than it can record
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -79,6 +79,24 @@
     assert found >= before + gain, (found, before)
 
 
+@then(
+    "with {policy} streams taken up go on at least {ratio:f} times as often as new "
+    "ones begin"
+)
+def check_take_ups(context, policy, ratio):
+    for result in context.results:
+        taken_up = result.compute_begun_share(takes_up_stream=True)
+        new = result.compute_begun_share(takes_up_stream=False)
+        assert taken_up >= ratio * new, (taken_up, new)
+
+
+@then("new streams begin at least as often as with {baseline}")
+def check_new_streams(context, baseline):
+    found = mean(result.compute_begun_share(False) for result in context.results)
+    before = mean(result.compute_begun_share(False) for result in context.baseline)
+    assert found >= before, (found, before)
+
+
 @then("{policy} wastes at most {ratio:f} times as many prefilled tokens as {baseline}")
 def check_wasted_tokens(context, policy, ratio, baseline):
     found = mean(result.wasted_tokens for result in context.results)
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -14,7 +14,6 @@
 from tools.sharedcluster import SharedCluster, make_configuration
 
 from features.steps.edge_steps import ZONES, has_engines
-from sapphirerock.connection.messages import StreamOrigins
 from sapphirerock.connection.storeobjects import (
     ObjectMissing,
     ObjectPage,
@@ -36,7 +35,11 @@
 from sapphirerock.process.engines.versionhistory import VersionHistory
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.storedorigins import StoredOrigins
-from sapphirerock.process.peers.streamorigins import MAX_RECORDS, StreamOriginTable
+from sapphirerock.process.peers.streamorigins import (
+    ENGINES_VIEW,
+    MAX_RECORDS,
+    StreamOriginTable,
+)
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
@@ -619,8 +622,9 @@
 class OriginHost:
     """Host with a table of origins and queues in place of streams."""
 
-    def __init__(self, name, zone, clock):
+    def __init__(self, name, zone, clock, unknown_views=()):
         self.zone_hubs = [f"{zone}-1"]
+        self.unknown_views = unknown_views
         self.streams = {}
         self.on_support = []
         self.handlers = {}
@@ -637,7 +641,13 @@
 
     def announce_support(self, view, notify):
         """Register what is sent first on a stream."""
-        self.on_support.append((view, notify))
+        if view not in self.unknown_views:
+            self.on_support.append((view, notify))
+
+    @property
+    def known_views(self):
+        """Names of the views that this host announces."""
+        return [view for view, _ in self.on_support]
 
     def is_hub(self, host):
         """Return whether a host is the hub of its zone."""
@@ -658,11 +668,11 @@
 
     def send(self, message):
         """Deliver a message to the other end; return its size."""
-        for *_, keys in message.groups:
+        for _, _, _, keys, *_ in message.groups:
             for start in range(0, len(keys), 8):
                 self._counter[keys[start : start + 8]] += 1
         back = self._receiver.streams[self._sender.hosts.own_address.host]
-        self._receiver.handlers[StreamOrigins](back, message)
+        self._receiver.handlers[type(message)](back, message)
         return 0
 
 
@@ -673,9 +683,11 @@
         sender.streams[address.host] = OriginStream(sender, receiver, context.sent)
     for sender, receiver in ((first, second), (second, first)):
         stream = sender.streams[receiver.hosts.own_address.host]
+        known = set(receiver.known_views) & set(sender.known_views)
+        stream.known_views.update(known)
         for view, notify in sender.on_support:
-            stream.known_views.add(view)
-            notify(stream)
+            if view in stream.known_views:
+                notify(stream)
 
 
 @given("two hosts of a zone and one of another zone that exchange origins")
@@ -692,7 +704,8 @@
 @when("a stream begins on each host, and a host starts later")
 def begin_on_each(context):
     for number, host in enumerate(context.hosts):
-        host.table.record(f"attempt-{number}", StreamOrigin("chat", "v1"), 20.0)
+        origin = StreamOrigin("chat", "v1", f"engine-{number}")
+        host.table.record(f"attempt-{number}", origin, 20.0)
     for _ in range(3):
         for host in context.hosts:
             host.table.send_pending()
@@ -713,6 +726,40 @@
         context.clock.advance(30.0)
 
 
+@given("a host that exchanges origins with one of an earlier build")
+def make_mixed_hosts(context):
+    context.sent = Counter()
+    context.clock = ManualClock()
+    earlier = OriginHost("a-2", "a", context.clock, (ENGINES_VIEW,))
+    context.hosts = [OriginHost("a-1", "a", context.clock), earlier]
+    connect_hosts(context, *context.hosts)
+
+
+@when("a stream begins on each of the two")
+def begin_on_both(context):
+    for number, host in enumerate(context.hosts):
+        origin = StreamOrigin("chat", "v1", f"engine-{number}")
+        host.table.record(f"attempt-{number}", origin, 20.0)
+    context.hosts[0].table.send_pending()
+
+
+@then("each host knows these engines of the streams: {engines}")
+def check_engines_known(context, engines):
+    found = [
+        host.table.find(f"attempt-{number}").engine or "none"
+        for host in context.hosts
+        for number in range(2)
+    ]
+    assert found == engines.split(", "), found
+
+
+@then("every host knows the engine that began each stream")
+def check_all_engines_known(context):
+    for host in context.hosts:
+        engines = [host.table.find(f"attempt-{number}").engine for number in range(3)]
+        assert engines == ["engine-0", "engine-1", "engine-2"], engines
+
+
 @then("no record was sent more than {count:d} times")
 def check_sent(context, count):
     assert max(context.sent.values()) <= count, context.sent
@@ -814,7 +861,7 @@
     for event in events.split(", "):
         words = event.split()
         if words[0] == "stream":
-            origin = StreamOrigin("chat", words[4])
+            origin = StreamOrigin("chat", words[4], f"engine-{words[1]}")
             context.host.table.record(f"stream-{words[1]}", origin, 30.0)
         elif words[-1] == "appears":
             context.versions = context.versions | {words[0]}
@@ -831,10 +878,11 @@
 def check_known_streams(context, known, writes):
     host, stored = make_stored_origins(context, "b")
     context.run(stored.load())
-    found = {
-        number
-        for number in ("1", "2")
-        if host.table.find(f"stream-{number}") is not None
-    }
+    found = set()
+    for number in ("1", "2"):
+        origin = host.table.find(f"stream-{number}")
+        if origin is not None:
+            assert origin.engine == f"engine-{number}", origin
+            found.add(number)
     assert found == (set() if known == "none" else set(known.split(", "))), found
     assert context.store.writes == writes, context.store.writes
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -547,6 +547,23 @@
     groups: list
 
 
+@register_message(71)
+@dataclass(slots=True)
+class StreamOriginEngines(Message):
+    """Records of where streams began, with their engines.
+
+    Parameters
+    ----------
+    groups : list of [str, str, int, bytes, bytes]
+        As in `StreamOrigins`, and the number of each stream's engine, 2 bytes each.
+    engines : list of str
+        Ids of the engines, numbered from 1; 0 stands for an unknown one.
+    """
+
+    groups: list
+    engines: list
+
+
 @register_message(56)
 @dataclass(slots=True)
 class SoundParts(Message):
--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -3,7 +3,7 @@
 The docstring of each policy names the load pattern that it is made for.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sapphirerock.decisions.rendezvous import weigh_candidate
 
@@ -74,6 +74,8 @@
     is_brittle : bool
         Whether the engine crashes when it has to turn many requests away. A call needs
         one of its slots, for which ``turn_wait_s`` holds as for a turn.
+    cached_tokens : int
+        Prompt tokens of the call that the engine has probably cached.
     """
 
     name: str
@@ -90,6 +92,7 @@
     version: str = ""
     is_relayed: bool = False
     is_brittle: bool = False
+    cached_tokens: int = 0
 
     @property
     def is_limited(self):
@@ -187,7 +190,8 @@
     def measure_cost(self, view, prompt):
         """Return the cost of the engine's load, plus the tokens that exceed its memory.
 
-        The unit is a prompt token queued for prefill.
+        The unit is a prompt token queued for prefill. Those of the call that are cached
+        at the engine are subtracted.
         """
         shortfall_tokens = max(0, prompt.memory_tokens - view.free_tokens)
         memory_cost = MEMORY_COST_SHARE * (view.memory_tokens + view.copy_tokens)
@@ -196,6 +200,7 @@
             + view.runs * RUN_COST_TOKENS
             + memory_cost
             + shortfall_tokens
+            - view.cached_tokens
         )
 
 
@@ -245,6 +250,27 @@
         return cost - prefix_tokens if is_owner else cost
 
 
+def mark_cached_prompt(views, engine, prompt):
+    """Return the views, with a call's prompt as cached at an engine.
+
+    Made for callers that take up their streams together: engines that began them read
+    their prompts again within milliseconds, other engines one after the other.
+
+    Parameters
+    ----------
+    views : list of EngineView
+        Usable engines.
+    engine : str
+        Id of the engine that began the stream; empty if unknown.
+    prompt : Prompt
+        Token counts of the call.
+    """
+    return [
+        replace(view, cached_tokens=prompt.tokens) if view.name == engine else view
+        for view in views
+    ]
+
+
 def select_by_limit(views, prompt):
     """Return the engines that a generation should go to, by their request limits.
 
--- a/src/sapphirerock/decisions/streamversions.py
+++ b/src/sapphirerock/decisions/streamversions.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Engines of a version that remain for its streams when one of them is lost.
 MIN_ENGINES_PER_VERSION = 2
@@ -14,10 +14,23 @@
 
 @dataclass(slots=True, frozen=True)
 class StreamOrigin:
-    """Service and software version of the engine that began a stream."""
+    """Where a stream began.
+
+    Parameters
+    ----------
+    service : str
+        Service of the engine.
+    version : str
+        Version of its software.
+    engine : str
+        Id of the engine, which may have the prompt in its cache; empty if unknown. The
+        stream may go on at any engine of the version, so that origins are compared
+        without it.
+    """
 
     service: str
     version: str
+    engine: str = field(default="", compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/load/replay/patterns.py
+++ b/src/sapphirerock/load/replay/patterns.py
@@ -1,6 +1,7 @@
 """Load patterns: arrivals of calls, and faults of engines."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 
 PATTERNS = {}
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -21,12 +22,26 @@
         Sizes of the prompt and of the output.
     organisation : str
         Organisation of the caller.
+    received_tokens : int
+        Output tokens that the caller has received before; 0 for a new stream.
+    first_engine : int or None
+        Number of the engine that began the stream, which has its prompt cached.
+    max_wait_s : float
+        Time after which the caller leaves, in seconds.
     """
 
     at_s: float
     prompt_tokens: int = PROMPT_TOKENS
     output_tokens: int = OUTPUT_TOKENS
     organisation: str = "one"
+    received_tokens: int = 0
+    first_engine: int | None = None
+    max_wait_s: float = math.inf
+
+    @property
+    def takes_up_stream(self):
+        """Whether the caller goes on with a stream that it has received in part."""
+        return self.received_tokens > 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -191,3 +206,24 @@
     small = draw_arrivals(random, 9.0, 0, 25, prompt_tokens=2000)
     large = draw_arrivals(random, 2.0, 0, 25, prompt_tokens=30_000)
     return Pattern(merge_arrivals(small, large), [])
+
+
+@register_pattern("take-ups")
+def make_take_ups(random):
+    """All hosts lose power, and callers notice at the same time, near their deadlines.
+
+    Fourteen callers take up their streams within a fifth of a second beside new ones.
+    """
+    taken_up = draw_arrivals(random, 70.0, 10, 10.2)
+    engines_per_zone = 3
+    taken_up = [
+        replace(
+            arrival,
+            received_tokens=random.randint(10, 400),
+            first_engine=random.randrange(engines_per_zone * len(ZONES)),
+            max_wait_s=random.uniform(0.5, 4.0),
+        )
+        for arrival in taken_up
+    ]
+    usual = draw_arrivals(random, 4.0, 0, 30)
+    return Pattern(merge_arrivals(usual, taken_up), [], engines_per_zone)
--- a/src/sapphirerock/load/replay/policies.py
+++ b/src/sapphirerock/load/replay/policies.py
@@ -6,4 +6,5 @@
 POLICIES = {name: ReplayPolicy(name) for name in PLACEMENTS}
 POLICIES["no copies"] = ReplayPolicy(uses_kv_copies=False)
 POLICIES["no health"] = ReplayPolicy(excludes_outliers=False)
+POLICIES["no first engine"] = ReplayPolicy(prefers_first_engine=False)
 POLICIES["no admission"] = ReplayPolicy(uses_admission=False)
--- a/src/sapphirerock/load/replay/simulation.py
+++ b/src/sapphirerock/load/replay/simulation.py
@@ -12,7 +12,11 @@
 )
 from sapphirerock.decisions.fairqueue import FairQueue, Ticket
 from sapphirerock.decisions.health import exclude_outliers
-from sapphirerock.decisions.placement import PLACEMENTS, choose_backup_engine
+from sapphirerock.decisions.placement import (
+    PLACEMENTS,
+    choose_backup_engine,
+    mark_cached_prompt,
+)
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.load.replay.engines import (
     EngineModel,
@@ -38,6 +42,8 @@
 SILENCE_DETECTION_S = 0.45
 # Tokens that a KV copy lacks and that are prefilled again on resumption.
 COPY_LAG_TOKENS = 60.0
+# Tokens of a cached prompt that are prefilled again.
+CACHE_LAG_TOKENS = 60.0
 # Longest wait for the first event, and longest pause between two events, of a call that
 # is served in time.
 FIRST_EVENT_TARGET_S = 4.5
@@ -67,18 +73,22 @@
         Whether calls wait for capacity or are refused, instead of starting at once.
     excludes_outliers : bool
         Whether engines that fail more calls than their peers get no new runs.
+    prefers_first_engine : bool
+        Whether a stream that is taken up prefers the engine that began it.
     """
 
     placement: str = "least-prompt-tokens"
     uses_kv_copies: bool = True
     uses_admission: bool = True
     excludes_outliers: bool = True
+    prefers_first_engine: bool = True
 
     def __str__(self):
         parts = [self.placement]
         parts += [] if self.uses_kv_copies else ["no copies"]
         parts += [] if self.uses_admission else ["no admission"]
         parts += [] if self.excludes_outliers else ["no health"]
+        parts += [] if self.prefers_first_engine else ["no first engine"]
         return ", ".join(parts)
 
 
@@ -187,6 +197,15 @@
         ]
         return sum(served) / max(1, len(served))
 
+    def compute_begun_share(self, takes_up_stream):
+        """Return the fraction of new streams or of take-ups that brought an event."""
+        begun = [
+            stream.first_event_s is not None
+            for stream in self.streams
+            if stream.arrival.takes_up_stream == takes_up_stream
+        ]
+        return sum(begun) / max(1, len(begun))
+
     @property
     def refused_share(self):
         """Fraction of the calls that were refused and not started later."""
@@ -245,6 +264,7 @@
             SimulatedStream(
                 arrival,
                 Prompt("m", arrival.prompt_tokens, arrival.output_tokens),
+                generated_tokens=float(arrival.received_tokens),
             )
             for arrival in pattern.arrivals
         ]
@@ -275,6 +295,7 @@
             now_s = self._clock.monotonic()
             self._apply_faults(now_s)
             self._process_arrivals(now_s)
+            self._remove_left(now_s)
             self._recover_streams(now_s)
             self._process_queue(now_s)
             for engine in self._engines:
@@ -339,9 +360,21 @@
         for stream in due:
             self._submit(stream, now_s)
 
+    def _remove_left(self, now_s):
+        """End the runs and retries of callers that have left."""
+
+        def has_left(stream):
+            return now_s > stream.arrival.at_s + stream.arrival.max_wait_s
+
+        for engine in self._engines:
+            engine.runs = [run for run in engine.runs if not has_left(run.stream)]
+        self._awaiting_recovery = [
+            stream for stream in self._awaiting_recovery if not has_left(stream)
+        ]
+
     def _submit(self, stream, now_s):
-        """Start, queue or refuse a call."""
-        if not self._policy.uses_admission:
+        """Start, queue or refuse a call; a stream that is taken up starts at once."""
+        if not self._policy.uses_admission or stream.arrival.takes_up_stream:
             self._start_run(stream, now_s)
             return
         if not len(self._queue) and self._try_admit(stream, 0, now_s):
@@ -420,8 +453,16 @@
         views = self._list_views()
         if self._policy.excludes_outliers:
             views = exclude_outliers(views)
+        first_engine = self._find_first_engine(stream)
+        if first_engine is not None and self._policy.prefers_first_engine:
+            views = mark_cached_prompt(views, first_engine, stream.prompt)
         return self._placement.choose(views, stream.prompt)
 
+    def _find_first_engine(self, stream):
+        """Return the name of the engine that began a stream, or None."""
+        number = stream.arrival.first_engine
+        return None if number is None else self._engines[number].name
+
     def _start_run(self, stream, now_s):
         """Send a call to an engine, which prefills the prompt and the output so far."""
         view = self._choose_engine(stream)
@@ -432,6 +473,8 @@
             return
         stream.refused_s = None
         pending_prefill_tokens = stream.prompt.tokens + stream.generated_tokens
+        if view.name == self._find_first_engine(stream):
+            pending_prefill_tokens = CACHE_LAG_TOKENS
         self._run_on_engine(stream, view.name, pending_prefill_tokens)
 
     def _run_on_engine(self, stream, engine_name, pending_prefill_tokens):
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -9,6 +9,7 @@
     EngineView,
     choose_backup_engine,
     choose_plain_call_engine,
+    mark_cached_prompt,
     select_by_limit,
 )
 from sapphirerock.decisions.relays import prefer_direct_engines
@@ -93,7 +94,7 @@
         self._zone = availability_zone
         self._clock = clock
 
-    def place(self, call, excluded, isolate=None, version=None):
+    def place(self, call, excluded, isolate=None, origin=None):
         """Choose an engine for a generation.
 
         Parameters
@@ -105,18 +106,22 @@
         isolate : callable or None
             Takes the call and the views; returns a view for a suspect request, and
             None for any other call.
-        version : str or None
-            Software version that the engine must have; None for a new stream.
+        origin : StreamOrigin or None
+            Where the stream began, which goes on at the same software version; None
+            for a new stream.
 
         Returns
         -------
         Placement or None
         """
+        version = origin.version if origin else None
         views = self._list_views(call.service, excluded, version)
         view = isolate(call, views) if isolate else None
         if view is None:
             prompt = call.metadata.prompt
-            if version is None:
+            if origin is not None:
+                views = mark_cached_prompt(views, origin.engine, prompt)
+            else:
                 draining = self.engines.count_draining_versions(call.service)
                 views = prefer_lasting_versions(views, draining, prompt)
             views = prefer_direct_engines(exclude_outliers(views))
@@ -169,7 +174,14 @@
     def has_unlimited_engine(self, service, excluded, version=None):
         """Return whether an engine that states no limit may get a call.
 
-        The parameters are those of `place`.
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        excluded : set of str
+            Engines that the call has already been sent to.
+        version : str or None
+            Software version that the engine must have; None for any.
         """
         return any(
             not view.is_limited for view in self._list_views(service, excluded, version)
--- a/src/sapphirerock/process/peers/storedorigins.py
+++ b/src/sapphirerock/process/peers/storedorigins.py
@@ -13,14 +13,16 @@
 from loguru import logger
 from mode import Service
 
+from sapphirerock.connection.messages import StreamOriginEngines
 from sapphirerock.connection.storeobjects import ObjectMissing, StoreConflict
 from sapphirerock.platform.names import STREAM_ORIGINS_KIND
 from sapphirerock.process.peers.owners import find_owner
+from sapphirerock.process.peers.streamorigins import list_records
 from sapphirerock.process.storeretry import retry_store_call
 
 # A stream that is younger than this when all hosts end may have no record.
 WRITE_INTERVAL_S = 0.5
-# Records of the oldest streams are left out beyond this, which is 600 KB of the 1 MB
+# Records of the oldest streams are left out beyond this, which is 700 KB of the 1 MB
 # that an object may have.
 MAX_STORED_RECORDS = 50_000
 # Longer than the timeout of any caller; then nothing in an object is of use.
@@ -28,6 +30,9 @@
 STORE_FAILURE = "store call for stream origins failed"
 WRITTEN_AT = "written_at"
 GROUPS = "groups"
+# Engines beside the groups, which hosts of earlier builds read without them.
+ENGINES = "engines"
+ENGINE_NUMBERS = "engine_numbers"
 
 
 class StoredOrigins(Service):
@@ -85,11 +90,11 @@
         )
         loaded = 0
         for item in page.objects:
-            groups = decode_groups(item.spec)
-            if groups is None:
+            message = decode_records(item.spec)
+            if message is None:
                 logger.bind(entry=item.name).warning("invalid stream origins ignored")
                 continue
-            loaded += self._origins.load_groups(groups)
+            loaded += self._origins.load_groups(message.groups, message.engines)
             if item.name == self._own_host:
                 self._revision = item.revision
         self._loaded.set()
@@ -126,7 +131,7 @@
         keys = self._origins.list_keys(self._has_several_versions, MAX_STORED_RECORDS)
         if self._written_keys.issuperset(keys):
             return
-        spec = encode_groups(self._origins.export(keys), self._clock.now().timestamp())
+        spec = encode_records(self._origins.export(keys), self._clock.now().timestamp())
         written = await self._write(spec)
         if written.is_error():
             logger.bind(operation="write", cause=repr(written.error)).info(
@@ -157,21 +162,42 @@
         return written
 
 
-def encode_groups(groups, written_at):
-    """Return the content of an object with groups of records."""
+def encode_records(message, written_at):
+    """Return the content of an object with the records of a message."""
     encoded = [
         [service, version, ttl_s, base64.b64encode(keys).decode()]
-        for service, version, ttl_s, keys in groups
+        for service, version, ttl_s, keys, _ in message.groups
     ]
-    return {WRITTEN_AT: written_at, GROUPS: encoded}
+    numbers = [base64.b64encode(group[-1]).decode() for group in message.groups]
+    return {
+        WRITTEN_AT: written_at,
+        GROUPS: encoded,
+        ENGINES: message.engines,
+        ENGINE_NUMBERS: numbers,
+    }
 
 
-def decode_groups(spec):
-    """Return the groups of records in an object; None if it is malformed."""
+def decode_records(spec):
+    """Return the records in an object as a message; None if it is malformed."""
     try:
-        return [
+        groups = [
             [str(service), str(version), float(ttl_s), base64.b64decode(keys)]
             for service, version, ttl_s, keys in spec[GROUPS]
         ]
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
+        if ENGINES not in spec:
+            return StreamOriginEngines(groups, [])
+        for group, numbers in zip(groups, spec[ENGINE_NUMBERS], strict=True):
+            group.append(base64.b64decode(numbers))
+        message = StreamOriginEngines(groups, [str(name) for name in spec[ENGINES]])
+        # Numbers may be missing or exceed those of the engines.
+        list(list_records(message.groups, message.engines))
+        return message
+    except (
+        KeyError,
+        IndexError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ):
         return None
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -13,14 +13,18 @@
 from loguru import logger
 from mode import Service
 
-from sapphirerock.connection.messages import StreamOrigins
+from sapphirerock.connection.messages import StreamOriginEngines, StreamOrigins
 from sapphirerock.decisions.streamversions import StreamOrigin
 
 BATCH_INTERVAL_S = 0.1
 # With the streams of the largest deployments known, records live for tens of seconds.
 MAX_RECORDS = 100_000
 KEY_BYTES = 8
+ENGINE_NUMBER_BYTES = 2
+MAX_ENGINE_NUMBER = (1 << 8 * ENGINE_NUMBER_BYTES) - 1
 VIEW = "stream-origins"
+# Hosts of earlier builds know records without the engine only.
+ENGINES_VIEW = "stream-origin-engines"
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,7 +34,7 @@
     Parameters
     ----------
     origin : StreamOrigin
-        Service and software version.
+        Service, software version and engine.
     expires_s : float
         Monotonic time after which the caller no longer takes the stream up.
     """
@@ -61,7 +65,9 @@
         # own under its name.
         self._pending = defaultdict(list)
         peers.register_handler(StreamOrigins, self._handle_origins)
-        peers.announce_support(VIEW, self._send_all)
+        peers.register_handler(StreamOriginEngines, self._handle_origins)
+        peers.announce_support(ENGINES_VIEW, self._send_all)
+        peers.announce_support(VIEW, self._send_all_without_engines)
 
     @property
     def _own_address(self):
@@ -82,13 +88,13 @@
         attempt_id : str
             Attempt that brings the first event.
         origin : StreamOrigin
-            Service and software version of its engine.
+            Service, software version and id of its engine.
         ttl_s : float
             Time until the caller's deadline, in seconds.
         """
         key = make_key(attempt_id)
         self._store(key, OriginRecord(origin, self._clock.monotonic() + ttl_s))
-        message = self._make_message([key])
+        message = self.export([key])
         own_host = self._own_address.host
         hubs = [host for host in self._peers.zone_hubs if host != own_host]
         for host in hubs or list(self._peers.streams):
@@ -117,20 +123,39 @@
         return keys[-limit:]
 
     def export(self, keys):
-        """Return groups of [service, version, seconds until expiry, keys]."""
-        return self._make_message(keys).groups
+        """Return the records of some keys as a `StreamOriginEngines` message."""
+        now_s = self._clock.monotonic()
+        numbers = {"": 0}
+        groups = defaultdict(lambda: [bytearray(), bytearray()])
+        for key in keys:
+            record = self._records.get(key)
+            if record is None or record.expires_s <= now_s:
+                continue
+            origin = record.origin
+            number = numbers.get(origin.engine)
+            if number is None:
+                number = len(numbers) if len(numbers) <= MAX_ENGINE_NUMBER else 0
+                numbers.setdefault(origin.engine, number)
+            ttl_s = math.ceil(record.expires_s - now_s)
+            group_keys, group_numbers = groups[origin.service, origin.version, ttl_s]
+            group_keys += key
+            group_numbers += number.to_bytes(ENGINE_NUMBER_BYTES)
+        return StreamOriginEngines(
+            [
+                [*group, bytes(group_keys), bytes(group_numbers)]
+                for group, (group_keys, group_numbers) in groups.items()
+            ],
+            list(numbers)[1:],
+        )
 
-    def load_groups(self, groups):
+    def load_groups(self, groups, engines):
         """Store the records in groups without sending them on; return their number."""
         now_s = self._clock.monotonic()
         count = 0
-        for service, version, ttl_s, keys in groups:
-            record = OriginRecord(StreamOrigin(service, version), now_s + ttl_s)
-            for start in range(0, len(keys), KEY_BYTES):
-                key = keys[start : start + KEY_BYTES]
-                if key not in self._records:
-                    self._store(key, record)
-                    count += 1
+        for key, origin, ttl_s in list_records(groups, engines):
+            if key not in self._records:
+                self._store(key, OriginRecord(origin, now_s + ttl_s))
+                count += 1
         return count
 
     def _store(self, key, record):
@@ -139,38 +164,33 @@
             _, oldest = self._records.popitem(last=False)
             self._dropped += oldest.expires_s >= self._clock.monotonic()
 
-    def _make_message(self, keys):
-        """Return a message with the records of some keys, grouped by their content."""
-        now_s = self._clock.monotonic()
-        groups = defaultdict(list)
-        for key in keys:
-            record = self._records.get(key)
-            if record is not None and record.expires_s > now_s:
-                ttl_s = math.ceil(record.expires_s - now_s)
-                origin = record.origin
-                groups[origin.service, origin.version, ttl_s].append(key)
-        return StreamOrigins(
-            [[*group, b"".join(keys)] for group, keys in groups.items()]
-        )
-
     def _send(self, stream, message):
-        if stream is not None and VIEW in stream.known_views and message.groups:
-            self._peers.count_bytes(stream, "stream-origin", stream.send(message))
+        """Send records, in the newest form that the peer knows."""
+        if stream is None or not message.groups:
+            return
+        if ENGINES_VIEW not in stream.known_views:
+            if VIEW not in stream.known_views:
+                return
+            message = StreamOrigins([group[:-1] for group in message.groups])
+        self._peers.count_bytes(stream, "stream-origin", stream.send(message))
 
     def _send_all(self, stream):
         """Send all records to a host that has just connected."""
-        self._send(stream, self._make_message(list(self._records)))
+        self._send(stream, self.export(list(self._records)))
+
+    def _send_all_without_engines(self, stream):
+        """Send all records to a host of an earlier build that has just connected."""
+        if ENGINES_VIEW not in stream.known_views:
+            self._send_all(stream)
 
     def _handle_origins(self, stream, message):
         now_s = self._clock.monotonic()
-        for service, version, ttl_s, keys in message.groups:
-            record = OriginRecord(StreamOrigin(service, version), now_s + ttl_s)
-            for start in range(0, len(keys), KEY_BYTES):
-                key = keys[start : start + KEY_BYTES]
-                known = self._records.get(key)
-                if known is None or known.origin != record.origin:
-                    self._store(key, record)
-                    self._pending[stream.host].append(key)
+        engines = getattr(message, "engines", ())
+        for key, origin, ttl_s in list_records(message.groups, engines):
+            known = self._records.get(key)
+            if known is None or known.origin != origin:
+                self._store(key, OriginRecord(origin, now_s + ttl_s))
+                self._pending[stream.host].append(key)
 
     @Service.task
     async def _send_batches(self):
@@ -197,7 +217,7 @@
 
     def _forward(self, source, keys):
         """Send records to this zone's hosts; those of this zone to other hubs, too."""
-        message = self._make_message(keys)
+        message = self.export(keys)
         own_zone = self._own_address.availability_zone
         source_address = self._peers.hosts.find(source)
         is_from_zone = (
@@ -222,6 +242,26 @@
             del self._records[key]
 
 
+def list_records(groups, engines):
+    """Yield the key, the origin and the seconds until expiry of each record.
+
+    Parameters
+    ----------
+    groups, engines : list
+        As in `StreamOriginEngines`; groups may lack the numbers of engines.
+    """
+    names = ["", *engines]
+    for service, version, ttl_s, keys, *numbers in groups:
+        for index in range(len(keys) // KEY_BYTES):
+            engine = ""
+            if numbers:
+                start = index * ENGINE_NUMBER_BYTES
+                number = numbers[0][start : start + ENGINE_NUMBER_BYTES]
+                engine = names[int.from_bytes(number)]
+            key = keys[index * KEY_BYTES : (index + 1) * KEY_BYTES]
+            yield key, StreamOrigin(service, version, engine), ttl_s
+
+
 def make_key(attempt_id):
     """Return the key of an attempt's record, of `KEY_BYTES`."""
     return xxhash.xxh64_digest(attempt_id.encode())
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -283,12 +283,11 @@
         isolate = (
             self._runtime.crash_watch.choose_isolated_engine if self._losses else None
         )
-        version = self._origin.version if self._origin else None
         while True:
             if placement is None:
                 excluded = self._tried_engines | turns.engines_without_turn
                 placement = self._runtime.fleet.place(
-                    self._call, excluded, isolate, version
+                    self._call, excluded, isolate, self._origin
                 )
             if placement is None or await turns.take(
                 placement.state, self._choose_max_wait()
@@ -312,12 +311,15 @@
         backup = self._runtime.fleet.choose_backup_engine(self._call, state)
         self._sends += 1
         prompt = self._call.metadata.prompt
+        prefill_tokens = 0
+        if copy is None:
+            prefill_tokens = prompt.tokens - placement.view.cached_tokens
         self._log_placement(state, backup, copy, placement)
         attempt = UpstreamAttempt(
             self._runtime,
             self._call,
             state,
-            prompt.tokens if copy is None else 0,
+            prefill_tokens,
             prompt.memory_tokens,
             backup,
             turns.pop_slot(),
@@ -360,6 +362,7 @@
             view = placement.view
             fields["candidates"] = placement.candidates
             fields["prompt_tokens"] = view.prompt_tokens
+            fields["cached_tokens"] = view.cached_tokens
             fields["runs"] = view.runs
             fields["free_tokens"] = view.free_tokens
             fields["failing"] = round(view.failure_share, 2)
@@ -424,7 +427,7 @@
             return
         engines = self._runtime.fleet.engines
         state = engines.get(attempt.state.name) or attempt.state
-        origin = StreamOrigin(self._call.service, state.entry.version)
+        origin = StreamOrigin(self._call.service, state.entry.version, state.name)
         if origin == self._origin:
             return
         self._origin, self._first_attempt = origin, attempt
