Placement: a cached prompt outweighs one prompt ahead of it

Cause: the cost counted the time that the call itself saves, not that a prompt that is read again also delays those behind it. A cached token now counts twice. An engine without free memory has probably dropped the prompt and gets no such credit.

Two rows of the new table fail without the change (one prompt at the first engine, and two there beside one at the other: the other was chosen).

--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -90,6 +90,19 @@
       | a v1, b v1, c v1, d v2, e v2, f v1 draining, g v1 draining | d, e |
       | a v1, b v2                                       | a, b        |
 
+  Scenario Outline: A stream is taken up by the engine that began it: <engines>
+    When a stream that began on a is taken up while engines are: <engines>
+    Then it goes on at engine <chosen>
+
+    Examples:
+      | engines                           | chosen |
+      | a v1, b v1                        | a      |
+      | a v1 one prompt, b v1             | a      |
+      | a v1 two prompts, b v1            | b      |
+      | a v1 two prompts, b v1 one prompt | a      |
+      | a v1 full, b v1                   | b      |
+      | b v1 one prompt, c v1             | c      |
+
   Scenario: A backup of a stream is kept by an engine of its version
     When backups are chosen for streams of v1 while only engines of v2 have free memory
     Then no engine is chosen
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -4,6 +4,7 @@
 import itertools
 import time
 from collections import Counter, defaultdict
+from random import Random
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -21,7 +22,11 @@
     StoredObject,
     StoreUnavailable,
 )
-from sapphirerock.decisions.placement import EngineView
+from sapphirerock.decisions.placement import (
+    PLACEMENTS,
+    EngineView,
+    mark_cached_prompt,
+)
 from sapphirerock.decisions.streamversions import (
     OriginChoice,
     StreamOrigin,
@@ -424,12 +429,15 @@
 def make_version_view(text):
     """Return the view of an engine that a text such as ``a v1 full`` describes."""
     name, version, *state = text.split()
+    prompt_tokens = {"queued": 2_000, "one": 1_000, "two": 2_000}
+    runs = {"one": 1, "two": 2}
+    key = state[0] if state else ""
     return EngineView(
         name=name,
         availability_zone="zone-a",
         slots=16,
-        prompt_tokens=2_000 if state == ["queued"] else 0,
-        runs=0,
+        prompt_tokens=prompt_tokens.get(key, 0),
+        runs=runs.get(key, 0),
         memory_tokens=ENGINE_MEMORY if state == ["full"] else 0,
         copy_tokens=0,
         capacity_tokens=ENGINE_MEMORY,
@@ -450,6 +458,18 @@
     assert [view.name for view in context.views] == chosen.split(", "), context.views
 
 
+@when("a stream that began on a is taken up while engines are: {engines}")
+def place_taken_up(context, engines):
+    views = [make_version_view(text) for text in engines.split(", ")]
+    policy = PLACEMENTS["least-prompt-tokens"](Random(1))
+    context.view = policy.choose(mark_cached_prompt(views, "a", PROMPT), PROMPT)
+
+
+@then("it goes on at engine {chosen}")
+def check_taken_up(context, chosen):
+    assert context.view.name == chosen, context.view
+
+
 @when("backups are chosen for streams of v1 while only engines of v2 have free memory")
 def choose_backup(context):
     clock = ManualClock()
--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -14,6 +14,9 @@
 # Cost of each token of memory in use, in queued prompt tokens. An engine whose memory
 # is full accepts no KV copies and preempts runs.
 MEMORY_COST_SHARE = 0.05
+# Cost saved by each cached token of a call's prompt, in queued prompt tokens. One that
+# is prefilled again delays the call itself and the prompts behind it.
+CACHED_TOKEN_GAIN = 2
 # Upper limit of the random cost added to each engine, as a share of the prompt tokens
 # of the call. Hosts see each other's load with a delay and would otherwise all choose
 # the same engine.
@@ -104,12 +107,13 @@
         """Whether the engine is limited, and a turn is free as far as known."""
         return self.is_limited and self.turn_wait_s <= 0
 
+    def has_memory(self, prompt):
+        """Return whether the engine has free memory, as far as known."""
+        return not self.capacity_tokens or self.free_tokens >= prompt.memory_tokens
+
     def has_room(self, prompt):
         """Return whether the engine has memory, and at most one prompt queued."""
-        has_memory = (
-            not self.capacity_tokens or self.free_tokens >= prompt.memory_tokens
-        )
-        return has_memory and self.prompt_tokens <= prompt.tokens
+        return self.has_memory(prompt) and self.prompt_tokens <= prompt.tokens
 
     @property
     def free_tokens(self):
@@ -190,8 +194,8 @@
     def measure_cost(self, view, prompt):
         """Return the cost of the engine's load, plus the tokens that exceed its memory.
 
-        The unit is a prompt token queued for prefill. Those of the call that are cached
-        at the engine are subtracted.
+        The unit is a prompt token queued for prefill. Tokens of the call's prompt that
+        are cached at the engine reduce the cost.
         """
         shortfall_tokens = max(0, prompt.memory_tokens - view.free_tokens)
         memory_cost = MEMORY_COST_SHARE * (view.memory_tokens + view.copy_tokens)
@@ -200,7 +204,7 @@
             + view.runs * RUN_COST_TOKENS
             + memory_cost
             + shortfall_tokens
-            - view.cached_tokens
+            - CACHED_TOKEN_GAIN * view.cached_tokens
         )
 
 
@@ -251,7 +255,7 @@
 
 
 def mark_cached_prompt(views, engine, prompt):
-    """Return the views, with a call's prompt as cached at an engine.
+    """Return the views, with a call's prompt as cached at an engine with free memory.
 
     Made for callers that take up their streams together: engines that began them read
     their prompts again within milliseconds, other engines one after the other.
@@ -266,7 +270,9 @@
         Token counts of the call.
     """
     return [
-        replace(view, cached_tokens=prompt.tokens) if view.name == engine else view
+        replace(view, cached_tokens=prompt.tokens)
+        if view.name == engine and view.has_memory(prompt)
+        else view
         for view in views
     ]
 
