Take-ups: a stream counts at its engine while the engine's start is checked

Cause: where a service has several software versions, the engine's start is checked before the stream is sent, which takes 0.13 to 0.16 s between regions, and the stream counted in the engine's load only from its sending. It counts from its placement now.

The new scenario failed before: four streams taken up together went to the engines a, b, b and b of four idle ones; now one goes to each.

--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -103,6 +103,11 @@
       | a v1 full, b v1                   | b      |
       | b v1 one prompt, c v1             | c      |
 
+  Scenario: Streams that are taken up together on one host spread over the engines
+    Given a host whose checks of engines take a while
+    When callers take up four streams of v1 together, while four engines of it are idle
+    Then each of the four goes on at another engine
+
   Scenario: A backup of a stream is kept by an engine of its version
     When backups are chosen for streams of v1 while only engines of v2 have free memory
     Then no engine is chosen
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -49,6 +49,8 @@
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.request.call import Prompt
+from sapphirerock.request.streamcall import StreamCall
+from sapphirerock.request.turntaker import TurnTaker
 from sapphirerock.version.engineentry import EngineEntry
 
 VERSIONS = ("v1", "v2")
@@ -470,6 +472,60 @@
     assert context.view.name == chosen, context.view
 
 
+@given("a host whose checks of engines take a while")
+def make_checking_host(context):
+    clock = ManualClock()
+    engines = EngineTable(lambda name, spec: Ok(spec), clock, EdgeMetrics())
+    for name in ("a", "b", "c", "d"):
+        entry = EngineEntry(name, "chat", f"{name}:1", "zone-a", 16, version="v1")
+        engines.apply_changes([ReplicaChange(name, 1, entry)])
+    settings = SimpleNamespace(
+        engine=SimpleNamespace(supports_backups=True, memory_tokens=ENGINE_MEMORY)
+    )
+    routing = SimpleNamespace(current=SimpleNamespace(services={"chat": settings}))
+    policy = PLACEMENTS["least-prompt-tokens"](Random(1))
+
+    async def probe_and_confirm(entry, timeout_s):
+        await asyncio.sleep(0.05)
+        return SimpleNamespace(outcome=None, shows_running=True)
+
+    context.runtime = SimpleNamespace(
+        clock=clock,
+        fleet=Fleet(engines, routing, policy, "zone-a", clock),
+        paths=SimpleNamespace(probe_and_confirm=probe_and_confirm),
+        version_history=SimpleNamespace(knows_all=lambda: False),
+        crash_watch=None,
+    )
+
+
+@when("callers take up four streams of v1 together, while four engines of it are idle")
+def take_up_together(context):
+    async def place(number):
+        call = SimpleNamespace(
+            service="chat",
+            metadata=SimpleNamespace(
+                prompt=PROMPT, attempt_id=f"attempt-{number}", last_event_id=1
+            ),
+            route=SimpleNamespace(name="route", target_latency_s=1.0),
+            priority=0,
+            response_deadline_s=20.0,
+            origin=StreamOrigin("chat", "v1"),
+        )
+        stream = StreamCall(context.runtime, call, None)
+        return await stream._place_resumption(TurnTaker(context.runtime, call))
+
+    async def place_all():
+        return await asyncio.gather(*map(place, range(4)))
+
+    context.placements = context.run(place_all())
+
+
+@then("each of the four goes on at another engine")
+def check_spread(context):
+    names = sorted(placement.state.name for placement in context.placements)
+    assert names == ["a", "b", "c", "d"], names
+
+
 @when("backups are chosen for streams of v1 while only engines of v2 have free memory")
 def choose_backup(context):
     clock = ManualClock()
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -1,6 +1,7 @@
 """Streamed calls: events are relayed, and a lost stream resumes on another engine."""
 
 import asyncio
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from loguru import logger
@@ -24,6 +25,7 @@
 from sapphirerock.decisions.streamversions import StreamOrigin
 from sapphirerock.decisions.turns import RESUMPTION_MAX_WAIT_S, choose_max_wait
 from sapphirerock.process.engines.prober import ProbeOutcome
+from sapphirerock.process.engines.table import EngineLoadCell
 from sapphirerock.request.backupkeeper import BackupKeeper
 from sapphirerock.request.problem import (
     CRASHED_ENGINES,
@@ -231,7 +233,11 @@
         while True:
             placement = await self._take_turn(turns, None)
             if placement is not None:
-                if await self._has_registered_start(placement.state):
+                with self._reserve_prefill(placement):
+                    has_registered_start = await self._has_registered_start(
+                        placement.state
+                    )
+                if has_registered_start:
                     return placement
                 turns.release()
                 self._tried_engines.add(placement.state.name)
@@ -250,6 +256,19 @@
             self._tried_engines -= self._full_engines
             turns.engines_without_turn.clear()
 
+    @contextmanager
+    def _reserve_prefill(self, placement):
+        """Count the call at an engine, as seen by other calls, before it is sent."""
+        prompt, load = self._call.metadata.prompt, placement.state.local_load
+        reserved = EngineLoadCell(
+            prompt.tokens - placement.view.cached_tokens, 1, prompt.memory_tokens
+        )
+        load.add(reserved)
+        try:
+            yield
+        finally:
+            load.subtract(reserved)
+
     async def _has_registered_start(self, state):
         """Return whether an engine is still the process that it registered.
 
