Stream origins: new records are in the store within about 0.3 s

Cause: one host writes the records of all, which reach it over one or two hubs with batches of 0.1 s each, and it wrote each 0.5 s. It writes each 0.1 s now if there are new ones, and less often the more records a write carries (0.5 s with 50,000, as before).

--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -130,6 +130,21 @@
     Then it knows where the last streams began, and not where the first did
     And it has logged once that it dropped 1 record
 
+  Scenario: A stream that began a quarter of a second before all hosts end has a record
+    Given hosts that keep records of streams in the store
+    When engines of a second version appear, and a stream begins a quarter of a second before its host ends
+    Then a host that starts now knows the streams 1, after 1 writes
+
+  Scenario Outline: Many records of streams are written less often: <records>
+    When a write carries <records> records
+    Then the next write follows after <interval> seconds
+
+    Examples:
+      | records | interval |
+      | 0       | 0.1      |
+      | 10000   | 0.2      |
+      | 50000   | 0.5      |
+
   Scenario Outline: Records of streams in the store: <events>
     Given hosts that keep records of streams in the store
     When these things happen: <events>
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -34,12 +34,16 @@
     prefer_lasting_versions,
 )
 from sapphirerock.platform.names import ENGINE_VERSIONS_KIND, ENGINES_KIND
-from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.clock import ManualClock, SystemClock
 from sapphirerock.process.engines.fleet import Fleet
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.engines.versionhistory import VersionHistory
 from sapphirerock.process.peers.hosts import HostTable
-from sapphirerock.process.peers.storedorigins import StoredOrigins
+from sapphirerock.process.peers.storedorigins import (
+    MAX_WRITE_INTERVAL_S,
+    StoredOrigins,
+    choose_write_interval_s,
+)
 from sapphirerock.process.peers.streamorigins import (
     ENGINES_VIEW,
     MAX_RECORDS,
@@ -950,6 +954,36 @@
             context.run(context.stored.write_new())
 
 
+@when(
+    "engines of a second version appear, and a stream begins a quarter of a second "
+    "before its host ends"
+)
+def begin_before_end(context):
+    async def run():
+        context.clock = SystemClock()
+        host, stored = make_stored_origins(context, "a")
+        context.versions = {"v1", "v2"}
+        await stored.start()
+        # Just after a write at the longest interval.
+        await asyncio.sleep(MAX_WRITE_INTERVAL_S + 0.05)
+        origin = StreamOrigin("chat", "v1", "engine-1")
+        host.table.record("stream-1", origin, 30.0)
+        await asyncio.sleep(0.25)
+        await stored.stop()
+
+    context.run(run())
+
+
+@when("a write carries {records:d} records")
+def set_records(context, records):
+    context.records = records
+
+
+@then("the next write follows after {interval:g} seconds")
+def check_write_interval(context, interval):
+    assert choose_write_interval_s(context.records) == interval
+
+
 @then("a host that starts now knows the streams {known}, after {writes:d} writes")
 def check_known_streams(context, known, writes):
     host, stored = make_stored_origins(context, "b")
--- a/src/sapphirerock/process/peers/storedorigins.py
+++ b/src/sapphirerock/process/peers/storedorigins.py
@@ -20,8 +20,11 @@
 from sapphirerock.process.peers.streamorigins import list_records
 from sapphirerock.process.storeretry import retry_store_call
 
-# A stream that is younger than this when all hosts end may have no record.
-WRITE_INTERVAL_S = 0.5
+# New records are written at this interval, and less often with many records, since
+# each write carries all of them.
+MIN_WRITE_INTERVAL_S = 0.1
+MAX_WRITE_INTERVAL_S = 0.5
+WRITE_INTERVAL_PER_RECORD_S = 1e-5
 # Records of the oldest streams are left out beyond this, which is 700 KB of the 1 MB
 # that an object may have.
 MAX_STORED_RECORDS = 50_000
@@ -77,7 +80,7 @@
     async def _keep(self):
         await self.load()
         while not self.should_stop:
-            await self._clock.sleep(WRITE_INTERVAL_S)
+            await self._clock.sleep(choose_write_interval_s(len(self._written_keys)))
             await self.write_new()
 
     async def load(self):
@@ -162,6 +165,12 @@
         return written
 
 
+def choose_write_interval_s(records):
+    """Return the time between two writes, which carry a number of records each."""
+    interval_s = MIN_WRITE_INTERVAL_S + WRITE_INTERVAL_PER_RECORD_S * records
+    return min(MAX_WRITE_INTERVAL_S, interval_s)
+
+
 def encode_records(message, written_at):
     """Return the content of an object with the records of a message."""
     encoded = [
