--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -90,6 +90,24 @@
       | a v1, b v1, c v1, d v2, e v2, f v1 draining, g v1 draining | d, e |
       | a v1, b v2                                       | a, b        |
 
+  Scenario Outline: A stream is taken up by the engine that began it: <engines>
+    When a stream that began on a is taken up while engines are: <engines>
+    Then it goes on at engine <chosen>
+
+    Examples:
+      | engines                           | chosen |
+      | a v1, b v1                        | a      |
+      | a v1 one prompt, b v1             | a      |
+      | a v1 two prompts, b v1            | b      |
+      | a v1 two prompts, b v1 one prompt | a      |
+      | a v1 full, b v1                   | b      |
+      | b v1 one prompt, c v1             | c      |
+
+  Scenario: Streams that are taken up together on one host spread over the engines
+    Given a host whose checks of engines take a while
+    When callers take up four streams of v1 together, while four engines of it are idle
+    Then each of the four goes on at another engine
+
   Scenario: A backup of a stream is kept by an engine of its version
     When backups are chosen for streams of v1 while only engines of v2 have free memory
     Then no engine is chosen
@@ -97,15 +115,36 @@
   Scenario: Hosts tell each other where streams began
     Given two hosts of a zone and one of another zone that exchange origins
     When a stream begins on each host, and a host starts later
-    Then every host knows where each stream began, until the caller's deadline
+    Then every host knows the engine that began each stream
+    And every host knows where each stream began, until the caller's deadline
     And no record was sent more than 12 times
 
+  Scenario: Hosts of an earlier build exchange records without engines
+    Given a host that exchanges origins with one of an earlier build
+    When a stream begins on each of the two
+    Then each host knows these engines of the streams: engine-0, none, none, engine-1
+
   Scenario: A host with too many records of streams drops the oldest, and logs how many
     Given a host that exchanges origins
     When one stream more begins on it than it can record
     Then it knows where the last streams began, and not where the first did
     And it has logged once that it dropped 1 record
 
+  Scenario: A stream that began a quarter of a second before all hosts end has a record
+    Given hosts that keep records of streams in the store
+    When engines of a second version appear, and a stream begins a quarter of a second before its host ends
+    Then a host that starts now knows the streams 1, after 1 writes
+
+  Scenario Outline: Many records of streams are written less often: <records>
+    When a write carries <records> records
+    Then the next write follows after <interval> seconds
+
+    Examples:
+      | records | interval |
+      | 0       | 0.1      |
+      | 10000   | 0.2      |
+      | 50000   | 0.5      |
+
   Scenario Outline: Records of streams in the store: <events>
     Given hosts that keep records of streams in the store
     When these things happen: <events>
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -4,6 +4,7 @@
 import itertools
 import time
 from collections import Counter, defaultdict
+from random import Random
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -14,7 +15,6 @@
 from tools.sharedcluster import SharedCluster, make_configuration
 
 from features.steps.edge_steps import ZONES, has_engines
-from sapphirerock.connection.messages import StreamOrigins
 from sapphirerock.connection.storeobjects import (
     ObjectMissing,
     ObjectPage,
@@ -22,7 +22,11 @@
     StoredObject,
     StoreUnavailable,
 )
-from sapphirerock.decisions.placement import EngineView
+from sapphirerock.decisions.placement import (
+    PLACEMENTS,
+    EngineView,
+    mark_cached_prompt,
+)
 from sapphirerock.decisions.streamversions import (
     OriginChoice,
     StreamOrigin,
@@ -30,17 +34,27 @@
     prefer_lasting_versions,
 )
 from sapphirerock.platform.names import ENGINE_VERSIONS_KIND, ENGINES_KIND
-from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.clock import ManualClock, SystemClock
 from sapphirerock.process.engines.fleet import Fleet
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.engines.versionhistory import VersionHistory
 from sapphirerock.process.peers.hosts import HostTable
-from sapphirerock.process.peers.storedorigins import StoredOrigins
-from sapphirerock.process.peers.streamorigins import MAX_RECORDS, StreamOriginTable
+from sapphirerock.process.peers.storedorigins import (
+    MAX_WRITE_INTERVAL_S,
+    StoredOrigins,
+    choose_write_interval_s,
+)
+from sapphirerock.process.peers.streamorigins import (
+    ENGINES_VIEW,
+    MAX_RECORDS,
+    StreamOriginTable,
+)
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.request.call import Prompt
+from sapphirerock.request.streamcall import StreamCall
+from sapphirerock.request.turntaker import TurnTaker
 from sapphirerock.version.engineentry import EngineEntry
 
 VERSIONS = ("v1", "v2")
@@ -421,12 +435,15 @@
 def make_version_view(text):
     """Return the view of an engine that a text such as ``a v1 full`` describes."""
     name, version, *state = text.split()
+    prompt_tokens = {"queued": 2_000, "one": 1_000, "two": 2_000}
+    runs = {"one": 1, "two": 2}
+    key = state[0] if state else ""
     return EngineView(
         name=name,
         availability_zone="zone-a",
         slots=16,
-        prompt_tokens=2_000 if state == ["queued"] else 0,
-        runs=0,
+        prompt_tokens=prompt_tokens.get(key, 0),
+        runs=runs.get(key, 0),
         memory_tokens=ENGINE_MEMORY if state == ["full"] else 0,
         copy_tokens=0,
         capacity_tokens=ENGINE_MEMORY,
@@ -447,6 +464,72 @@
     assert [view.name for view in context.views] == chosen.split(", "), context.views
 
 
+@when("a stream that began on a is taken up while engines are: {engines}")
+def place_taken_up(context, engines):
+    views = [make_version_view(text) for text in engines.split(", ")]
+    policy = PLACEMENTS["least-prompt-tokens"](Random(1))
+    context.view = policy.choose(mark_cached_prompt(views, "a", PROMPT), PROMPT)
+
+
+@then("it goes on at engine {chosen}")
+def check_taken_up(context, chosen):
+    assert context.view.name == chosen, context.view
+
+
+@given("a host whose checks of engines take a while")
+def make_checking_host(context):
+    clock = ManualClock()
+    engines = EngineTable(lambda name, spec: Ok(spec), clock, EdgeMetrics())
+    for name in ("a", "b", "c", "d"):
+        entry = EngineEntry(name, "chat", f"{name}:1", "zone-a", 16, version="v1")
+        engines.apply_changes([ReplicaChange(name, 1, entry)])
+    settings = SimpleNamespace(
+        engine=SimpleNamespace(supports_backups=True, memory_tokens=ENGINE_MEMORY)
+    )
+    routing = SimpleNamespace(current=SimpleNamespace(services={"chat": settings}))
+    policy = PLACEMENTS["least-prompt-tokens"](Random(1))
+
+    async def probe_and_confirm(entry, timeout_s):
+        await asyncio.sleep(0.05)
+        return SimpleNamespace(outcome=None, shows_running=True)
+
+    context.runtime = SimpleNamespace(
+        clock=clock,
+        fleet=Fleet(engines, routing, policy, "zone-a", clock),
+        paths=SimpleNamespace(probe_and_confirm=probe_and_confirm),
+        version_history=SimpleNamespace(knows_all=lambda: False),
+        crash_watch=None,
+    )
+
+
+@when("callers take up four streams of v1 together, while four engines of it are idle")
+def take_up_together(context):
+    async def place(number):
+        call = SimpleNamespace(
+            service="chat",
+            metadata=SimpleNamespace(
+                prompt=PROMPT, attempt_id=f"attempt-{number}", last_event_id=1
+            ),
+            route=SimpleNamespace(name="route", target_latency_s=1.0),
+            priority=0,
+            response_deadline_s=20.0,
+            origin=StreamOrigin("chat", "v1"),
+        )
+        stream = StreamCall(context.runtime, call, None)
+        return await stream._place_resumption(TurnTaker(context.runtime, call))
+
+    async def place_all():
+        return await asyncio.gather(*map(place, range(4)))
+
+    context.placements = context.run(place_all())
+
+
+@then("each of the four goes on at another engine")
+def check_spread(context):
+    names = sorted(placement.state.name for placement in context.placements)
+    assert names == ["a", "b", "c", "d"], names
+
+
 @when("backups are chosen for streams of v1 while only engines of v2 have free memory")
 def choose_backup(context):
     clock = ManualClock()
@@ -619,8 +702,9 @@
 class OriginHost:
     """Host with a table of origins and queues in place of streams."""
 
-    def __init__(self, name, zone, clock):
+    def __init__(self, name, zone, clock, unknown_views=()):
         self.zone_hubs = [f"{zone}-1"]
+        self.unknown_views = unknown_views
         self.streams = {}
         self.on_support = []
         self.handlers = {}
@@ -637,7 +721,13 @@
 
     def announce_support(self, view, notify):
         """Register what is sent first on a stream."""
-        self.on_support.append((view, notify))
+        if view not in self.unknown_views:
+            self.on_support.append((view, notify))
+
+    @property
+    def known_views(self):
+        """Names of the views that this host announces."""
+        return [view for view, _ in self.on_support]
 
     def is_hub(self, host):
         """Return whether a host is the hub of its zone."""
@@ -658,11 +748,11 @@
 
     def send(self, message):
         """Deliver a message to the other end; return its size."""
-        for *_, keys in message.groups:
+        for _, _, _, keys, *_ in message.groups:
             for start in range(0, len(keys), 8):
                 self._counter[keys[start : start + 8]] += 1
         back = self._receiver.streams[self._sender.hosts.own_address.host]
-        self._receiver.handlers[StreamOrigins](back, message)
+        self._receiver.handlers[type(message)](back, message)
         return 0
 
 
@@ -673,9 +763,11 @@
         sender.streams[address.host] = OriginStream(sender, receiver, context.sent)
     for sender, receiver in ((first, second), (second, first)):
         stream = sender.streams[receiver.hosts.own_address.host]
+        known = set(receiver.known_views) & set(sender.known_views)
+        stream.known_views.update(known)
         for view, notify in sender.on_support:
-            stream.known_views.add(view)
-            notify(stream)
+            if view in stream.known_views:
+                notify(stream)
 
 
 @given("two hosts of a zone and one of another zone that exchange origins")
@@ -692,7 +784,8 @@
 @when("a stream begins on each host, and a host starts later")
 def begin_on_each(context):
     for number, host in enumerate(context.hosts):
-        host.table.record(f"attempt-{number}", StreamOrigin("chat", "v1"), 20.0)
+        origin = StreamOrigin("chat", "v1", f"engine-{number}")
+        host.table.record(f"attempt-{number}", origin, 20.0)
     for _ in range(3):
         for host in context.hosts:
             host.table.send_pending()
@@ -713,6 +806,40 @@
         context.clock.advance(30.0)
 
 
+@given("a host that exchanges origins with one of an earlier build")
+def make_mixed_hosts(context):
+    context.sent = Counter()
+    context.clock = ManualClock()
+    earlier = OriginHost("a-2", "a", context.clock, (ENGINES_VIEW,))
+    context.hosts = [OriginHost("a-1", "a", context.clock), earlier]
+    connect_hosts(context, *context.hosts)
+
+
+@when("a stream begins on each of the two")
+def begin_on_both(context):
+    for number, host in enumerate(context.hosts):
+        origin = StreamOrigin("chat", "v1", f"engine-{number}")
+        host.table.record(f"attempt-{number}", origin, 20.0)
+    context.hosts[0].table.send_pending()
+
+
+@then("each host knows these engines of the streams: {engines}")
+def check_engines_known(context, engines):
+    found = [
+        host.table.find(f"attempt-{number}").engine or "none"
+        for host in context.hosts
+        for number in range(2)
+    ]
+    assert found == engines.split(", "), found
+
+
+@then("every host knows the engine that began each stream")
+def check_all_engines_known(context):
+    for host in context.hosts:
+        engines = [host.table.find(f"attempt-{number}").engine for number in range(3)]
+        assert engines == ["engine-0", "engine-1", "engine-2"], engines
+
+
 @then("no record was sent more than {count:d} times")
 def check_sent(context, count):
     assert max(context.sent.values()) <= count, context.sent
@@ -814,7 +941,7 @@
     for event in events.split(", "):
         words = event.split()
         if words[0] == "stream":
-            origin = StreamOrigin("chat", words[4])
+            origin = StreamOrigin("chat", words[4], f"engine-{words[1]}")
             context.host.table.record(f"stream-{words[1]}", origin, 30.0)
         elif words[-1] == "appears":
             context.versions = context.versions | {words[0]}
@@ -827,14 +954,45 @@
             context.run(context.stored.write_new())
 
 
+@when(
+    "engines of a second version appear, and a stream begins a quarter of a second "
+    "before its host ends"
+)
+def begin_before_end(context):
+    async def run():
+        context.clock = SystemClock()
+        host, stored = make_stored_origins(context, "a")
+        context.versions = {"v1", "v2"}
+        await stored.start()
+        # Just after a write at the longest interval.
+        await asyncio.sleep(MAX_WRITE_INTERVAL_S + 0.05)
+        origin = StreamOrigin("chat", "v1", "engine-1")
+        host.table.record("stream-1", origin, 30.0)
+        await asyncio.sleep(0.25)
+        await stored.stop()
+
+    context.run(run())
+
+
+@when("a write carries {records:d} records")
+def set_records(context, records):
+    context.records = records
+
+
+@then("the next write follows after {interval:g} seconds")
+def check_write_interval(context, interval):
+    assert choose_write_interval_s(context.records) == interval
+
+
 @then("a host that starts now knows the streams {known}, after {writes:d} writes")
 def check_known_streams(context, known, writes):
     host, stored = make_stored_origins(context, "b")
     context.run(stored.load())
-    found = {
-        number
-        for number in ("1", "2")
-        if host.table.find(f"stream-{number}") is not None
-    }
+    found = set()
+    for number in ("1", "2"):
+        origin = host.table.find(f"stream-{number}")
+        if origin is not None:
+            assert origin.engine == f"engine-{number}", origin
+            found.add(number)
     assert found == (set() if known == "none" else set(known.split(", "))), found
     assert context.store.writes == writes, context.store.writes
--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -3,7 +3,7 @@
 The docstring of each policy names the load pattern that it is made for.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sapphirerock.decisions.rendezvous import weigh_candidate
 
@@ -14,6 +14,9 @@
 # Cost of each token of memory in use, in queued prompt tokens. An engine whose memory
 # is full accepts no KV copies and preempts runs.
 MEMORY_COST_SHARE = 0.05
+# Cost saved by each cached token of a call's prompt, in queued prompt tokens. One that
+# is prefilled again delays the call itself and the prompts behind it.
+CACHED_TOKEN_GAIN = 2
 # Upper limit of the random cost added to each engine, as a share of the prompt tokens
 # of the call. Hosts see each other's load with a delay and would otherwise all choose
 # the same engine.
@@ -74,6 +77,8 @@
     is_brittle : bool
         Whether the engine crashes when it has to turn many requests away. A call needs
         one of its slots, for which ``turn_wait_s`` holds as for a turn.
+    cached_tokens : int
+        Prompt tokens of the call that the engine has probably cached.
     """
 
     name: str
@@ -90,6 +95,7 @@
     version: str = ""
     is_relayed: bool = False
     is_brittle: bool = False
+    cached_tokens: int = 0
 
     @property
     def is_limited(self):
@@ -101,12 +107,13 @@
         """Whether the engine is limited, and a turn is free as far as known."""
         return self.is_limited and self.turn_wait_s <= 0
 
+    def has_memory(self, prompt):
+        """Return whether the engine has free memory, as far as known."""
+        return not self.capacity_tokens or self.free_tokens >= prompt.memory_tokens
+
     def has_room(self, prompt):
         """Return whether the engine has memory, and at most one prompt queued."""
-        has_memory = (
-            not self.capacity_tokens or self.free_tokens >= prompt.memory_tokens
-        )
-        return has_memory and self.prompt_tokens <= prompt.tokens
+        return self.has_memory(prompt) and self.prompt_tokens <= prompt.tokens
 
     @property
     def free_tokens(self):
@@ -187,7 +194,8 @@
     def measure_cost(self, view, prompt):
         """Return the cost of the engine's load, plus the tokens that exceed its memory.
 
-        The unit is a prompt token queued for prefill.
+        The unit is a prompt token queued for prefill. Tokens of the call's prompt that
+        are cached at the engine reduce the cost.
         """
         shortfall_tokens = max(0, prompt.memory_tokens - view.free_tokens)
         memory_cost = MEMORY_COST_SHARE * (view.memory_tokens + view.copy_tokens)
@@ -196,6 +204,7 @@
             + view.runs * RUN_COST_TOKENS
             + memory_cost
             + shortfall_tokens
+            - CACHED_TOKEN_GAIN * view.cached_tokens
         )
 
 
@@ -245,6 +254,29 @@
         return cost - prefix_tokens if is_owner else cost
 
 
+def mark_cached_prompt(views, engine, prompt):
+    """Return the views, with a call's prompt as cached at an engine with free memory.
+
+    Made for callers that take up their streams together: engines that began them read
+    their prompts again within milliseconds, other engines one after the other.
+
+    Parameters
+    ----------
+    views : list of EngineView
+        Usable engines.
+    engine : str
+        Id of the engine that began the stream; empty if unknown.
+    prompt : Prompt
+        Token counts of the call.
+    """
+    return [
+        replace(view, cached_tokens=prompt.tokens)
+        if view.name == engine and view.has_memory(prompt)
+        else view
+        for view in views
+    ]
+
+
 def select_by_limit(views, prompt):
     """Return the engines that a generation should go to, by their request limits.
 
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from loguru import logger
@@ -29,6 +30,7 @@
 from sapphirerock.decisions.streamversions import StreamOrigin
 from sapphirerock.decisions.turns import RESUMPTION_MAX_WAIT_S, choose_max_wait
 from sapphirerock.process.engines.prober import ProbeOutcome
+from sapphirerock.process.engines.table import EngineLoadCell
 from sapphirerock.request.attemptrace import AttemptRace
 from sapphirerock.request.backupkeeper import BackupKeeper
 from sapphirerock.request.problem import (
@@ -329,7 +331,11 @@
         while True:
             placement = await self._take_turn(turns, None)
             if placement is not None:
-                if await self._has_registered_start(placement.state):
+                with self._reserve_prefill(placement):
+                    has_registered_start = await self._has_registered_start(
+                        placement.state
+                    )
+                if has_registered_start:
                     return placement
                 turns.release()
                 self._tried_engines.add(placement.state.name)
@@ -349,6 +355,19 @@
             turns.engines_without_turn.clear()
             turns.engines_without_answer.clear()
 
+    @contextmanager
+    def _reserve_prefill(self, placement):
+        """Count the call at an engine, as seen by other calls, before it is sent."""
+        prompt, load = self._call.metadata.prompt, placement.state.local_load
+        reserved = EngineLoadCell(
+            prompt.tokens - placement.view.cached_tokens, 1, prompt.memory_tokens
+        )
+        load.add(reserved)
+        try:
+            yield
+        finally:
+            load.subtract(reserved)
+
     async def _has_registered_start(self, state):
         """Return whether an engine is still the process that it registered.
 
@@ -389,14 +408,13 @@
         isolate = (
             self._runtime.crash_watch.choose_isolated_engine if self._losses else None
         )
-        version = self._origin.version if self._origin else None
         while True:
             if placement is None:
                 excluded = self._list_excluded().union(
                     turns.engines_without_turn, turns.engines_without_answer
                 )
                 placement = self._runtime.fleet.place(
-                    self._call, excluded, isolate, version
+                    self._call, excluded, isolate, self._origin
                 )
             if placement is None:
                 return None
@@ -441,12 +459,15 @@
         backup = self._runtime.fleet.choose_backup_engine(self._call, state)
         self._sends += 1
         prompt = self._call.metadata.prompt
+        prefill_tokens = 0
+        if copy is None:
+            prefill_tokens = prompt.tokens - placement.view.cached_tokens
         self._log_placement(state, backup, copy, placement)
         attempt = UpstreamAttempt(
             self._runtime,
             self._call,
             state,
-            prompt.tokens if copy is None else 0,
+            prefill_tokens,
             prompt.memory_tokens,
             backup,
             turns.pop_slot(),
@@ -496,6 +517,7 @@
             view = placement.view
             fields["candidates"] = placement.candidates
             fields["prompt_tokens"] = view.prompt_tokens
+            fields["cached_tokens"] = view.cached_tokens
             fields["runs"] = view.runs
             fields["free_tokens"] = view.free_tokens
             fields["failing"] = round(view.failure_share, 2)
@@ -569,7 +591,7 @@
             return
         engines = self._runtime.fleet.engines
         state = engines.get(attempt.state.name) or attempt.state
-        origin = StreamOrigin(self._call.service, state.entry.version)
+        origin = StreamOrigin(self._call.service, state.entry.version, state.name)
         if origin == self._origin:
             return
         self._origin, self._first_attempt = origin, attempt
