Take-ups: a host confirms that it knows all versions when it is asked

A host was cut off, or stood still, for a few seconds while engines of a new software version joined. Streams that began at the new version through other hosts and were taken up at this host could go on at the version that it knew.

Without a record of the stream, a service with one known version was taken for one that has no other. This rested on a contact with the store within 3 s, or on all hosts being within reach, which a host notices to be wrong after 2 s of silence, and after a pause only as its timers fire. Each is true of an old view.

Now a take-up without a record makes the host read the changes of the registrations from the store, or, if the store does not answer within 0.3 s, wait up to 0.7 s for a sign of life of each connected peer. A record or a version that arrives meanwhile counts. If neither comes the take-up is refused, with Retry-After 0.5 s as before. Hosts out of reach also count as such in other checks if no peer was heard for 3 s.

Evidence: nine takings-up by a host with its table, feed and handler, with contacts 0.5, 2 and 10 s old. Eight cases of the confirmation alone pass; they could not run before. A cut of the links between processes was not played.

--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -67,6 +67,53 @@
       | lost the store 4 seconds ago, and reaches the other                 | knows        |
       | lost the store 4 seconds ago, and can't reach the other, which shut down | knows        |
 
+  Scenario Outline: Whether a host confirms that it knows all versions: <host>, <store>, <peer>
+    Given a host that <host>, whose store <store> and whose peer <peer>
+    When it is asked whether the versions that it knows are all
+    Then it <confirms> that they are, and knows <versions>
+
+    Examples:
+      | host             | store                   | peer                            | confirms         | versions |
+      | knows v1         | answers                 | is silent                       | confirms         | v1       |
+      | knows v1         | answers with an engine of v2 | is silent                  | confirms         | v1, v2   |
+      | knows v1         | is silent               | is silent                       | does not confirm | v1       |
+      | knows v1         | fails                   | is silent                       | does not confirm | v1       |
+      | knows v1         | fails                   | was heard just before           | does not confirm | v1       |
+      | knows v1         | fails                   | is heard later                  | confirms         | v1       |
+      | knows v1         | fails                   | is not connected                | does not confirm | v1       |
+      | has just started | answers                 | is heard later                  | does not confirm | v1       |
+
+  Scenario Outline: A host that is out of step takes no stream up at another version: last contact <age> s ago, <store>, <peer>
+    Given a host that knows v1, whose store <store> and whose peer <peer>
+    And its last contact with the store was <age> s ago
+    When a caller takes up a stream that began at another host
+    Then the stream <result>
+
+    Examples:
+      | age | store                        | peer                            | result           |
+      | 0.5 | is silent                    | is silent                       | is refused       |
+      | 2   | is silent                    | is silent                       | is refused       |
+      | 2   | fails                        | is not connected                | is refused       |
+      | 10  | fails                        | was heard just before           | is refused       |
+      | 2   | answers with an engine of v2 | is silent                       | is refused       |
+      | 2   | answers                      | is silent                       | goes on at v1    |
+      | 2   | is silent                    | is heard later                  | goes on at v1    |
+      | 2   | is silent                    | sends a record of v2 later      | goes on at v2    |
+      | 10  | fails                        | is heard later                  | goes on at v1    |
+
+  Scenario Outline: A host that stood still takes no stream up at another version: <store>, <callers>
+    Given a shared platform with 3 edges and 3 model engines of v1
+    When a host stands still while engines of v2 join and streams begin at them, and takes these up as it wakes, <store>, from callers that <callers>
+    Then each stream has events of one version only
+    And some of the streams began at v2
+
+    Examples:
+      | store                        | callers                       |
+      | with the store               | name the stream's attempt     |
+      | with the store               | don't name it                 |
+      | without the store for 3 s    | name the stream's attempt     |
+      | without the store for 3 s    | don't name it                 |
+
   Scenario: Versions are kept in the store while engines have them
     Given two hosts that see engines of v1 and v2, and keep their versions in the store
     When the engines of v2 leave
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -13,9 +13,11 @@
 from tools.sharedcaller import make_headers
 from tools.sharedcluster import SharedCluster, make_configuration
 
-from features.steps.edge_steps import ZONES, has_engines
+from features.steps.edge_steps import ZONES, has_engines, start_cluster
 from sapphirerock.connection.messages import StreamOrigins
 from sapphirerock.connection.storeobjects import (
+    ObjectEvent,
+    ObjectEvents,
     ObjectMissing,
     ObjectPage,
     StoreConflict,
@@ -30,17 +32,19 @@
     prefer_lasting_versions,
 )
 from sapphirerock.platform.names import ENGINE_VERSIONS_KIND, ENGINES_KIND
-from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.clock import ManualClock, SystemClock
 from sapphirerock.process.engines.fleet import Fleet
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.engines.versionhistory import VersionHistory
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.storedorigins import StoredOrigins
 from sapphirerock.process.peers.streamorigins import MAX_RECORDS, StreamOriginTable
-from sapphirerock.process.replicas.replica import ReplicaChange
+from sapphirerock.process.replicas.feed import ObjectFeed, ReplicatedKind
+from sapphirerock.process.replicas.replica import Replica, ReplicaChange
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.request.call import Prompt
+from sapphirerock.request.callhandler import CallHandler
 from sapphirerock.version.engineentry import EngineEntry
 
 VERSIONS = ("v1", "v2")
@@ -514,7 +518,10 @@
         self.hosts.update_from_handshake(peer)
         self.other = other
         self.engines = EngineTable(lambda name, spec: Ok(spec), clock, EdgeMetrics())
-        feed = SimpleNamespace(measure_age_s=lambda kind: self.contact_age_s)
+        feed = SimpleNamespace(
+            measure_age_s=lambda kind: self.contact_age_s,
+            has_heard_from_peers=lambda since_s: True,
+        )
         self.history = VersionHistory(self.engines, feed, self.hosts, store, clock)
 
     def set_versions(self, versions, revision):
@@ -585,6 +592,275 @@
     assert context.host.history.knows_all() == (knows == "knows")
 
 
+class AnsweringStore:
+    """Store that answers watches of engines in the manner described."""
+
+    def __init__(self, manner):
+        self.on_restore = []
+        self._manner = manner
+
+    async def list_all(self, kind):
+        """Fail, as after a watch that has failed."""
+        return Error(StoreUnavailable("refused", may_have_run=False))
+
+    async def watch(self, kind, revision, wait_s):
+        """Return the changes after a revision."""
+        if self._manner == "is silent":
+            await asyncio.sleep(5.0)
+        if self._manner == "fails":
+            return Error(StoreUnavailable("refused", may_have_run=False))
+        events = ()
+        if self._manner.endswith("v2"):
+            item = StoredObject("e2", revision + 1, {"version": "v2"})
+            events = (ObjectEvent(item, False),)
+        return Ok(ObjectEvents(events, revision + 1))
+
+
+def decode_engine(name, spec):
+    """Decode the registration of an engine that states its version only."""
+    return Ok(
+        EngineEntry(name, "chat", f"{name}:1", "zone-a", 16, version=spec["version"])
+    )
+
+
+class FeedPeers:
+    """Streams to one peer, in place of a `PeerTable`."""
+
+    def __init__(self, hosts):
+        self.hosts = hosts
+        self.streams = {}
+        self.on_heartbeat, self.view_sources = [], []
+
+    def register_handler(self, message_type, handler):
+        """Take no messages."""
+
+    def is_hub(self, host):
+        """Return that no host is a hub."""
+        return False
+
+    def connect(self, host, heard_s):
+        """Connect to a host that was heard at a time."""
+        self.streams[host] = SimpleNamespace(
+            host=host,
+            last_received_s=heard_s,
+            accepts_packed=False,
+            hello=SimpleNamespace(availability_zone="zone-a"),
+            send=lambda message: 0,
+        )
+
+    def count_bytes(self, stream, kind, size):
+        """Ignore the size of a message."""
+
+
+class RefreshingHost:
+    """Host with a feed of engines from a store and a peer."""
+
+    def __init__(self, store_manner, peer_manner):
+        self.clock = SystemClock()
+        own, peer = (
+            HostAddress(host, "zone-a", "r", "127.0.0.1", 1, 2) for host in ("a", "b")
+        )
+        hosts = HostTable(own, (), self.clock)
+        hosts.update_from_handshake(peer)
+        self.peers = FeedPeers(hosts)
+        if peer_manner != "is not connected":
+            self.peers.connect("b", self.clock.monotonic())
+        self.engines = EngineTable(decode_engine, self.clock, EdgeMetrics())
+        replica = Replica(ENGINES_KIND)
+        replica.subscribe(self.engines.apply_changes)
+        store = AnsweringStore(store_manner)
+        kinds = [ReplicatedKind(replica)]
+        self.feed = ObjectFeed(store, kinds, self.peers, self.clock)
+        replica.apply(0, 7, [ReplicaChange("e1", 5, {"version": "v1"})], ["e1"])
+        self.history = VersionHistory(self.engines, self.feed, hosts, store, self.clock)
+
+
+@given("a host that {situation}, whose store {store} and whose peer {peer}")
+def make_refreshing_host(context, situation, store, peer):
+    async def run():
+        context.host = RefreshingHost(store, peer)
+        context.host.history._is_loaded = situation == "knows v1"
+
+    context.run(run())
+    context.peer_manner = peer
+
+
+@when("it is asked whether the versions that it knows are all")
+def confirm_versions(context):
+    async def run():
+        host = context.host
+        await asyncio.sleep(0.01)
+        asked = asyncio.ensure_future(host.history.confirm_all())
+        if context.peer_manner == "is heard later":
+            await asyncio.sleep(0.4)
+            host.peers.streams["b"].last_received_s = host.clock.monotonic()
+        context.confirms = await asked
+
+    context.run(run())
+
+
+@then("it {confirms} that they are, and knows {versions}")
+def check_confirmed(context, confirms, versions):
+    assert context.confirms == (confirms == "confirms"), context.confirms
+    assert context.host.engines.list_versions("chat") == set(versions.split(", "))
+
+
+@given("its last contact with the store was {age:g} s ago")
+def set_contact(context, age):
+    host = context.host
+    state = host.feed._states[ENGINES_KIND]
+    state.contact_at_s = host.clock.monotonic() - age
+
+
+@when("a caller takes up a stream that began at another host")
+def take_up_elsewhere(context):
+    host, records = context.host, {}
+    runtime = SimpleNamespace(
+        fleet=SimpleNamespace(engines=host.engines),
+        stream_origins=SimpleNamespace(find=records.get),
+        version_history=host.history,
+    )
+    handler = CallHandler(runtime, None)
+    route = SimpleNamespace(shares=[SimpleNamespace(service="chat", weight=1)])
+    metadata = SimpleNamespace(
+        attempt_id="2", resumed_attempt_id="1", last_event_id=7, takes_up_stream=True
+    )
+
+    async def run():
+        await asyncio.sleep(0.01)
+        choosing = asyncio.ensure_future(handler._choose_origin(route, metadata))
+        if context.peer_manner.endswith("later"):
+            await asyncio.sleep(0.4)
+            host.peers.streams["b"].last_received_s = host.clock.monotonic()
+        if context.peer_manner.startswith("sends a record"):
+            records["1"] = StreamOrigin("chat", "v2")
+        context.choice = await choosing
+
+    context.run(run())
+
+
+@then("the stream is refused")
+def check_take_up_refused(context):
+    assert context.choice.origin is None, context.choice
+
+
+@then("the stream goes on at {version}")
+def check_take_up_version(context, version):
+    assert context.choice.origin == StreamOrigin("chat", version), context.choice
+
+
+# Peers close connections on which nothing came for 2 s, so that no change waits there
+# for the host that stands still.
+STANDSTILL_S = 2.6
+NEW_ENGINES = 2
+
+
+class LaterCaller(PersistentCaller):
+    """Caller that takes its stream up at one host, and may not name its attempt.
+
+    Parameters
+    ----------
+    names_attempt : bool
+        Whether the caller names the attempt that began the stream.
+    """
+
+    def __init__(self, cluster, number, event_count, names_attempt):
+        super().__init__(cluster, number, event_count)
+        self.begun_attempt_id = ""
+        self._names_attempt = names_attempt
+
+    async def begin(self, edge):
+        """Read the stream until its host is gone."""
+        await self._try(edge, self._number)
+        self.begun_attempt_id = self.first_attempt_id
+        if not self._names_attempt:
+            self.first_attempt_id = ""
+
+    async def take_up(self, edge):
+        """Take the stream up until it is complete or was refused often."""
+        for attempt in range(1, TRIES):
+            if not self.events or self.is_complete:
+                return
+            await self._try(edge, 1000 * attempt + self._number)
+            if not self._names_attempt:
+                self.first_attempt_id = ""
+            await asyncio.sleep(RETRY_DELAY_S)
+
+
+@given("a shared platform with {edges:d} edges and {engines:d} model engines of v1")
+def start_one_version(context, edges, engines):
+    context.run(start_cluster(context, edges, engines, zones=3, slots=64))
+
+
+@when(
+    "a host stands still while engines of v2 join and streams begin at them, and takes "
+    "these up as it wakes, {store}, from callers that {callers}"
+)
+def stand_still(context, store, callers):
+    names_attempt = callers.startswith("name")
+
+    async def run():
+        cluster = context.world.cluster
+        sleeper, begun_at = cluster.edges["edge-0"], cluster.edges["edge-1"]
+        cluster.processes["edge-0"].pause()
+        await asyncio.sleep(STANDSTILL_S)
+        for number in range(NEW_ENGINES):
+            cluster.add_shared_engine(
+                f"model-new-{number}", "model", "zone-b", version="v2"
+            )
+        await context.world.wait_until(
+            lambda: has_registered(cluster, "v2", NEW_ENGINES), "v2 is registered"
+        )
+        await asyncio.sleep(0.5)
+        context.callers = [
+            LaterCaller(cluster, number, 150, names_attempt) for number in range(24)
+        ]
+        begun = [
+            asyncio.ensure_future(item.begin(begun_at)) for item in context.callers
+        ]
+        await asyncio.sleep(BEGUN_S)
+        cluster.processes["edge-1"].kill()
+        await asyncio.gather(*begun)
+        if store != "with the store":
+            await cluster.inject(
+                "platform", "down", manner="silent", seconds=3, source=sleeper.address
+            )
+        taken_up = [
+            asyncio.ensure_future(item.take_up(sleeper)) for item in context.callers
+        ]
+        # The requests wait for the host before it wakes.
+        await asyncio.sleep(0.3)
+        cluster.processes["edge-0"].resume()
+        await asyncio.gather(*taken_up)
+        by_engine = await cluster.list_runs()
+        context.runs = [run for runs in by_engine.values() for run in runs]
+        begun_ids = {
+            f"{item._number:016x}": item.begun_attempt_id for item in context.callers
+        }
+        for run in context.runs:
+            # Without the name, the number of the stream is that of the attempt.
+            first_id = f"{int(run['attempt_id'], 16) % 1000:016x}"
+            run["headers"].setdefault("Resumes", begun_ids.get(first_id, first_id))
+
+    context.run(run())
+
+
+async def has_registered(cluster, version, count):
+    """Return whether a number of engines of a version is registered in the store."""
+    specs = [item["spec"] for item in await cluster.list_objects(ENGINES_KIND)]
+    return sum(spec["version"] == version for spec in specs) >= count
+
+
+@then("some of the streams began at {version}")
+def check_some_began(context, version):
+    begun = [
+        run
+        for run in context.runs
+        if run["first_event"] == 1 and run["version"] == version and run["events"]
+    ]
+    assert begun, Counter(run["version"] for run in context.runs)
+
+
 @given("two hosts that see engines of v1 and v2, and keep their versions in the store")
 def make_version_hosts(context):
     context.clock, context.store = ManualClock(), ObjectStore()
--- a/src/sapphirerock/process/engines/versionhistory.py
+++ b/src/sapphirerock/process/engines/versionhistory.py
@@ -59,12 +59,32 @@
         """Return whether the versions seen lately are all that engines had.
 
         Not so on a host that has just started and has not read the store, nor on one
-        that is cut off from the store and from some of the other hosts.
+        that is cut off from the store and from some of the other hosts. It takes some
+        seconds to notice that; see `confirm_all`.
         """
+        return self._has_history() and (self._is_current() or self._hears_all_hosts())
+
+    async def confirm_all(self):
+        """Return whether the versions seen lately are all that engines had until now.
+
+        The store is asked, or peers if it does not answer, since a host that was cut
+        off or suspended does not know at once that its view is old.
+        """
+        if not self._has_history() or not await self._feed.refresh(ENGINES_KIND):
+            return False
+        return self._is_current() or self._hears_all_hosts()
+
+    def _has_history(self):
         uptime_s = self._clock.monotonic() - self._started_s
-        has_history = self._is_loaded or uptime_s >= VERSION_HISTORY_S
-        is_current = self._feed.measure_age_s(ENGINES_KIND) <= MAX_CONTACT_AGE_S
-        return has_history and (is_current or self._hosts.can_reach_all())
+        return self._is_loaded or uptime_s >= VERSION_HISTORY_S
+
+    def _is_current(self):
+        return self._feed.measure_age_s(ENGINES_KIND) <= MAX_CONTACT_AGE_S
+
+    def _hears_all_hosts(self):
+        """Return whether no host is out of reach, as far as peers were heard lately."""
+        since_s = self._clock.monotonic() - MAX_CONTACT_AGE_S
+        return self._hosts.can_reach_all() and self._feed.has_heard_from_peers(since_s)
 
     @Service.task
     async def _keep(self):
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -41,6 +41,11 @@
 MIN_PULL_INTERVAL_S = 0.2
 # A link of 5 Mbit/s carries a message of this size within a second.
 DELTA_LIMIT_BYTES = 512 << 10
+# A store that works answers within this time.
+REFRESH_TIMEOUT_S = 0.3
+# Longer than the interval between heartbeats and a round trip.
+PEER_SIGN_TIMEOUT_S = 0.7
+PEER_SIGN_POLL_S = 0.05
 # Time that the platform allows for registering again after an outage.
 REREGISTRATION_GRACE_S = 2.0
 # The platform expires an entry after three missed heartbeats, so a shorter outage
@@ -239,6 +244,39 @@
                 return True
         return (await self._read_list(replica, state)).is_ok()
 
+    async def refresh(self, kind):
+        """Bring a replica up to date; return whether it is as of now.
+
+        The store is read, or, if it does not answer, each connected peer must have
+        sent something since. Peers send on changes at once.
+        """
+        asked_s = self._clock.monotonic()
+        try:
+            async with asyncio.timeout(REFRESH_TIMEOUT_S):
+                has_answered = await self.fetch(kind)
+        except TimeoutError:
+            has_answered = False
+        if has_answered:
+            # After an outage, another task applies the objects.
+            await asyncio.sleep(0)
+            return True
+        deadline_s = asked_s + REFRESH_TIMEOUT_S + PEER_SIGN_TIMEOUT_S
+        while not self.has_heard_from_peers(asked_s):
+            if self._clock.monotonic() > deadline_s:
+                return False
+            await self._clock.sleep(PEER_SIGN_POLL_S)
+        return True
+
+    def has_heard_from_peers(self, since_s):
+        """Return whether each connected peer has sent something since a time.
+
+        Not so if no peer is connected, unless no other host is known.
+        """
+        streams = self._peers.streams.values()
+        if not streams:
+            return not self._peers.hosts.list_known()
+        return all(stream.last_received_s >= since_s for stream in streams)
+
     def _rank_zone(self):
         """Return the zone's live hosts in the order in which they become watchers."""
         names = [address.host for address in self._peers.hosts.list_live_in_zone()]
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -152,7 +152,7 @@
         if route.kind is RouteKind.STREAMING and metadata.takes_up_stream:
             if metadata.resumed_attempt_id:
                 await self._runtime.stored_origins.wait_until_loaded(ORIGINS_WAIT_S)
-            choice = self._choose_origin(route, metadata)
+            choice = await self._choose_origin(route, metadata)
             if choice.origin is None:
                 problem = Problem(GENERATION_LOST, choice.reason, TAKE_UP_RETRY_AFTER_S)
                 return self._refuse(metadata, version, problem)
@@ -175,18 +175,17 @@
             )
         )
 
-    def _choose_origin(self, route, metadata):
+    async def _choose_origin(self, route, metadata):
         """Return the choice of the origin of a stream that its caller takes up."""
         runtime = self._runtime
-        candidates = {
-            StreamOrigin(share.service, version)
-            for share in route.shares
-            for version in runtime.fleet.engines.list_versions(share.service)
-        }
-        recorded = None
-        if metadata.resumed_attempt_id:
-            recorded = runtime.stream_origins.find(metadata.resumed_attempt_id)
-        are_all_known = runtime.version_history.knows_all()
+        recorded = self._find_record(metadata)
+        candidates = self._list_candidates(route)
+        are_all_known = False
+        if recorded is None and len(candidates) == 1:
+            are_all_known = await runtime.version_history.confirm_all()
+            # A record or a version may have arrived meanwhile.
+            recorded = self._find_record(metadata)
+            candidates = self._list_candidates(route)
         choice = choose_origin(recorded, candidates, are_all_known)
         logger.bind(
             request=metadata.attempt_id,
@@ -199,6 +198,20 @@
         ).info("stream taken up" if choice.origin else "stream take-up refused")
         return choice
 
+    def _find_record(self, metadata):
+        """Return the recorded origin of the stream that a caller takes up, or None."""
+        if not metadata.resumed_attempt_id:
+            return None
+        return self._runtime.stream_origins.find(metadata.resumed_attempt_id)
+
+    def _list_candidates(self, route):
+        """Return where a stream of a route can have begun, as far as known."""
+        return {
+            StreamOrigin(share.service, version)
+            for share in route.shares
+            for version in self._runtime.fleet.engines.list_versions(share.service)
+        }
+
     def _can_accept(self, route, now_s):
         """Return whether a call that arrives now can end before the shutdown does."""
         if not self.is_shutting_down:
