Take-ups: the engine's start is checked also where one version is known

A host that is out of step may know one version while an engine has started again under its id as another. A stream that a caller took up at this host could go on there: where one version was known, the engine was not asked for its start.

Now it is asked for each stream that a caller takes up. Streams that break off at the host that began them are checked as before, where several versions are known.

Evidence: two rows of the table of reports. A take-up costs one request for a report more.

--- a/features/halfresponses.feature
+++ b/features/halfresponses.feature
@@ -45,15 +45,17 @@
       | the events of a watch      |
       | an object                  |
 
-  Scenario Outline: A stream goes on at an engine only if its report shows the registered start: <report>
-    Given an engine of one of two versions whose report is <report>
+  Scenario Outline: A stream goes on at an engine only if its report shows the registered start: <stream>, <versions>, <report>
+    Given a stream that <stream>, and an engine of a service with <versions> whose report is <report>
     When a host asks whether it is still the engine that it registered
     Then the stream <result> there
 
     Examples:
-      | report                                   | result          |
-      | whole                                    | goes on         |
-      | that of a later start                    | does not go on  |
-      | cut off at any byte, without a length    | does not go on  |
-      | an error without a start                 | does not go on  |
-      | cut off once, and whole the second time  | goes on         |
+      | stream                   | versions     | report                                  | result         |
+      | breaks off at this host  | two versions | whole                                   | goes on        |
+      | breaks off at this host  | two versions | that of a later start                   | does not go on |
+      | breaks off at this host  | two versions | cut off at any byte, without a length   | does not go on |
+      | breaks off at this host  | two versions | an error without a start                | does not go on |
+      | breaks off at this host  | two versions | cut off once, and whole the second time | goes on        |
+      | its caller takes up      | one version  | whole                                   | goes on        |
+      | its caller takes up      | one version  | that of a later start                   | does not go on |
--- a/features/steps/halfresponse_steps.py
+++ b/features/steps/halfresponse_steps.py
@@ -32,6 +32,7 @@
 from sapphirerock.connection.store import StoreClient, decode_response
 from sapphirerock.connection.storeobjects import StoreUnavailable
 from sapphirerock.connection.upstream import make_upstream_session, read_body
+from sapphirerock.decisions.streamversions import StreamOrigin
 from sapphirerock.platform.dialect import PlatformDialect
 from sapphirerock.platform.storewire import (
     decode_events_body,
@@ -334,12 +335,19 @@
         await self.send(writer, self._reports[number])
 
 
-@given("an engine of one of two versions whose report is {report}")
-def choose_reports(context, report):
+@given(
+    "a stream that {stream}, and an engine of a service with {versions} whose report "
+    "is {report}"
+)
+def choose_reports(context, stream, versions, report):
+    context.origin = None
+    if stream == "its caller takes up":
+        context.origin = StreamOrigin("model", "v1")
+    context.versions = {"one version": {"v1"}, "two versions": {"v1", "v2"}}[versions]
     context.reports = REPORTS[report]
 
 
-async def ask_for_start(reports):
+async def ask_for_start(context, reports):
     """Return whether a stream goes on at an engine that sends these reports."""
     engine = ReportingEngine(reports)
     entry = EngineEntry("e1", "model", await engine.start(), "z", 16, born_ms=1000)
@@ -348,13 +356,14 @@
             clock=SystemClock(),
             paths=EngineProber(session, PlatformDialect(), SystemClock()),
             fleet=SimpleNamespace(
-                engines=SimpleNamespace(list_versions=lambda service: {"v1", "v2"})
+                engines=SimpleNamespace(list_versions=lambda service: context.versions)
             ),
+            version_history=SimpleNamespace(knows_all=lambda: True),
         )
         metadata = SimpleNamespace(attempt_id=ATTEMPT_ID, last_event_id=7)
         route = SimpleNamespace(name="review")
         call = SimpleNamespace(
-            metadata=metadata, route=route, origin=None, service="model"
+            metadata=metadata, route=route, origin=context.origin, service="model"
         )
         stream = StreamCall(runtime, call, None)
         state = SimpleNamespace(name="e1", entry=entry)
@@ -366,7 +375,9 @@
 @when("a host asks whether it is still the engine that it registered")
 def ask_engine(context):
     async def run():
-        context.answers = {await ask_for_start(reports) for reports in context.reports}
+        context.answers = {
+            await ask_for_start(context, reports) for reports in context.reports
+        }
 
     context.run(run())
 
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -256,11 +256,16 @@
     async def _has_registered_start(self, state):
         """Return whether an engine is still the process that it registered.
 
-        Another one under its id may have another software version. Where all engines
-        of a service are known to have one version this is not checked.
+        Another one under its id may have another software version. This is not checked
+        for a stream that began here, at a service whose engines are known to have one
+        version.
         """
         versions = self._runtime.fleet.engines.list_versions(self._call.service)
-        if len(versions) < 2 and self._runtime.version_history.knows_all():
+        if (
+            self._call.origin is None
+            and len(versions) < 2
+            and self._runtime.version_history.knows_all()
+        ):
             return True
         for _ in range(MAX_START_CHECKS):
             result = await self._probe_start(state)
