Router: croniter is imported when it is called

Hosts have no such tasks. While the router's modules are imported, a function stands for croniter that imports it when it is called.

The table of modules that a start doesn't import has three more, which were imported before. A second scenario computes a time with the deferred croniter.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -27,11 +27,14 @@
       | aiohttp.web_fileresponse    |
       | aiohttp.web_urldispatcher   |
       | argparse                    |
+      | croniter                    |
+      | dateutil                    |
       | fastjsonschema              |
       | google.protobuf             |
       | jsonschema                  |
       | opentelemetry.exporter      |
       | opentelemetry.sdk           |
+      | pytz                        |
       | requests                    |
       | sapphirerock.load           |
       | sapphirerock.process.orders |
@@ -53,3 +56,8 @@
       | metrics   | HEAD   | /metrics                | 200    |          |
       | metrics   | DELETE | /metrics                | 405    | GET,HEAD |
       | metrics   | GET    | /sapphirerock/readiness | 404    |          |
+
+  Scenario: A library that a start leaves out is loaded when it is called
+    Given a process that imports mode while croniter is deferred
+    When it computes the seconds until the next minute by croniter
+    Then croniter was loaded by the call, and the seconds are from 0 to 60
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -179,3 +179,39 @@
 
     for row in context.table:
         context.run(send(row))
+
+
+# Prints whether croniter is loaded before and after its use, and the result.
+USE_CRONITER = """
+import json, sys
+from sapphirerock.commands.imports import defer_croniter
+
+with defer_croniter():
+    from mode.utils.cron import secs_for_next
+before = "croniter" in sys.modules
+seconds = secs_for_next("* * * * *")
+print(json.dumps([before, "croniter" in sys.modules, seconds]))
+"""
+
+
+@given("a process that imports mode while croniter is deferred")
+def describe_process(context):
+    context.program = USE_CRONITER
+
+
+@when("it computes the seconds until the next minute by croniter")
+def use_croniter(context):
+    run = subprocess.run(
+        [sys.executable, "-c", context.program],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.use = json.loads(run.stdout)
+
+
+@then("croniter was loaded by the call, and the seconds are from 0 to 60")
+def check_use(context):
+    loaded_before, loaded_after, seconds = context.use
+    assert not loaded_before and loaded_after, context.use
+    assert 0 <= seconds <= 60, seconds
--- a/src/sapphirerock/commands/imports.py
+++ b/src/sapphirerock/commands/imports.py
@@ -2,10 +2,13 @@
 
 import gc
 import os
+import sys
 from contextlib import contextmanager
+from types import ModuleType
 
 # Variables that name the certificates which OpenSSL loads by default.
 CERTIFICATE_VARIABLES = ("SSL_CERT_FILE", "SSL_CERT_DIR")
+CRONITER_MODULES = ("croniter", "croniter.croniter")
 
 
 @contextmanager
@@ -40,3 +43,30 @@
     finally:
         gc.freeze()
         gc.enable()
+
+
+@contextmanager
+def defer_croniter():
+    """Let modules import croniter, which is loaded only when it is called.
+
+    `mode` imports it for tasks at set times of day. It imports two libraries of time
+    zones, and hosts have no such tasks.
+    """
+    if any(name in sys.modules for name in CRONITER_MODULES):
+        yield
+        return
+    for name in CRONITER_MODULES:
+        placeholder = sys.modules[name] = ModuleType(name)
+        placeholder.croniter = load_croniter
+    try:
+        yield
+    finally:
+        for name in CRONITER_MODULES:
+            del sys.modules[name]
+
+
+def load_croniter(*arguments, **options):
+    """Return a `croniter.croniter`, which is imported by the first call."""
+    from croniter import croniter
+
+    return croniter(*arguments, **options)
--- a/src/sapphirerock/commands/router.py
+++ b/src/sapphirerock/commands/router.py
@@ -5,7 +5,11 @@
 import click
 
 from sapphirerock import __version__
-from sapphirerock.commands.imports import pause_collection, skip_certificates
+from sapphirerock.commands.imports import (
+    defer_croniter,
+    pause_collection,
+    skip_certificates,
+)
 from sapphirerock.platform.names import SETTINGS_VARIABLE
 from sapphirerock.process.telemetry.logs import configure_logs
 
@@ -62,7 +66,7 @@
     """
     prepare = prepare_edge if platform else prepare_router
     # Hosts speak plain HTTP to callers, upstreams, peers and the store.
-    with skip_certificates(), pause_collection():
+    with skip_certificates(), defer_croniter(), pause_collection():
         # Like most modules of the router, imported while no garbage is collected.
         from sapphirerock.commands.worker import run_service
 
