Silent engines: what a review of the race found

- a call heard of the silence of its engine once; now again after the engine has answered, and an attempt counts as silent only as long as the engine is;
- an engine that sent data while peers were asked was marked silent for 1.5 s and longer;
- a search for another engine that found none used up retries, one every 0.5 s; it gives them back;
- while a search waited, the KV copy of a lost attempt was not used; it takes the place of the search;
- a copy was dropped when its holder did not answer; now when it is used;
- one unanswered question for an engine's start excluded the engine from a resumption;
- a comment between events ended the other attempts;
- engines that were outrun and are silent did not count for max_attempts;
- a plain call looked for another engine once, and so stayed on a dead one; now every 0.25 s;
- streams that waited for their first event moved although all engines had answered again.

The places of the searches and of the copies differ from those in the review's stand-ins, which follow (names of the keeper's methods, a view of the placement).

--- a/features/steps/silentrace_steps.py
+++ b/features/steps/silentrace_steps.py
@@ -159,7 +159,7 @@
             state,
             on_silence=stream._race.report_silence,
         )
-        keeper = SimpleNamespace(take_usable_copy=lambda: None)
+        keeper = SimpleNamespace(get_usable_copy=lambda: None)
         with attempt:
             stream._running[attempt] = keeper
             stream._runtime.crash_watch.mark_silent(state)
@@ -404,7 +404,8 @@
     async def _take_turn(self, turns, placement):
         if self.state.name in self._tried_engines:
             return None
-        return SimpleNamespace(state=self.state)
+        view = SimpleNamespace(cached_tokens=0)
+        return SimpleNamespace(state=self.state, view=view)
 
     async def _probe_start(self, state):
         return self.answers.pop(0)
@@ -576,7 +577,9 @@
             cluster.processes[name].pause()
         calls = [
             asyncio.ensure_future(
-                send_one(context, edge, number, "stock", STREAM_EVENTS, PLAIN_TIMEOUT_MS)
+                send_one(
+                    context, edge, number, "stock", STREAM_EVENTS, PLAIN_TIMEOUT_MS
+                )
             )
             for number, edge in enumerate(cluster.edges.values(), 1)
         ]
--- a/src/sapphirerock/decisions/retrybudget.py
+++ b/src/sapphirerock/decisions/retrybudget.py
@@ -53,6 +53,11 @@
         """Count an event at ``now_s``."""
         self._times.append(now_s)
 
+    def remove_latest(self):
+        """Count the latest event no longer."""
+        if self._times:
+            self._times.pop()
+
     def count(self, now_s):
         """Return the number of events in the window that ends now."""
         while self._times and self._times[0] <= now_s - self._window_s:
@@ -114,3 +119,7 @@
             return False
         retries.add(now_s)
         return True
+
+    def give_back(self, service):
+        """Count the latest retry of a service no longer, since it was not sent."""
+        self._get_counter(self._retries, service).remove_latest()
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -312,12 +312,13 @@
         """
         if result.outcome is ProbeOutcome.NO_ANSWER and not self.mark_silent(state):
             return
+        asked_s = self._clock.monotonic()
         confirmed = await self._prober.confirm(state.entry, result)
         if confirmed.shows_running:
             return
         if confirmed.outcome is ProbeOutcome.ENDED:
             self.report_crash(state)
-        else:
+        elif state.heard_s < asked_s:
             self.report_silent(state)
 
     async def check_answers(self, state):
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -132,7 +132,7 @@
         for state in self._engines.list_all():
             for attempt in list(state.attempts):
                 if attempt.relay == relay:
-                    attempt.report_silence()
+                    attempt.report_silence(is_relay=True)
 
     def _list_relayed_paths(self):
         own_address, now_s = self._hosts.own_address, self._clock.monotonic()
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from sapphirerock.decisions.health import FailureShare
+from sapphirerock.decisions.silence import MAX_SILENCE_WAIT_S
 
 # An engine that was found down may get work again after this time, which doubles with
 # each consecutive failure.
@@ -408,6 +409,12 @@
             return False
         return state.down_until_s > self._clock.monotonic()
 
+    def may_be_sound(self, state):
+        """Return whether an engine has been silent for no longer than a sound one."""
+        if not self.is_marked_silent(state):
+            return False
+        return self._clock.monotonic() - state.silent_since_s <= MAX_SILENCE_WAIT_S
+
     def has_silent_engine(self, service, excluded=()):
         """Return whether an engine of a service gets no work only for its silence."""
         return any(
--- a/src/sapphirerock/request/attemptrace.py
+++ b/src/sapphirerock/request/attemptrace.py
@@ -23,8 +23,16 @@
         return len(self._tasks)
 
     def start(self, coroutine):
-        """Run a coroutine beside the others."""
-        self._tasks.add(asyncio.ensure_future(coroutine))
+        """Run a coroutine beside the others; return its task."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        return task
+
+    def drop(self, task):
+        """Cancel one task, unless its result has been returned."""
+        if task in self._tasks:
+            self._tasks.discard(task)
+            task.cancel()
 
     def report_silence(self):
         """Make `wait` return because the engine of an attempt is silent."""
--- a/src/sapphirerock/request/backupkeeper.py
+++ b/src/sapphirerock/request/backupkeeper.py
@@ -52,15 +52,13 @@
             return self._kv_copy
         return None
 
-    def take_usable_copy(self):
-        """Return the KV copy if its holder is usable, and keep it no longer; or None.
+    def drop_copy(self, copy):
+        """Keep a KV copy no longer that is being used, which can be done once.
 
-        A copy can be used once. While the attempt lasts another one is made.
+        While the attempt lasts another one is made.
         """
-        copy = self.get_usable_copy()
-        if copy is not None:
+        if self._kv_copy is copy:
             self._kv_copy = None
-        return copy
 
     def _has_live_copy(self):
         """Return whether the holder of the KV copy is up, though it may rest."""
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -34,6 +34,8 @@
 MAX_SENDS = 6
 # Interval at which a call looks whether a silent engine has answered.
 SILENT_ENGINE_CHECK_S = 0.05
+# Interval at which a call on a silent engine looks for another one, if there was none.
+SILENT_ENGINE_RETRY_S = 0.25
 
 
 class PlainCallOutcome(Enum):
@@ -126,8 +128,8 @@
         while True:
             result = await self._race.wait()
             if result is None:
-                if not self._is_progressing() and self._may_start_beside():
-                    self._race.start(self._attempt())
+                if not self._is_progressing():
+                    self._race.start(self._attempt_beside())
                 continue
             outcome, state = result.outcome, result.state
             if outcome is PlainCallOutcome.ANSWERED:
@@ -147,7 +149,9 @@
                 continue
             if self._may_retry(outcome):
                 self._race.start(self._attempt())
-            elif not self._race.task_count:
+            elif self._race.task_count:
+                self._race.start(self._attempt_later())
+            else:
                 await self._give_up(outcome.value)
                 return
 
@@ -157,16 +161,31 @@
             return True
         return any(not attempt.is_silent for attempt in self._running)
 
-    def _may_start_beside(self):
-        """Return whether the call may also be sent to another engine.
+    async def _attempt_beside(self):
+        """Send the call to another engine, too, if it may be; return the result."""
+        engines = self._failures + len(self._running)
+        may_send = engines < self._call.route.max_attempts and self._may_send_again()
+        self._log.bind(engines=engines, may_send=may_send).info("attempt silent")
+        if not may_send:
+            return AttemptResult(PlainCallOutcome.NO_ENGINE)
+        sends = self._sends
+        try:
+            return await self._attempt()
+        finally:
+            if self._sends == sends:
+                self._runtime.retry_budget.give_back(self._call.service)
+
+    async def _attempt_later(self):
+        """Look for another engine again, if the engine of an attempt is still silent.
 
-        If so, the retry is counted.
+        Returns
+        -------
+        AttemptResult
         """
-        engines = self._failures + len(self._running)
-        if engines >= self._call.route.max_attempts:
-            return False
-        self._log.bind(engines=engines).info("attempt silent")
-        return self._may_send_again()
+        while True:
+            await self._runtime.clock.sleep(SILENT_ENGINE_RETRY_S)
+            if all(attempt.is_silent for attempt in self._running):
+                return await self._attempt_beside()
 
     async def _attempt(self):
         """Choose an engine, send it the call, and return the result."""
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -56,7 +56,7 @@
 SILENT_ENGINE_CHECK_S = 0.05
 # Several round trips between regions.
 START_CHECK_TIMEOUT_S = 0.3
-# An engine that is asked again was running, but its report could not be read.
+# An engine that does not answer, or whose report can't be read, is asked again.
 MAX_START_CHECKS = 2
 
 
@@ -129,6 +129,8 @@
         "_kv_copy",
         "_race",
         "_running",
+        "_recovery",
+        "_is_recovery_delayed",
         "_outrun_engines",
         "_tried_engines",
         "_sends",
@@ -150,6 +152,9 @@
         self._race = AttemptRace()
         # The backup keeper of each attempt that is running.
         self._running = {}
+        # Task that looks for another engine; None once it runs an attempt.
+        self._recovery = None
+        self._is_recovery_delayed = False
         # Engines whose attempts were cancelled since another one went on first.
         self._outrun_engines = set()
         self._tried_engines = set()
@@ -177,15 +182,18 @@
         failure = None
         while True:
             outcome = await self._race.wait()
+            if self._recovery is not None and self._recovery.done():
+                self._recovery = None
             if outcome is None:
-                if not self._is_progressing():
-                    self._race.start(self._recover(StreamOutcome.SILENT))
+                if self._may_start_recovery():
+                    self._start_recovery(self._recover(StreamOutcome.SILENT))
                 continue
             if outcome is StreamOutcome.GIVEN_UP:
                 if not self._race.task_count:
                     await self._give_up(failure)
                     return
-                self._race.start(self._recover_later())
+                if self._may_start_recovery():
+                    self._start_recovery(self._recover_later())
                 continue
             failure = outcome
             self._record_outcome(outcome)
@@ -193,8 +201,8 @@
                 return
             if outcome is StreamOutcome.DEADLINE_EXCEEDED:
                 self._race.cancel()
-            if not self._is_progressing():
-                self._race.start(self._recover(outcome))
+            if self._may_start_recovery():
+                self._start_recovery(self._recover(outcome))
 
     def _record_outcome(self, outcome):
         """Count how an attempt ended."""
@@ -206,21 +214,38 @@
             elapsed_s = self._runtime.clock.monotonic() - self._started_s
             self._runtime.stream_durations.record_stream(elapsed_s)
 
-    def _is_progressing(self):
-        """Return whether an attempt on an engine that isn't silent runs or starts."""
-        if self._race.task_count > len(self._running):
-            return True
-        return any(not attempt.is_silent for attempt in self._running)
+    def _may_start_recovery(self):
+        """Return whether to look for another engine now.
+
+        One is looked for while the engines of all attempts are silent. A search that is
+        under way goes on, unless it is delayed or there is a KV copy to resume from.
+        """
+        if any(not attempt.is_silent for attempt in self._running):
+            return False
+        is_searching = self._recovery is not None and not self._is_recovery_delayed
+        return not is_searching or self._kv_copy is not None
+
+    def _start_recovery(self, coroutine):
+        """Run a search for another engine in place of the one before."""
+        if self._recovery is not None:
+            self._race.drop(self._recovery)
+        self._is_recovery_delayed = False
+        self._recovery = self._race.start(coroutine)
 
     async def _recover(self, outcome):
         """Choose the step after an outcome, and take it; return the new outcome."""
         copy, self._kv_copy = self._kv_copy, None
         if outcome is StreamOutcome.SILENT and self._responder.has_begun:
-            copy = self._take_copy_of_silent_attempt()
+            copy = self._find_copy_of_silent_attempt()
         step = await self._choose_step(outcome, copy)
         if step is RecoveryStep.GIVE_UP:
             return StreamOutcome.GIVEN_UP
-        return await self._run_next_attempt(step, copy)
+        sends = self._sends
+        try:
+            return await self._run_next_attempt(step, copy)
+        finally:
+            if self._sends == sends:
+                self._runtime.retry_budget.give_back(self._call.service)
 
     async def _recover_later(self):
         """Look for another engine again, if the engine of an attempt is still silent.
@@ -229,15 +254,17 @@
         -------
         StreamOutcome
         """
+        self._is_recovery_delayed = True
         await self._runtime.clock.sleep(SILENT_ENGINE_RETRY_S)
+        self._is_recovery_delayed = False
         if any(not attempt.is_silent for attempt in self._running):
             return StreamOutcome.GIVEN_UP
         return await self._recover(StreamOutcome.SILENT)
 
-    def _take_copy_of_silent_attempt(self):
+    def _find_copy_of_silent_attempt(self):
         """Return a usable KV copy of an attempt whose engine is silent, or None."""
         for attempt, backup_keeper in self._running.items():
-            copy = backup_keeper.take_usable_copy() if attempt.is_silent else None
+            copy = backup_keeper.get_usable_copy() if attempt.is_silent else None
             if copy is not None:
                 return copy
         return None
@@ -386,7 +413,7 @@
             result = await self._probe_start(state)
             if result.shows_running and result.shows_start:
                 return True
-            if not result.shows_running:
+            if result.outcome is ProbeOutcome.ENDED:
                 break
         self._log.bind(
             engine=state.name, outcome=result.outcome.value, detail=result.detail
@@ -482,6 +509,11 @@
         if self._responder.has_begun or copy is not None:
             continuation = ResumePoint(self._progress.last_id, copy)
         backup_keeper = BackupKeeper(self._runtime, self._call, attempt)
+        if copy is not None:
+            for keeper in self._running.values():
+                keeper.drop_copy(copy)
+        if asyncio.current_task() is self._recovery:
+            self._recovery = None
         with attempt:
             self._running[attempt] = backup_keeper
             backup_task = (
@@ -558,18 +590,23 @@
                 await self._forward_events(attempt, events)
 
     async def _forward_events(self, attempt, events):
-        """Forward events that the caller has not received yet."""
-        new_contents = []
+        """Forward events that the caller has not received yet.
+
+        The first event decides which of several attempts goes on. Comments don't.
+        """
+        new_contents, has_event = [], False
         for event in events:
             if event.number is not None:
                 last_id = self._progress.last_id
                 if last_id is not None and event.number <= last_id:
                     continue
                 self._progress.last_id = event.number
+                has_event = True
             new_contents.append(event.content)
-        if not new_contents:
+        if not new_contents or (not has_event and self._race.task_count > 1):
             return
-        self._win_race(attempt)
+        if has_event:
+            self._win_race(attempt)
         self._record_origin(attempt)
         if not self._responder.has_begun:
             await self._responder.begin_stream(
@@ -580,7 +617,8 @@
 
     def _win_race(self, attempt):
         """End the other attempts, since this one is the first to go on."""
-        others = self._race.win()
+        others = self._race.win() if self._race.task_count > 1 else 0
+        self._recovery = None
         if others:
             self._log.bind(engine=attempt.state.name, others=others).info(
                 "other attempts cancelled"
@@ -705,11 +743,13 @@
 
     def _count_other_engines(self):
         """Return the number of engines that run the call, or were outrun and live."""
-        fleet = self._runtime.fleet
+        engines = self._runtime.fleet.engines
+        states = [engines.get(name) for name in self._outrun_engines]
         outrun = {
-            name
-            for name in self._outrun_engines
-            if fleet.is_alive(fleet.engines.get(name))
+            state.name
+            for state in states
+            if state is not None
+            and (engines.is_alive(state) or engines.may_be_sound(state))
         }
         return len(outrun.union(attempt.state.name for attempt in self._running))
 
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -51,8 +51,6 @@
         Whether an event of the response has arrived.
     relay : str or None
         Name of the peer that relays the connection; None for a direct connection.
-    is_silent : bool
-        Whether the engine, or the relay, was silent since the last data.
     """
 
     __slots__ = (
@@ -62,7 +60,8 @@
         "head",
         "has_output",
         "relay",
-        "is_silent",
+        "_silent_since_s",
+        "_is_relay_silent",
         "_runtime",
         "_slot",
         "_on_silence",
@@ -89,7 +88,8 @@
         self.head = None
         self.has_output = False
         self.relay = None
-        self.is_silent = False
+        self._silent_since_s = None
+        self._is_relay_silent = False
         self._runtime = runtime
         self.call = call
         self._slot = slot
@@ -154,13 +154,21 @@
         if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
-    def report_silence(self):
-        """Tell the call once that the engine, or the relay, is silent.
+    @property
+    def is_silent(self):
+        """Whether the engine, or the relay, is silent since it was reported to be."""
+        if self._silent_since_s is None:
+            return False
+        return self._is_relay_silent or self.state.heard_s < self._silent_since_s
+
+    def report_silence(self, is_relay=False):
+        """Tell the call that the engine, or the relay, is silent; once in a silence.
 
         The attempt goes on. Called from another task.
         """
         if self._on_silence is not None and not self.is_silent:
-            self.is_silent = True
+            self._silent_since_s = self._runtime.clock.monotonic()
+            self._is_relay_silent = is_relay
             self._on_silence()
 
     async def open(self, continuation=None):
@@ -278,7 +286,7 @@
             return Error(UpstreamBroken(self.state.name, repr(error)))
 
     def _record_contact(self):
-        self.is_silent = False
+        self._silent_since_s = None
         self.state.record_received(self._runtime.clock.monotonic())
 
     async def _wait_until_deadline(self, coroutine):
