--- a/features/silentraces.feature
+++ b/features/silentraces.feature
@@ -59,3 +59,8 @@
     Given a shared platform with 3 edges and 3 engines of each service that read a prompt for 2 s
     When 12 streams are sent, and all engines stand still from 0.2 s on for 0.7 s
     Then every stream arrives whole, from one engine
+
+  Scenario: An engine that is silent for longer than sound ones are does not count as one that runs a call
+    Given a stream on an engine that is silent for good, which one engine may run
+    When the stream on the silent engine is run
+    Then it goes on at another engine within 2 s
--- a/features/steps/silentrace_steps.py
+++ b/features/steps/silentrace_steps.py
@@ -159,7 +159,9 @@
             state,
             on_silence=stream._race.report_silence,
         )
-        keeper = SimpleNamespace(get_usable_copy=lambda: None)
+        keeper = SimpleNamespace(
+            get_usable_copy=lambda: None, drop_copy=lambda copy: None
+        )
         with attempt:
             stream._running[attempt] = keeper
             stream._runtime.crash_watch.mark_silent(state)
@@ -649,3 +651,42 @@
 def check_single_runs(context):
     assert all(item.is_served for item in context.results)
     assert set(context.run_counts.values()) == {1}, Counter(context.run_counts.values())
+
+
+@given("a stream on an engine that is silent for good, which one engine may run")
+def start_single_attempt_stream(context):
+    async def run():
+        host = context.host = HostUnderTest()
+        call = make_routed_call(host, RouteKind.STREAMING)
+        call.route.max_attempts = 1
+        context.stream = ScriptedStream(
+            make_runtime(host),
+            call,
+            IdleResponder(has_begun=True),
+            [
+                stay_silent(
+                    host.add_unresponsive_engine("e1"),
+                    DEADLINE_S,
+                    StreamOutcome.DEADLINE_EXCEEDED,
+                ),
+                complete,
+            ],
+        )
+
+    context.run(run())
+
+
+@when("the stream on the silent engine is run")
+def run_single_attempt_stream(context):
+    async def run():
+        context.started_s = time.monotonic()
+        await context.stream.run()
+        await context.host.close()
+
+    context.run(run())
+
+
+@then("it goes on at another engine within {bound:g} s")
+def check_second_attempt(context, bound):
+    times_s = [at_s - context.started_s for at_s, _, _ in context.stream.steps]
+    assert len(times_s) == 2 and times_s[1] <= bound, times_s
