Silent relays: calls wait for a peer that may go on, when no other relays them

Callers of hosts that reach engines only through peers got 503 while these peers, which were sound, stood still for 1.2 s.

Cause: the same as with silent engines, a timer took silence for an end. A peer that had not opened a connection within 0.45 s was passed over, and after two of them the attempt ended. The call then went to other engines, which are reached through the same peers, and was given up where the engines or the retry budget ran out.

Nothing is sent before a peer has replied, so an order still runs once. A peer whose process has ended refuses the connection, is not taken for silent, and costs no more than before.

Evidence: features/hostsilence.feature.

--- /dev/null
+++ b/features/hostsilence.feature
@@ -0,0 +1,40 @@
+Feature: A host that is silent for a moment and goes on costs no call
+
+  Scenario Outline: Calls at hosts that stand still: <hosts>, <seconds> s, <beside>
+    Given a shared platform with 6 edges and 3 engines of each service, with room for 48 streams each
+    When <hosts> stand still for <seconds> s every 3.7 s for 15 s, under 8 calls and 8 streams a second, <beside>
+    Then every stream arrives whole, and every call gets an engine's answer
+    And no call ran twice, was joined from two answers, or was refused after it ran
+    And no engine was reported silent to other hosts
+
+    Examples:
+      | hosts            | seconds | beside                         |
+      | one of the hosts | 1.2     | nothing else happens           |
+      | one of the hosts | 1.2     | a configuration every 0.5 s    |
+      | all hosts        | 1.2     | nothing else happens           |
+      | all hosts        | 1.2     | a configuration every 0.5 s    |
+
+  Scenario Outline: Calls through relaying hosts that stand still: <hosts>, <seconds> s, <beside>
+    Given a shared platform with 6 edges and 3 engines of each service, with room for 48 streams each
+    And engines hang the connections of the first 4 edges
+    When <hosts> stand still for <seconds> s every 3.7 s for 15 s, under 8 calls and 8 streams a second, <beside>
+    Then every stream arrives whole, and every call gets an engine's answer
+    And no call ran twice, was joined from two answers, or was refused after it ran
+
+    Examples:
+      | hosts                     | seconds | beside                         |
+      | one of the relaying hosts | 1.2     | nothing else happens           |
+      | all relaying hosts        | 1.2     | nothing else happens           |
+      | all relaying hosts        | 1.2     | a configuration every 0.5 s    |
+
+  Scenario Outline: A call to an engine that is reached through peers which are silent: <peers>
+    Given a host that reaches an engine through two peers, <peers>
+    When the host sends it an order that has <deadline> s
+    Then <result>
+
+    Examples:
+      | peers                           | deadline | result                                          |
+      | which go on after 1.2 s         | 8        | the engine answers the order, and got it once   |
+      | one of which goes on after 1.2 s | 8       | the engine answers the order, and got it once   |
+      | whose processes have ended      | 8        | the host knows within 0.2 s that it was not sent |
+      | which never go on               | 1        | the host knows within 1 s that it was not sent  |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 from behave import given, then, when
 from expression import Ok
@@ -53,6 +54,7 @@
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.process.telemetry.metrics import Metrics
+from sapphirerock.request.upstreamattempt import UpstreamAttempt
 from sapphirerock.version.engineentry import EngineEntry
 
 LOOPBACK = "127.0.0.1"
@@ -878,3 +880,76 @@
 @then("it has asked its peers {times:d} {unit:w}")
 def check_questions(context, times, unit):
     assert context.asked == times, context.asked
+
+
+class SilentPeer(RelayingPeer):
+    """A peer whose host stands still: it accepts connections and goes on later."""
+
+    def __init__(self, name, zone, silent_s):
+        super().__init__(name, zone)
+        self._silent_s = silent_s
+        self._starts_at_s = time.monotonic() + silent_s
+
+    async def _relay(self, reader, writer, request):
+        await asyncio.sleep(self._starts_at_s - time.monotonic())
+        await super()._relay(reader, writer, request)
+
+
+SILENT_PEERS = {
+    "which go on after 1.2 s": (1.2, 1.2),
+    "one of which goes on after 1.2 s": (1.2, 60.0),
+    "which never go on": (60.0, 60.0),
+    "whose processes have ended": (None, None),
+}
+
+
+@given("a host that reaches an engine through two peers, {peers}")
+def start_silent_peers(context, peers):
+    async def run():
+        context.engine = RawEngine(send_length)
+        address = await context.engine.start()
+        context.host = CutHost(f"{LOOPBACK}:{find_free_port()}")
+        context.host.state.is_relayed = True
+        for number, silent_s in enumerate(SILENT_PEERS[peers]):
+            peer = SilentPeer(f"p{number}", f"zone-{number}", silent_s or 0.0)
+            await peer.start()
+            if silent_s is None:
+                await peer.table.on_stop()
+            peer.add_engine(address)
+            peer.relay_server.reached_address = address
+            context.host.hosts.update_from_registration(peer.host)
+
+    context.run(run())
+
+
+@when("the host sends it an order that has {deadline:g} s")
+def send_through_silent_peers(context, deadline):
+    host = context.host
+    call = make_call()
+    call.method, call.response_deadline_s = "POST", time.monotonic() + deadline
+    dialect = Mock()
+    dialect.make_headers.return_value = []
+    runtime = Mock(clock=host.clock, paths=host.paths, dialect=dialect)
+
+    async def run():
+        started_s = time.monotonic()
+        with UpstreamAttempt(runtime, call, host.state) as attempt:
+            context.result = await attempt.open()
+            context.took_s = time.monotonic() - started_s
+        await host.paths.on_stop()
+        await host.session.close()
+
+    context.run(run())
+
+
+@then("the engine answers the order, and got it once")
+def check_answered_once(context):
+    assert context.result.is_ok(), (context.result, context.took_s)
+    assert len(context.engine.requests) == 1, context.engine.requests
+
+
+@then("the host knows within {bound:g} s that it was not sent")
+def check_known_unsent(context, bound):
+    assert isinstance(context.result.error, RelayUnavailable), context.result
+    assert context.took_s <= bound, context.took_s
+    assert not context.engine.requests, context.engine.requests
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -28,6 +28,10 @@
 SILENCE_PERIOD_S = 3.7
 CONFIGURATION_INTERVAL_S = 0.5
 MARK_BOUND_S = 0.7
+RELAYED_EDGES = 4
+RELAY_SETTLING_S = 20.0
+FIRST_SETTLING_CALL = 900_000
+CUT_S = 120.0
 SILENT_ENGINES = {
     "one of them": lambda names, turn: [names[turn % len(names)]],
     "two thirds": lambda names, turn: [
@@ -38,6 +42,12 @@
         name for name in names if name.startswith("model")
     ],
 }
+SILENT_HOSTS = {
+    "one of the hosts": lambda edges, turn: [edges[turn % len(edges)]],
+    "all hosts": lambda edges, turn: edges,
+    "one of the relaying hosts": lambda edges, turn: [edges[RELAYED_EDGES + turn % 2]],
+    "all relaying hosts": lambda edges, turn: edges[RELAYED_EDGES:],
+}
 
 
 def make_patient_configuration(version):
@@ -88,9 +98,20 @@
         await asyncio.sleep(CONFIGURATION_INTERVAL_S)
 
 
-async def silence_engines(cluster, choose, seconds, until_s):
-    """Stop and continue engines again and again until a monotonic time."""
-    names = [name for name in cluster.urls if name.startswith(("shop", "model"))]
+def list_engines(cluster):
+    """Return the names of the engines of a cluster."""
+    return [name for name in cluster.urls if name.startswith(("shop", "model"))]
+
+
+async def silence_processes(cluster, kind, seconds, until_s):
+    """Stop and continue processes again and again until a monotonic time.
+
+    The kind is a key of `SILENT_ENGINES` or `SILENT_HOSTS`.
+    """
+    if kind in SILENT_HOSTS:
+        choose, names = SILENT_HOSTS[kind], list(cluster.edges)
+    else:
+        choose, names = SILENT_ENGINES[kind], list_engines(cluster)
     for turn in itertools.count():
         await asyncio.sleep(SILENCE_PERIOD_S - seconds)
         if time.monotonic() > until_s:
@@ -105,11 +126,51 @@
                 cluster.processes[name].resume()
 
 
+async def reach_engines_through_peers(context, edges):
+    """Return whether edges reach all engines through peers, by their metrics."""
+    cluster = context.world.cluster
+    count = len(list_engines(cluster))
+    for edge in edges:
+        url = cluster.get_metrics_url(edge.name)
+        async with context.world.session.get(url) as response:
+            text = await response.text()
+        found = re.search(r"^sapphirerock_relayed_engines (\d+)", text, re.MULTILINE)
+        if found is None or int(found[1]) < count:
+            return False
+    return True
+
+
+@given("engines hang the connections of the first {count:d} edges")
+def cut_edges_off(context, count):
+    async def run():
+        cluster = context.world.cluster
+        source = ",".join(edge.address for edge in list(cluster.edges.values())[:count])
+        for name in list_engines(cluster):
+            await cluster.inject(
+                name, "cut", seconds=CUT_S, manner="hang", source=source
+            )
+        context.results, context.started_s = [], time.monotonic()
+        edges = list(cluster.edges.values())[:count]
+        # Calls make the hosts find out which engines they don't reach.
+        numbers = itertools.count(FIRST_SETTLING_CALL)
+        while not await reach_engines_through_peers(context, edges):
+            assert time.monotonic() < context.started_s + RELAY_SETTLING_S
+            await asyncio.gather(
+                *(
+                    send_one(context, edge, next(numbers), kind, 5)
+                    for edge in edges
+                    for kind in ("stock", "stream")
+                )
+            )
+
+    context.run(run())
+
+
 @when(
-    "{engines} stand still for {seconds:g} s every 3.7 s for {duration:d} s, under "
+    "{processes} stand still for {seconds:g} s every 3.7 s for {duration:d} s, under "
     "{load}, {beside}"
 )
-def send_beside_silence(context, engines, seconds, duration, load, beside):
+def send_beside_silence(context, processes, seconds, duration, load, beside):
     async def run():
         cluster = context.world.cluster
         edges = list(cluster.edges.values())
@@ -117,7 +178,7 @@
         until_s = context.started_s + duration
         trouble = [
             asyncio.ensure_future(
-                silence_engines(cluster, SILENT_ENGINES[engines], seconds, until_s)
+                silence_processes(cluster, processes, seconds, until_s)
             )
         ]
         if beside != "nothing else happens":
@@ -181,6 +242,18 @@
         ), item
 
 
+@then("no engine was reported silent to other hosts")
+def check_no_silence_reported(context):
+    cluster = context.world.cluster
+    reports = Counter(
+        (name, entry["event"])
+        for name in cluster.edges
+        for entry in cluster.read_log_entries(name)
+        if entry.get("event") == "engine marked down"
+    )
+    assert not reports, reports
+
+
 @given("a host, and an engine that never answers")
 def start_host(context):
     async def run():
--- a/src/sapphirerock/connection/errors.py
+++ b/src/sapphirerock/connection/errors.py
@@ -14,11 +14,14 @@
     ----------
     has_replied : bool
         Whether the peer has replied.
+    is_silent : bool
+        Whether the peer may reply later.
     """
 
-    def __init__(self, reason, has_replied=False):
+    def __init__(self, reason, has_replied=False, is_silent=False):
         super().__init__(reason)
         self.has_replied = has_replied
+        self.is_silent = is_silent
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,11 +62,14 @@
     ----------
     has_replied : bool
         Whether the peer has replied.
+    is_silent : bool
+        Whether the peer may reply later.
     """
 
     upstream: str
     reason: str
     has_replied: bool
+    is_silent: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/connection/relay.py
+++ b/src/sapphirerock/connection/relay.py
@@ -160,7 +160,7 @@
         except EngineConnectError as error:
             failure = error.os_error
         except TimeoutError:
-            failure = RelayError("no reply in time")
+            failure = RelayError("no reply in time", is_silent=True)
         except RelayError as error:
             failure = error
         except OSError as error:
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -180,7 +180,9 @@
     """Return the failure for a connection that could not be established."""
     cause = error.os_error
     if isinstance(cause, RelayError):
-        return RelayUnavailable(upstream, str(cause), cause.has_replied)
+        return RelayUnavailable(
+            upstream, str(cause), cause.has_replied, cause.is_silent
+        )
     return UpstreamUnreachable(upstream, isinstance(cause, ConnectionRefusedError))
 
 
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -14,6 +14,7 @@
 )
 from sapphirerock.connection.response import BufferedResponse
 from sapphirerock.connection.upstream import OutboundRequest, open_response, read_body
+from sapphirerock.decisions.silence import choose_silence_wait
 from sapphirerock.process.engines.paths import MAX_SILENT_RELAYS
 
 
@@ -179,15 +180,10 @@
         call, entry, runtime = self.call, self.state.entry, self._runtime
         runtime.crash_watch.log_send(self.state, call)
         sent_s = runtime.clock.monotonic()
-        opened = Error(RelayUnavailable(entry.name, "no peer to relay", True))
-        silent_relays = 0
-        for path in runtime.paths.list_paths(self.state):
-            opened = await self._open_on_path(path, continuation)
-            if not is_relay_failure(opened):
-                break
-            silent_relays += not opened.error.has_replied
-            if silent_relays >= MAX_SILENT_RELAYS:
-                break
+        wait_s = choose_silence_wait(call.response_deadline_s - sent_s)
+        opened, may_relay_later = await self._open_on_any_path(continuation)
+        while may_relay_later and runtime.clock.monotonic() - sent_s <= wait_s:
+            opened, may_relay_later = await self._open_on_any_path(continuation)
         if opened.is_error():
             return opened
         self._response = opened.ok
@@ -204,6 +200,28 @@
             self._slot.was_refused = not self.head.is_other_engine
         return Ok(self.head)
 
+    async def _open_on_any_path(self, continuation):
+        """Send the call on the first path that connects; see `open`.
+
+        Returns
+        -------
+        (expression.Result of ResponseHead or ConnectionFailure, bool)
+            With whether no peer relayed the connection, and one that is silent may
+            relay it later.
+        """
+        name = self.state.entry.name
+        opened = Error(RelayUnavailable(name, "no peer to relay", True))
+        unanswered, may_relay_later = 0, False
+        for path in self._runtime.paths.list_paths(self.state):
+            opened = await self._open_on_path(path, continuation)
+            if not is_relay_failure(opened):
+                return opened, False
+            may_relay_later |= opened.error.is_silent
+            unanswered += not opened.error.has_replied
+            if unanswered >= MAX_SILENT_RELAYS:
+                break
+        return opened, may_relay_later
+
     async def _open_on_path(self, path, continuation):
         """Send the call on one path; see `open`.
 
