Probes through silent relays no longer report sound engines silent to other hosts

Hosts that reach an engine directly gave it no new work for the time of a probe, since a host that is cut off had reported it silent while only the relaying peers were.

Cause: a relayed probe had 0.4 s in all, less than the 0.45 s that a peer has to reply. A peer that was silent therefore looked like an engine that did not answer, no other peer was asked, and the engine was reported silent to all hosts.

Now a probe leaves a margin after the peer's reply, a silent peer is told from a silent engine, and the next peer is asked. If two are silent, the engine is marked silent at the host that asked, and nothing is reported.

--- a/features/hostsilence.feature
+++ b/features/hostsilence.feature
@@ -38,3 +38,8 @@
       | one of which goes on after 1.2 s | 8       | the engine answers the order, and got it once   |
       | whose processes have ended      | 8        | the host knows within 0.2 s that it was not sent |
       | which never go on               | 1        | the host knows within 1 s that it was not sent  |
+
+  Scenario: An engine is not reported silent to other hosts since the relays to it are
+    Given a host that reaches an engine through two peers, which go on after 1.2 s
+    When the host checks the engine while calls run on it
+    Then the host gives it no new work, and reports nothing to other hosts
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -16,6 +16,7 @@
 from features.steps.poison_steps import (
     BORN_MS,
     HostUnderTest,
+    LocalGossip,
     PendingAttempt,
     make_call,
     report_crash,
@@ -35,6 +36,7 @@
     open_response,
     read_body,
 )
+from sapphirerock.decisions.crashlog import CrashLog
 from sapphirerock.decisions.placement import EngineView
 from sapphirerock.decisions.relays import (
     RelayCandidate,
@@ -43,10 +45,12 @@
 )
 from sapphirerock.platform.dialect import PlatformDialect
 from sapphirerock.process.clock import SystemClock
+from sapphirerock.process.engines.crashwatch import CrashWatch
 from sapphirerock.process.engines.paths import EnginePaths
 from sapphirerock.process.engines.prober import ProbeOutcome, ProbeResult
 from sapphirerock.process.engines.table import EngineTable
 from sapphirerock.process.peers import relayserver
+from sapphirerock.process.peers.gossip import EngineDownUpdate
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.relayserver import RelayServer
 from sapphirerock.process.peers.table import PeerTable
@@ -953,3 +957,34 @@
     assert isinstance(context.result.error, RelayUnavailable), context.result
     assert context.took_s <= bound, context.took_s
     assert not context.engine.requests, context.engine.requests
+
+
+@when("the host checks the engine while calls run on it")
+def check_engine_of_silent_peers(context):
+    host, gossip = context.host, LocalGossip()
+    context.reports = []
+    gossip.subscribe(EngineDownUpdate, context.reports.append)
+    crash_watch = CrashWatch(
+        host.engines,
+        CrashLog(host.clock),
+        Mock(),
+        gossip,
+        host.paths,
+        host.clock,
+        EdgeMetrics(),
+    )
+
+    async def run():
+        result = await host.paths.probe(host.state.entry, 0.2)
+        await crash_watch.apply_failed_probe(host.state, result)
+        await asyncio.sleep(0.05)
+        await host.paths.on_stop()
+        await host.session.close()
+
+    context.run(run())
+
+
+@then("the host gives it no new work, and reports nothing to other hosts")
+def check_not_reported(context):
+    assert context.host.engines.is_marked_silent(context.host.state)
+    assert not context.reports, context.reports
--- a/src/sapphirerock/connection/relay.py
+++ b/src/sapphirerock/connection/relay.py
@@ -23,6 +23,9 @@
 
 # Two round trips between regions, and the time that the peer has to connect.
 RELAY_OPEN_TIMEOUT_S = 0.45
+# An exchange with less time in total leaves this much after the reply, so that a silent
+# peer is told from a silent engine.
+RELAY_REPLY_MARGIN_S = 0.02
 # Largest block of bytes in one msgpack object.
 RELAY_BLOCK_BYTES = 1 << 14
 # One read of asyncio's transports, which have 256 KiB, and the start of a block.
@@ -154,8 +157,11 @@
 
     async def _create_connection(self, req, traces, timeout):
         engine_address = f"{req.url.host}:{req.url.port}"
+        timeout_s = RELAY_OPEN_TIMEOUT_S
+        if timeout.total is not None:
+            timeout_s = min(timeout_s, timeout.total - RELAY_REPLY_MARGIN_S)
         try:
-            async with asyncio.timeout(RELAY_OPEN_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 return await self._open(engine_address)
         except EngineConnectError as error:
             failure = error.os_error
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -40,9 +40,15 @@
 VERIFIED_CONTACT_S = 5.0
 INCONCLUSIVE_OUTCOMES = (
     ProbeOutcome.NO_ANSWER,
+    ProbeOutcome.RELAY_FAILED,
     ProbeOutcome.HOST_BUSY,
     ProbeOutcome.RESTING,
 )
+UNUSABLE_OUTCOMES = (
+    ProbeOutcome.NO_ANSWER,
+    ProbeOutcome.RELAY_FAILED,
+    ProbeOutcome.ENDED,
+)
 CRASHED = "crashed"
 SILENT = "silent"
 REPLACED = "replaced"
@@ -303,6 +309,10 @@
 
         The first probe that a silent engine leaves unanswered is confirmed by peers.
         """
+        if result.outcome is ProbeOutcome.RELAY_FAILED:
+            # The relays are silent, and other hosts may reach the engine.
+            self.mark_silent(state)
+            return
         if result.outcome is ProbeOutcome.NO_ANSWER and not self.mark_silent(state):
             return
         confirmed = await self._prober.confirm(state.entry, result)
@@ -331,7 +341,7 @@
         result = await self._prober.probe(state.entry, CHECK_TIMEOUT_S)
         if result.outcome is ProbeOutcome.RUNNING:
             state.record_received(self._clock.monotonic())
-        elif result.outcome in (ProbeOutcome.NO_ANSWER, ProbeOutcome.ENDED):
+        elif result.outcome in UNUSABLE_OUTCOMES:
             self._tasks.spawn(self.apply_failed_probe(state, result))
             return False
         return True
--- a/src/sapphirerock/process/engines/paths.py
+++ b/src/sapphirerock/process/engines/paths.py
@@ -192,9 +192,10 @@
             silent_relays += not result.is_answered
             if silent_relays >= MAX_SILENT_RELAYS:
                 break
-        # A peer that replies and relays nothing shows nothing about the engine.
+        # A peer that relays nothing shows nothing about the engine. One that replies
+        # may relay calls soon.
         has_replied = result.is_answered
-        outcome = ProbeOutcome.RESTING if has_replied else ProbeOutcome.NO_ANSWER
+        outcome = ProbeOutcome.RESTING if has_replied else ProbeOutcome.RELAY_FAILED
         return ProbeResult(outcome, result.detail)
 
     async def _probe_directly(self, entry, timeout_s):
