A host that stood still takes what has arrived before it gives up

A host that stands still for a second, or whose event loop is busy with a large configuration, wakes with all its timers due. It gave up connections that stood and replies that it had not read yet: engines were marked down as unreachable, relays as silent, and calls to limited engines were refused for want of an owner of turns.

Cause: a due timer is served in the same pass of the event loop as the data that has arrived, so a wait whose result has come ends in a timeout nevertheless.

Now a timer of a wait for a peer that fires late is started once more, and a connection to an engine that timed out late is made once more; nothing has been sent on it. Probes of engines did so before (HOST_BUSY). A timer that fires in time is as before, so a dead peer costs no more unless this host stood still itself.

Not covered: calls to the store, whose timer belongs to the client library; a watch that ends so is started again after 0.3 s.

--- a/features/hostsilence.feature
+++ b/features/hostsilence.feature
@@ -43,3 +43,14 @@
     Given a host that reaches an engine through two peers, which go on after 1.2 s
     When the host checks the engine while calls run on it
     Then the host gives it no new work, and reports nothing to other hosts
+
+  Scenario Outline: A host that stood still takes what has arrived meanwhile: <wait>
+    Given a peer and an engine that answer within 0.1 s
+    When the host <wait>, and its event loop is busy for 0.8 s
+    Then it gets the answer
+
+    Examples:
+      | wait                                 |
+      | connects to the engine               |
+      | asks the peer to relay a connection  |
+      | asks the peer for a turn             |
--- /dev/null
+++ b/features/steps/busyhost_steps.py
@@ -0,0 +1,131 @@
+"""Steps on a host whose event loop is busy while answers arrive."""
+
+import asyncio
+import socket
+import threading
+import time
+
+import msgpack
+from behave import given, then, when
+
+from features.steps.relay_steps import LOOPBACK, register_in, send_order
+from sapphirerock.connection.messages import (
+    RelayOpen,
+    RelayOpened,
+    TurnReply,
+    TurnRequest,
+    decode_frame,
+    encode_frame,
+)
+from sapphirerock.connection.peer import PeerStream, make_unpacker
+from sapphirerock.connection.relay import make_relay_session
+from sapphirerock.connection.upstream import make_upstream_session
+from sapphirerock.process.clock import SystemClock
+from sapphirerock.process.engines.limits import TURN_TIMEOUT_S
+from sapphirerock.process.settings.hostsettings import HostAddress
+
+ANSWER_DELAY_S = 0.1
+BUSY_AFTER_S, BUSY_S = 0.05, 0.8
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+WAITS = {}
+
+
+class ThreadedServer:
+    """A peer, or an engine, that answers while the event loop of the test is busy."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self._listener = socket.create_server((LOOPBACK, 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            connection, _ = self._listener.accept()
+            threading.Thread(
+                target=self._answer, args=(connection,), daemon=True
+            ).start()
+
+
+def answer_as_engine(connection):
+    """Answer one HTTP request."""
+    if connection.recv(4096):
+        connection.sendall(RESPONSE)
+
+
+def answer_as_peer(connection):
+    """Relay one connection to an engine, or grant one turn."""
+    unpacker = make_unpacker()
+    unpacker.feed(connection.recv(4096))
+    correlation, message = decode_frame(next(unpacker))
+    time.sleep(ANSWER_DELAY_S)
+    if isinstance(message, RelayOpen):
+        connection.sendall(encode_frame(0, RelayOpened()))
+        connection.recv(4096)
+        connection.sendall(msgpack.packb(RESPONSE) + msgpack.packb(None))
+    else:
+        connection.sendall(encode_frame(-correlation, TurnReply(True, 0.0, 0.0, "")))
+
+
+@given("a peer and an engine that answer within 0.1 s")
+def start_servers(context):
+    context.engine_port = ThreadedServer(answer_as_engine).port
+    context.peer_port = ThreadedServer(answer_as_peer).port
+
+
+def keep_busy(loop):
+    """Block an event loop a moment after the wait has begun."""
+    loop.call_later(BUSY_AFTER_S, time.sleep, BUSY_S)
+
+
+@register_in(WAITS, "connects to the engine")
+async def connect(context):
+    loop = asyncio.get_running_loop()
+    connect_socket = loop.sock_connect
+
+    async def connect_while_busy(*arguments):
+        # A connection is made within microseconds on one machine.
+        loop.call_soon(time.sleep, BUSY_S)
+        loop.sock_connect = connect_socket
+        return await connect_socket(*arguments)
+
+    loop.sock_connect = connect_while_busy
+    session = make_upstream_session(LOOPBACK)
+    result = await send_order(session, f"{LOOPBACK}:{context.engine_port}")
+    await session.close()
+    return result
+
+
+@register_in(WAITS, "asks the peer to relay a connection")
+async def open_through_peer(context):
+    peer = HostAddress("b1", "zone-b", "region-1", LOOPBACK, 1, context.peer_port)
+    session = make_relay_session(LOOPBACK, peer)
+    keep_busy(asyncio.get_running_loop())
+    result = await send_order(session, f"{LOOPBACK}:{context.engine_port}")
+    await session.close()
+    return result
+
+
+@register_in(WAITS, "asks the peer for a turn")
+async def ask_for_turn(context):
+    reader, writer = await asyncio.open_connection(LOOPBACK, context.peer_port)
+    stream = PeerStream(reader, writer, None, None, make_unpacker())
+    reading = asyncio.ensure_future(stream.run(SystemClock()))
+    stream.hello = HostAddress("b1", "zone-b", "region-1", LOOPBACK, 1, 1)
+    keep_busy(asyncio.get_running_loop())
+    result = await stream.ask(TurnRequest("e1", 1, 2.0, 0.5), TURN_TIMEOUT_S)
+    reading.cancel()
+    return result
+
+
+@when("the host {wait}, and its event loop is busy for 0.8 s")
+def wait_while_busy(context, wait):
+    async def run():
+        context.result = await WAITS[wait](context)
+
+    context.run(run())
+
+
+@then("it gets the answer")
+def check_answer(context):
+    assert context.result.is_ok(), context.result
--- a/src/sapphirerock/connection/peer.py
+++ b/src/sapphirerock/connection/peer.py
@@ -19,6 +19,7 @@
     decode_frame,
     encode_frame,
 )
+from sapphirerock.connection.timeouts import limit_wait
 
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT_S = 1.0
@@ -136,7 +137,7 @@
         self._pending_replies[correlation] = reply
         self.send(message, correlation)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with limit_wait(timeout_s):
                 answer = await reply
         except TimeoutError:
             return Error(PeerUnavailable(self.host, "no reply in time"))
@@ -208,7 +209,7 @@
     unpacker = unpacker or make_unpacker()
     local_hello.nonce = os.urandom(NONCE_BYTES)
     try:
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+        async with limit_wait(HANDSHAKE_TIMEOUT_S):
             writer.write(encode_frame(0, local_hello))
             if hello is None:
                 hello = await read_handshake_message(reader, unpacker, Hello)
@@ -240,7 +241,7 @@
     expression.Result of Message or PeerHandshakeFailed
     """
     try:
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+        async with limit_wait(HANDSHAKE_TIMEOUT_S):
             return Ok(await read_handshake_message(reader, unpacker, expected))
     except (TimeoutError, OSError, ValueError, msgpack.UnpackException) as error:
         return Error(PeerHandshakeFailed(repr(error)))
--- a/src/sapphirerock/connection/relay.py
+++ b/src/sapphirerock/connection/relay.py
@@ -6,7 +6,6 @@
 without nil was broken off, so an incomplete response is never taken for a whole one.
 """
 
-import asyncio
 from functools import partial
 
 import msgpack
@@ -19,6 +18,7 @@
     decode_frame,
     encode_frame,
 )
+from sapphirerock.connection.timeouts import limit_wait
 from sapphirerock.connection.upstream import UpstreamProtocol, make_exchange_session
 
 # Two round trips between regions, and the time that the peer has to connect.
@@ -161,7 +161,7 @@
         if timeout.total is not None:
             timeout_s = min(timeout_s, timeout.total - RELAY_REPLY_MARGIN_S)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with limit_wait(timeout_s):
                 return await self._open(engine_address)
         except EngineConnectError as error:
             failure = error.os_error
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -4,6 +4,7 @@
 call, and a call whose connection could not be established has certainly not run.
 """
 
+import time
 from dataclasses import dataclass
 from functools import partial
 
@@ -30,6 +31,7 @@
     UpstreamUnreachable,
 )
 from sapphirerock.connection.sendonce import send_once
+from sapphirerock.process.clock import MAX_TIMER_DELAY_S
 
 # Longer than the slowest round trip between regions, and than a retransmission within
 # a zone.
@@ -158,16 +160,16 @@
         `UpstreamUnreachable` means that nothing was sent; after any other failure
         the call may have run.
     """
+    started_s = time.monotonic()
     try:
-        return Ok(
-            await session.request(
-                request.method,
-                URL(f"http://{address}{request.target}", encoded=True),
-                headers=CIMultiDict(request.headers),
-                data=request.body or None,
-                allow_redirects=False,
-            )
-        )
+        try:
+            return Ok(await send_to(session, address, request))
+        except ConnectionTimeoutError:
+            elapsed_s = time.monotonic() - started_s
+            if elapsed_s <= CONNECT_TIMEOUT_S + MAX_TIMER_DELAY_S:
+                raise
+            # The event loop was busy, so the connection may have been made in time.
+            return Ok(await send_to(session, address, request))
     except ConnectionTimeoutError:
         return Error(UpstreamUnreachable(upstream, refused=False))
     except ClientConnectorError as error:
@@ -176,6 +178,17 @@
         return Error(UpstreamBroken(upstream, repr(error)))
 
 
+async def send_to(session, address, request):
+    """Send a request to an address; return the response when its head has arrived."""
+    return await session.request(
+        request.method,
+        URL(f"http://{address}{request.target}", encoded=True),
+        headers=CIMultiDict(request.headers),
+        data=request.body or None,
+        allow_redirects=False,
+    )
+
+
 def classify_connect_error(upstream, error):
     """Return the failure for a connection that could not be established."""
     cause = error.os_error
--- a/src/sapphirerock/process/engines/limits.py
+++ b/src/sapphirerock/process/engines/limits.py
@@ -6,11 +6,10 @@
 owner on each side hands out a share of the limit.
 """
 
-import asyncio
-
 from loguru import logger
 
 from sapphirerock.connection.messages import EngineLimits, TurnReply, TurnRequest
+from sapphirerock.connection.timeouts import limit_wait
 from sapphirerock.decisions.turns import Turn, TurnSchedule
 from sapphirerock.process.peers.gossip import EngineLimitUpdate
 from sapphirerock.process.peers.hosts import DEAD_HOST_COOLDOWN_S
@@ -207,7 +206,7 @@
         if not self._peers.may_read(owner, VIEW):
             return None
         try:
-            async with asyncio.timeout(TURN_TIMEOUT_S):
+            async with limit_wait(TURN_TIMEOUT_S):
                 reply = await self._peers.ask(owner, request, TURN_TIMEOUT_S)
         except TimeoutError:
             return None
--- a/src/sapphirerock/process/engines/slots.py
+++ b/src/sapphirerock/process/engines/slots.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from sapphirerock.connection.messages import SlotRelease, SlotReply, SlotRequest
+from sapphirerock.connection.timeouts import limit_wait
 from sapphirerock.decisions.slots import EngineRoom, SlotDemand, SlotSchedule
 from sapphirerock.process.engines.statements import VIEW
 from sapphirerock.process.peers.owners import find_owner
@@ -132,7 +133,7 @@
             return None
         timeout_s = request.max_wait_s + REPLY_TIMEOUT_S
         try:
-            async with asyncio.timeout(timeout_s):
+            async with limit_wait(timeout_s):
                 reply = await self._peers.ask(owner, request, timeout_s)
         except TimeoutError:
             return None
