A peer that is silent while it is dialled is not taken for dead

Hosts took a peer that stood still for 1.2 s for dead for 3 s if they had no stream to it and dialled it meanwhile: the turns and slots that it owned moved, and leases of its calls were dropped.

Cause: a peer with a stream may be silent for 2 s, but one that is dialled had 1 s for the handshake, though its kernel had accepted the connection.

Now a dialled peer has the same 2 s. An address that refuses or does not accept connections is as before; so are the seeds that a starting host dials.

--- a/features/hostsilence.feature
+++ b/features/hostsilence.feature
@@ -44,6 +44,16 @@
     When the host checks the engine while calls run on it
     Then the host gives it no new work, and reports nothing to other hosts
 
+  Scenario Outline: A peer that is silent while it is dialled is not taken for dead: <seconds> s
+    Given a peer that stands still for <seconds> s
+    When a host connects to it
+    Then the peer is <state>
+
+    Examples:
+      | seconds | state                     |
+      | 1.2     | connected, and never dead |
+      | 5.0     | dead within 2.5 s         |
+
   Scenario Outline: A host that stood still takes what has arrived meanwhile: <wait>
     Given a peer and an engine that answer within 0.1 s
     When the host <wait>, and its event loop is busy for 0.8 s
--- a/features/steps/busyhost_steps.py
+++ b/features/steps/busyhost_steps.py
@@ -8,7 +8,12 @@
 import msgpack
 from behave import given, then, when
 
-from features.steps.relay_steps import LOOPBACK, register_in, send_order
+from features.steps.relay_steps import (
+    LOOPBACK,
+    RelayingPeer,
+    register_in,
+    send_order,
+)
 from sapphirerock.connection.messages import (
     RelayOpen,
     RelayOpened,
@@ -22,11 +27,15 @@
 from sapphirerock.connection.upstream import make_upstream_session
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.engines.limits import TURN_TIMEOUT_S
+from sapphirerock.process.peers.hosts import HostTable
+from sapphirerock.process.peers.table import PeerTable
 from sapphirerock.process.settings.hostsettings import HostAddress
+from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 
 ANSWER_DELAY_S = 0.1
 BUSY_AFTER_S, BUSY_S = 0.05, 0.8
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+OBSERVED_S = 3.0
 WAITS = {}
 
 
@@ -129,3 +138,49 @@
 @then("it gets the answer")
 def check_answer(context):
     assert context.result.is_ok(), context.result
+
+
+@given("a peer that stands still for {seconds:g} s")
+def start_silent_peer(context, seconds):
+    context.peer = RelayingPeer()
+    # The kernel accepts connections for a process that stands still.
+    context.listener = socket.create_server((LOOPBACK, context.peer.host.peer_port))
+    context.silent_s = seconds
+
+
+@when("a host connects to it")
+def connect_to_silent_peer(context):
+    context.dead_at_s = None
+
+    async def run():
+        clock = SystemClock()
+        own = HostAddress("a1", "zone-a", "region-1", LOOPBACK, 1, 2)
+        hosts = HostTable(own, (), clock)
+        hosts.update_from_registration(context.peer.host)
+        table = PeerTable(hosts, "", 1, clock, EdgeMetrics())
+        started_s = time.monotonic()
+        connecting = asyncio.ensure_future(table.get_stream("b1"))
+        is_resumed = False
+        while time.monotonic() < started_s + OBSERVED_S:
+            if time.monotonic() - started_s > context.silent_s and not is_resumed:
+                is_resumed = True
+                await asyncio.start_server(
+                    context.peer.table._accept, sock=context.listener
+                )
+            if context.dead_at_s is None and hosts.list_dead():
+                context.dead_at_s = time.monotonic() - started_s
+            await asyncio.sleep(0.02)
+        context.is_connected = connecting.done() and connecting.result().is_ok()
+        await table.on_stop()
+
+    context.run(run())
+
+
+@then("the peer is connected, and never dead")
+def check_connected(context):
+    assert context.is_connected and context.dead_at_s is None, context.dead_at_s
+
+
+@then("the peer is dead within {bound:g} s")
+def check_dead(context, bound):
+    assert context.dead_at_s is not None and context.dead_at_s <= bound
--- a/src/sapphirerock/connection/peer.py
+++ b/src/sapphirerock/connection/peer.py
@@ -183,7 +183,14 @@
 
 
 async def open_peer_stream(
-    reader, writer, local_hello, shared_key, on_message, unpacker=None, hello=None
+    reader,
+    writer,
+    local_hello,
+    shared_key,
+    on_message,
+    unpacker=None,
+    hello=None,
+    timeout_s=HANDSHAKE_TIMEOUT_S,
 ):
     """Run the handshake in which both ends authenticate each other.
 
@@ -201,6 +208,8 @@
         Decoder with the bytes received so far.
     hello : Hello or None
         Handshake message of the peer if it has been read already.
+    timeout_s : float
+        Time limit in seconds.
 
     Returns
     -------
@@ -209,7 +218,7 @@
     unpacker = unpacker or make_unpacker()
     local_hello.nonce = os.urandom(NONCE_BYTES)
     try:
-        async with limit_wait(HANDSHAKE_TIMEOUT_S):
+        async with limit_wait(timeout_s):
             writer.write(encode_frame(0, local_hello))
             if hello is None:
                 hello = await read_handshake_message(reader, unpacker, Hello)
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -10,6 +10,7 @@
 from sapphirerock.connection.errors import PeerUnavailable
 from sapphirerock.connection.messages import Heartbeat, Hello, Refusal, RelayOpen
 from sapphirerock.connection.peer import (
+    HANDSHAKE_TIMEOUT_S,
     make_unpacker,
     open_peer_stream,
     read_first_message,
@@ -225,17 +226,20 @@
         self._register_stream(stream)
         return Ok(stream)
 
-    async def _connect(self, address, port):
+    async def _connect(self, address, port, timeout_s=HANDSHAKE_TIMEOUT_S):
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
                 address, port, local_addr=(self.hosts.own_address.address, 0)
             )
-        return await self._shake_hands(reader, writer)
+        return await self._shake_hands(reader, writer, timeout_s=timeout_s)
 
     async def _dial(self, address):
         host = address.host
         try:
-            opened = await self._connect(address.address, address.peer_port)
+            # As long as a peer with a stream may be silent.
+            opened = await self._connect(
+                address.address, address.peer_port, SILENCE_TIMEOUT_S
+            )
         except (TimeoutError, OSError) as error:
             self.hosts.mark_dead(host)
             return Error(PeerUnavailable(host, repr(error)))
@@ -269,7 +273,9 @@
         else:
             self._register_stream(opened.ok)
 
-    async def _shake_hands(self, reader, writer, unpacker=None, hello=None):
+    async def _shake_hands(
+        self, reader, writer, unpacker=None, hello=None, timeout_s=HANDSHAKE_TIMEOUT_S
+    ):
         own_address = self.hosts.own_address
         own_hello = Hello(
             own_address.host,
@@ -289,6 +295,7 @@
             self._dispatch_message,
             unpacker,
             hello,
+            timeout_s,
         )
 
     def _register_stream(self, stream):
