Tests: all engines of the router stand still for 1.2 s

Generations continue on another engine, or on the same one, after their events were silent (0.55 to 1.2 s) or an engine took more than 1 s to accept them. Where all engines stand still there is no other. No fault was found: 3 of 3 scenarios (after 0, 1 and 75 of 150 tokens) passed on the code before, whole, under one id and without a reconnect, since a generation with tokens looks for an engine for 60 s and one without returns to the queue until its deadline.

--- a/features/engineloss.feature
+++ b/features/engineloss.feature
@@ -20,6 +20,19 @@
       | 75     | its engine is killed and restarts at its address |
       | 40     | two engines are killed one after the other       |
 
+  Scenario Outline: All engines stand still for 1.2 s after <tokens> tokens
+    When a generation of 150 tokens is read through r1
+    And after <tokens> tokens all engines stand still for 1.2 s
+    Then the generation is complete, with a single generation id
+    And it resumed within 3 seconds
+    And its caller did not have to reconnect
+
+    Examples:
+      | tokens |
+      | 0      |
+      | 1      |
+      | 75     |
+
   Scenario: An engine whose connections went silent is reached over a new connection
     When a generation of 150 tokens is read through r1
     And after 75 tokens its engine's open connections go silent
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -116,6 +116,13 @@
     await pause_process(world, name, 4)
 
 
+@register_loss("all engines stand still for 1.2 s")
+async def silence_engines(world):
+    status = await world.cluster.read_status("r1")
+    for upstream in status["upstreams"]:
+        await pause_process(world, upstream["name"], 1.2)
+
+
 async def pause_process(world, name, seconds):
     """Pause a process and let a timer resume it; return at once."""
     process = world.cluster.processes[name]
@@ -205,6 +212,11 @@
     assert len(record.generation_ids) == 1, record.generation_ids
 
 
+@then("its caller did not have to reconnect")
+def check_no_reconnect(context):
+    assert not context.record.reconnects, context.record.reconnects
+
+
 @then("it resumed within {seconds:d} seconds")
 def check_resume_latency(context, seconds):
     gap_s = context.record.find_gap_after(context.world.fault_at_s)
