Silent owners of turns: a call waits for three, and briefly for all but the first

Cause: each owner had the time of the first one, however many had been silent for the same call.

Now the owners after the first silent one have 0.1 s, which is a round trip between regions and some, and after three silent owners the call is refused.

--- a/features/enginelimits.feature
+++ b/features/enginelimits.feature
@@ -97,6 +97,16 @@
       | 3     |
       | 9     |
 
+  Scenario Outline: A call for which the owners of turns are silent is refused within 0.5 s: <owners>
+    Given a host with 6 limited engines, the turns of which <owners>
+    When a call asks for a turn at each engine until it has one
+    Then the call <outcome> within 0.5 s
+
+    Examples:
+      | owners                              | outcome    |
+      | belong to 6 silent hosts            | is refused |
+      | belong to 2 silent hosts and others | has a turn |
+
   Scenario Outline: A host of an earlier version is not asked for turns: <peer>
     Given a host that owns the turns of an engine and is known as <peer>
     When another host needs a turn at the engine
--- a/features/steps/enginelimit_steps.py
+++ b/features/steps/enginelimit_steps.py
@@ -5,28 +5,32 @@
 from collections import Counter
 from random import Random
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 from behave import given, then, when
-from expression import Ok
+from expression import Error, Ok
 from multidict import CIMultiDict
 from tools.rawclient import RawConnection
 from tools.sharedcaller import make_headers
 from tools.sharedcluster import SharedCluster, make_configuration
 
 from features.steps.edge_steps import ZONES, has_engines
+from sapphirerock.connection.errors import PeerUnavailable
+from sapphirerock.connection.messages import TurnReply
 from sapphirerock.connection.upstream import make_upstream_session
 from sapphirerock.decisions.rendezvous import pick_candidate
 from sapphirerock.decisions.turns import TurnSchedule, choose_max_wait
 from sapphirerock.platform.dialect import PlatformDialect
-from sapphirerock.process.clock import ManualClock
+from sapphirerock.process.clock import ManualClock, SystemClock
 from sapphirerock.process.engines.limits import VIEW, EngineLimitTable
 from sapphirerock.process.engines.paths import EnginePath
-from sapphirerock.process.engines.table import EngineTable
+from sapphirerock.process.engines.table import EngineState, EngineTable
 from sapphirerock.process.peers.gossip import EngineLimitUpdate
 from sapphirerock.process.peers.table import PeerTable
 from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.request.backupkeeper import BackupKeeper
+from sapphirerock.request.turntaker import TurnTaker
 from sapphirerock.version.engineentry import EngineEntry
 
 LIMITS_PER_S = (2.5, 2.0, 1.5)
@@ -634,3 +638,45 @@
 @then("the engine gets {count:d} requests for a copy")
 def check_copy_requests(context, count):
     assert context.copy_requests == count, context.copy_requests
+
+
+@given("a host with {count:d} limited engines, the turns of which {owners}")
+def make_silent_owners(context, count, owners):
+    # The engines of silent owners come first.
+    silent = int(owners.split()[2])
+
+    async def ask(host, request, timeout_s):
+        if int(request.engine.removeprefix("e")) < silent:
+            await asyncio.sleep(timeout_s)
+            return Error(PeerUnavailable(host, "no reply in time"))
+        return Ok(TurnReply(True, 0.0, 0.0, ""))
+
+    clock, peers = SystemClock(), Mock(ask=ask, is_shutting_down=True)
+    peers.hosts.own_address.host = "a1"
+    peers.hosts.list_live.return_value = [SimpleNamespace(host="b1")]
+    limits = EngineLimitTable(Mock(), peers, Mock(), clock)
+    context.states = []
+    for number in range(count):
+        entry = EngineEntry(f"e{number}", "shop", "127.0.0.1:1", "zone-b", 16)
+        context.states.append(EngineState(entry, limit_per_s=2.0))
+    runtime = Mock(clock=clock, engine_limits=limits)
+    context.turns = TurnTaker(runtime, Mock())
+
+
+@when("a call asks for a turn at each engine until it has one")
+def ask_all_owners(context):
+    async def run():
+        started_s = time.monotonic()
+        for state in context.states:
+            context.has_turn = await context.turns.take_turn(state, 0.5)
+            if context.has_turn:
+                break
+        context.took_s = time.monotonic() - started_s
+
+    context.run(run())
+
+
+@then("the call {outcome} within 0.5 s")
+def check_call_outcome(context, outcome):
+    assert context.has_turn == (outcome == "has a turn")
+    assert context.took_s <= 0.5, context.took_s
--- a/src/sapphirerock/decisions/turns.py
+++ b/src/sapphirerock/decisions/turns.py
@@ -27,11 +27,14 @@
         Time until the turn, in seconds; if not granted, until the first free turn.
     next_wait_s : float
         Time until the first turn that is free after this answer, in seconds.
+    has_owner : bool
+        Whether a host that owns the turns has answered.
     """
 
     is_granted: bool
     wait_s: float
     next_wait_s: float
+    has_owner: bool = True
 
 
 class TurnSchedule:
--- a/src/sapphirerock/process/engines/limits.py
+++ b/src/sapphirerock/process/engines/limits.py
@@ -149,7 +149,7 @@
         for engine, born_ms, limit_per_s in message.limits:
             self._apply(engine, born_ms, limit_per_s, stream.host)
 
-    async def take_turn(self, state, max_wait_s):
+    async def take_turn(self, state, max_wait_s, timeout_s=TURN_TIMEOUT_S):
         """Reserve a turn at a limited engine, if there is one soon enough.
 
         Parameters
@@ -158,6 +158,8 @@
             The engine.
         max_wait_s : float
             Longest time until the turn, in seconds.
+        timeout_s : float
+            Time that the owner has to reply, in seconds.
 
         Returns
         -------
@@ -173,13 +175,13 @@
         else:
             state.turn_asked_s = now_s
         try:
-            turn = await self._ask_owner(state, max_wait_s)
+            turn = await self._ask_owner(state, max_wait_s, timeout_s)
         finally:
             state.turn_asked_s = None
         state.next_turn_s = self._clock.monotonic() + turn.next_wait_s
         return turn
 
-    async def _ask_owner(self, state, max_wait_s):
+    async def _ask_owner(self, state, max_wait_s, timeout_s):
         request = TurnRequest(
             state.name, state.entry.born_ms, state.limit_per_s, max_wait_s
         )
@@ -187,7 +189,7 @@
         for _ in range(MAX_OWNERS_ASKED):
             if owner == self._own_host:
                 return await self._reserve_or_pass_on(request)
-            reply = await self._ask(owner, request)
+            reply = await self._ask(owner, request, timeout_s)
             if reply is not None and not reply.owner:
                 return Turn(reply.is_granted, reply.wait_s, reply.next_wait_s)
             previous = owner
@@ -195,9 +197,9 @@
             if owner == previous:
                 break
         logger.bind(engine=state.name, owner=owner).info("no owner of engine turns")
-        return Turn(False, OWNER_RETRY_S, OWNER_RETRY_S)
+        return Turn(False, OWNER_RETRY_S, OWNER_RETRY_S, has_owner=False)
 
-    async def _ask(self, owner, request):
+    async def _ask(self, owner, request, timeout_s=TURN_TIMEOUT_S):
         """Return a host's reply, or None if it did not come in time.
 
         A host of an earlier version, which closes the stream on such a request, is not
@@ -206,8 +208,8 @@
         if not self._peers.may_read(owner, VIEW):
             return None
         try:
-            async with limit_wait(TURN_TIMEOUT_S):
-                reply = await self._peers.ask(owner, request, TURN_TIMEOUT_S)
+            async with limit_wait(timeout_s):
+                reply = await self._peers.ask(owner, request, timeout_s)
         except TimeoutError:
             return None
         return reply.ok if reply.is_ok() else None
--- a/src/sapphirerock/request/turntaker.py
+++ b/src/sapphirerock/request/turntaker.py
@@ -4,10 +4,17 @@
 
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.decisions.slots import EngineRoom
+from sapphirerock.decisions.turns import Turn
+from sapphirerock.process.engines.limits import OWNER_RETRY_S, TURN_TIMEOUT_S
 from sapphirerock.request.problem import OVERLOADED, Problem
 
 # A call may end this much later than its deadline.
 SLOT_HOLD_SLACK_S = 0.5
+# Time that an owner of turns has to reply to a call for which another owner was silent.
+# A round trip between regions, and a busy owner.
+NEXT_OWNER_TIMEOUT_S = 0.1
+# Silent owners for which one call waits. Several hosts may stand still together.
+MAX_SILENT_OWNERS = 3
 
 
 class TurnTaker:
@@ -34,6 +41,7 @@
         "_runtime",
         "_call",
         "_waits_s",
+        "_silent_owners",
         "_slot",
     )
 
@@ -43,6 +51,7 @@
         self._runtime = runtime
         self._call = call
         self._waits_s = []
+        self._silent_owners = 0
         self._slot = None
 
     async def take(self, state, max_wait_s):
@@ -69,7 +78,7 @@
         """
         if state.limit_per_s is None:
             return True
-        turn = await self._runtime.engine_limits.take_turn(state, max_wait_s)
+        turn = await self._ask_for_turn(state, max_wait_s)
         logger.bind(
             request=self._call.metadata.attempt_id,
             engine=state.name,
@@ -85,6 +94,16 @@
             await self._runtime.clock.sleep(turn.wait_s)
         return True
 
+    async def _ask_for_turn(self, state, max_wait_s):
+        """Ask the owner of an engine's turns, unless too many owners were silent."""
+        if self._silent_owners >= MAX_SILENT_OWNERS:
+            return Turn(False, OWNER_RETRY_S, OWNER_RETRY_S, has_owner=False)
+        timeout_s = NEXT_OWNER_TIMEOUT_S if self._silent_owners else TURN_TIMEOUT_S
+        limits = self._runtime.engine_limits
+        turn = await limits.take_turn(state, max_wait_s, timeout_s)
+        self._silent_owners += not turn.has_owner
+        return turn
+
     async def _take_slot(self, state, max_wait_s):
         """Lease a slot of a brittle engine; return whether the call may be sent."""
         runtime, call = self._runtime, self._call
