A peer that was taken for dead and goes on is alive again

Cause: silence was taken for an end, and what the peer sent afterwards was not looked at.

Now a heartbeat shows that the peer is alive. One that is dead sends none, and is taken for dead for as long as before.

Evidence: "A peer that was taken for dead and goes on is alive again" (features/hostsilence.feature), with a peer that answers after 0.4 s: still dead 0.7 s later before, alive and reachable now.

--- a/features/hostsilence.feature
+++ b/features/hostsilence.feature
@@ -64,3 +64,8 @@
       | connects to the engine               |
       | asks the peer to relay a connection  |
       | asks the peer for a turn             |
+
+  Scenario: A peer that was taken for dead and goes on is alive again
+    Given two connected hosts, one of which answers after 0.4 s
+    When the other asks it to keep a journal, and takes it for dead
+    Then it is alive within 0.7 s, and counts as reachable
--- a/features/steps/busyhost_steps.py
+++ b/features/steps/busyhost_steps.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from unittest.mock import Mock
 
 import msgpack
 from behave import given, then, when
@@ -15,6 +16,8 @@
     send_order,
 )
 from sapphirerock.connection.messages import (
+    JournalFind,
+    JournalOpen,
     RelayOpen,
     RelayOpened,
     TurnReply,
@@ -27,6 +30,7 @@
 from sapphirerock.connection.upstream import make_upstream_session
 from sapphirerock.process.clock import SystemClock
 from sapphirerock.process.engines.limits import TURN_TIMEOUT_S
+from sapphirerock.process.journals.client import JournalClient
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.table import PeerTable
 from sapphirerock.process.settings.hostsettings import HostAddress
@@ -184,3 +188,49 @@
 @then("the peer is dead within {bound:g} s")
 def check_dead(context, bound):
     assert context.dead_at_s is not None and context.dead_at_s <= bound
+
+
+@given("two connected hosts, one of which answers after 0.4 s")
+def start_slow_holder(context):
+    async def run():
+        context.peer, context.host = RelayingPeer(), RelayingPeer("a1", "zone-a")
+
+        async def answer_late(stream, message):
+            await asyncio.sleep(0.4)
+
+        for message_type in (JournalOpen, JournalFind):
+            context.peer.table.register_handler(message_type, answer_late)
+        for host in (context.peer, context.host):
+            await host.table.start()
+        context.host.table.hosts.update_from_registration(context.peer.host)
+        connected = await context.host.table.get_stream("b1")
+        assert connected.is_ok(), connected
+
+    context.run(run())
+
+
+@when("the other asks it to keep a journal, and takes it for dead")
+def ask_slow_holder(context):
+    table = context.host.table
+    store = Mock()
+    store.find.return_value = None
+
+    async def run():
+        journals = JournalClient(table, store, context.host.clock, Mock())
+        await journals.open("weavers", "key", b"digest", "g1", "b1")
+        context.was_dead = table.hosts.list_dead() == ["b1"]
+        started_s = time.monotonic()
+        while table.hosts.list_dead() and time.monotonic() < started_s + 0.7:
+            await asyncio.sleep(0.02)
+        for host in (context.peer, context.host):
+            await host.table.stop()
+
+    context.run(run())
+
+
+@then("it is alive within 0.7 s, and counts as reachable")
+def check_alive(context):
+    hosts = context.host.table.hosts
+    assert context.was_dead
+    assert not hosts.list_dead()
+    assert hosts.can_reach_all()
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -357,6 +357,8 @@
         self.count_bytes(stream, "heartbeat", stream.send(message))
 
     def _handle_heartbeat(self, stream, message):
+        # It may have been silent for a moment.
+        self.hosts.mark_alive(stream.host)
         if message.leaving:
             self.hosts.mark_shutting_down(stream.host)
         new_views = {view[0] for view in message.views} - stream.known_views
