--- a/src/sapphirerock/connection/relay.py
+++ b/src/sapphirerock/connection/relay.py
@@ -6,7 +6,6 @@
 without nil was broken off, so an incomplete response is never taken for a whole one.
 """
 
-import asyncio
 from functools import partial
 
 import msgpack
@@ -19,10 +18,14 @@
     decode_frame,
     encode_frame,
 )
+from sapphirerock.connection.timeouts import limit_wait
 from sapphirerock.connection.upstream import UpstreamProtocol, make_exchange_session
 
 # Two round trips between regions, and the time that the peer has to connect.
 RELAY_OPEN_TIMEOUT_S = 0.45
+# An exchange with less time in total leaves this much after the reply, so that a silent
+# peer is told from a silent engine.
+RELAY_REPLY_MARGIN_S = 0.02
 # Largest block of bytes in one msgpack object.
 RELAY_BLOCK_BYTES = 1 << 14
 # One read of asyncio's transports, which have 256 KiB, and the start of a block.
@@ -154,13 +157,16 @@
 
     async def _create_connection(self, req, traces, timeout):
         engine_address = f"{req.url.host}:{req.url.port}"
+        timeout_s = RELAY_OPEN_TIMEOUT_S
+        if timeout.total is not None:
+            timeout_s = min(timeout_s, timeout.total - RELAY_REPLY_MARGIN_S)
         try:
-            async with asyncio.timeout(RELAY_OPEN_TIMEOUT_S):
+            async with limit_wait(timeout_s):
                 return await self._open(engine_address)
         except EngineConnectError as error:
             failure = error.os_error
         except TimeoutError:
-            failure = RelayError("no reply in time")
+            failure = RelayError("no reply in time", is_silent=True)
         except RelayError as error:
             failure = error
         except OSError as error:
