Crash watch: crashes that refusals caused are no evidence against calls

Suspects run alone and are refused after three crashes.

Cause: a crash counts against each call that ran, whatever caused it. Hosts know the refusals: each those of its own calls, and the owner of an engine's slots all of them. If one knows at least half of the tolerated refusals within the 1.2 s before a crash, it marks the crash in the log. The mark is spread, merged and compared like a suspect, so no message changes and hosts of an earlier build pass it on; they count it as a suspect that no request has. Refusals that are reported up to 0.5 s after the crash count as well.

Table on one host: refusals before and after the loss, of an earlier start, too few, too old, marks of other hosts.

Not covered: engines that tolerate no refusal send none before they crash.

--- a/features/brittleengines.feature
+++ b/features/brittleengines.feature
@@ -31,6 +31,33 @@
       | 24    | 240 calls a second    |
       | 9     | 30 streams a second   |
 
+  Scenario Outline: Calls are not suspected of crashes that refusals caused: <load>
+    Given a shared platform with 9 edges and 3 engines of each service that run 6 calls of 50 ms
+    When the engines of a service tolerate 4 refusals in a second, run 1 call from 4 seconds later and crash 0.8 seconds after that, under <load> for 8 seconds
+    Then no call is called a suspect
+
+    Examples:
+      | load                |
+      | 160 calls a second  |
+      | 30 streams a second |
+
+  Scenario Outline: A crash that refusals caused is no evidence against the calls that it ended: <events>
+    Given a host with a call on an engine that crashes
+    When <events> on an engine that tolerates 4 refusals
+    Then the host records <crashes> crashes against the call
+
+    Examples:
+      | events                                                               | crashes |
+      | the call is lost                                                     | 1       |
+      | 2 refusals are followed by the loss of the call                      | 0       |
+      | the loss of the call is followed by 2 refusals                       | 0       |
+      | 1 refusal is followed by the loss of the call                        | 1       |
+      | 4 refusals are followed 3 seconds later by the loss of the call      | 1       |
+      | 2 refusals of an earlier start are followed by the loss of the call  | 1       |
+      | another host reports refusals before the loss of the call            | 0       |
+      | another host reports refusals after the loss of the call             | 0       |
+      | another host's log with refusals is merged after the loss of the call | 0      |
+
   Scenario Outline: The slots of one schedule keep refusals rare and use the room up: <calls> calls a second, <way> ms away
     When <calls> calls a second of 50 ms ask for slots of an engine <way> ms away that runs <slots> and tolerates <tolerance> refusals
     Then no second has more than <tolerance> refusals
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -88,6 +88,16 @@
     context.run(run())
 
 
+@when(
+    "the engines of a service tolerate {tolerance:d} refusals in a second, run "
+    "{left:d} call from 4 seconds later and crash {delay:g} seconds after that, under "
+    "{rate:d} {kind} a second for {seconds:d} seconds"
+)
+def send_load_until_crash(context, tolerance, left, delay, rate, kind, seconds):
+    context.crash_delay_s = delay
+    send_load_while_room_shrinks(context, tolerance, left, rate, kind, seconds)
+
+
 async def shrink_room(context, tolerance, left):
     """Let engines run fewer calls, from the time on at which hosts are bound."""
     await asyncio.sleep(CONTACT_S + STATEMENT_S)
@@ -97,6 +107,10 @@
             await context.world.cluster.inject(
                 name, "brittle", manner=str(tolerance), amount=float(left)
             )
+    if "crash_delay_s" in context:
+        await asyncio.sleep(context.crash_delay_s)
+        for name in context.names:
+            await context.world.cluster.inject(name, "crash")
 
 
 @then("from {start:d} seconds on, no more than {most:d} of them crashed")
@@ -165,15 +179,28 @@
     assert not untrue, (len(untrue), len(refused), untrue[:20])
 
 
-@then("no call is suspected of the crashes")
-def check_no_suspects(context):
+def count_events(context, *words):
+    """Return how often edges logged events that contain one of the words."""
     cluster = context.world.cluster
-    events = Counter(
+    return Counter(
         entry["event"]
         for name in cluster.edges
         for entry in cluster.read_log_entries(name)
-        if "suspect" in entry["event"] or "evidence" in entry["event"]
+        if any(word in entry["event"] for word in words)
     )
+
+
+@then("no call is suspected of the crashes")
+def check_no_evidence(context):
+    events = count_events(context, "suspect", "evidence")
+    assert not events, events
+
+
+@then("no call is called a suspect")
+def check_no_suspects(context):
+    """Check that evidence that came before the cause was known has been dismissed."""
+    assert count_events(context, "crash attributed to refusals")
+    events = count_events(context, "suspect")
     assert not events, events
 
 
--- a/src/sapphirerock/decisions/crashlog.py
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -7,7 +7,8 @@
 order changes nothing, so hosts can merge their logs.
 
 A suspect is a request or a prompt part, and is known by its fingerprint. A part on
-which an engine has begun to write is sound, and no suspect any more.
+which an engine has begun to write is sound, and no suspect any more. A crash that
+refusals caused is marked in its list of suspects, and is no evidence against them.
 """
 
 import hashlib
@@ -39,6 +40,9 @@
 PART_FINGERPRINT_BYTES = 13
 DIGEST_BYTES = 7
 MS_PER_S = 1000
+# Stands among the suspects of a crash that refusals caused. It is spread, merged and
+# compared as they are, and is the fingerprint of no request.
+REFUSALS_MARK = b"refusals"
 
 
 @dataclass(slots=True, frozen=True)
@@ -189,10 +193,31 @@
         added = self.select_unknown(run, fingerprints)
         for fingerprint in added:
             crash.suspects.add(fingerprint)
-            self._runs_by_suspect.setdefault(fingerprint, set()).add(run)
             self._toggle(encode_run(run) + fingerprint)
+        if REFUSALS_MARK in crash.suspects:
+            self._dismiss_suspects(run)
+        else:
+            for fingerprint in added:
+                self._runs_by_suspect.setdefault(fingerprint, set()).add(run)
         return added
 
+    def is_caused_by_refusals(self, run):
+        """Return whether a crash is known to have been caused by refusals."""
+        crash = self._crashes.get(run)
+        return crash is not None and REFUSALS_MARK in crash.suspects
+
+    def get_crash_time(self, run):
+        """Return the monotonic time of a known crash, in seconds."""
+        return self._crashes[run].at_s
+
+    def _dismiss_suspects(self, run):
+        """Count a crash against none of the requests that ran on the engine."""
+        for fingerprint in self._crashes[run].suspects:
+            runs = self._runs_by_suspect.get(fingerprint, set())
+            runs.discard(run)
+            if not runs:
+                self._runs_by_suspect.pop(fingerprint, None)
+
     def add_blocked(self, fingerprint, at_s):
         """Block a request; return whether it was not blocked.
 
@@ -260,14 +285,11 @@
 
     def _remove_crash(self, run):
         self._remove_from_period(run)
+        self._dismiss_suspects(run)
         crash = self._crashes.pop(run)
         self._toggle(encode_run(run))
         for fingerprint in crash.suspects:
             self._toggle(encode_run(run) + fingerprint)
-            runs = self._runs_by_suspect[fingerprint]
-            runs.discard(run)
-            if not runs:
-                del self._runs_by_suspect[fingerprint]
 
     def _remove_blocked(self, fingerprint):
         del self._blocked[fingerprint]
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -293,7 +293,7 @@
             dialect=dialect,
             fleet=fleet,
             engine_limits=engine_limits,
-            engine_slots=EngineSlotTable(self.engines, self.peers, clock),
+            engine_slots=EngineSlotTable(self.engines, self.peers, crash_watch, clock),
             engine_rests=EngineRestTable(self.engines, self.peers, clock),
             engine_statements=engine_statements,
             stream_origins=self.stream_origins,
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from sapphirerock.decisions.crashlog import (
+    REFUSALS_MARK,
     EngineRun,
     is_part,
     make_part_fingerprint,
@@ -17,6 +18,7 @@
     choose_isolated_engine,
 )
 from sapphirerock.decisions.quarantine import ISOLATION_CRASHES, make_fingerprint
+from sapphirerock.decisions.refusals import RecentRefusals
 from sapphirerock.process.engines.prober import ProbeOutcome
 from sapphirerock.process.peers.gossip import (
     CrashSuspectsUpdate,
@@ -106,6 +108,7 @@
         "_clock",
         "_metrics",
         "_losses",
+        "_refusals",
         "_tasks",
     )
 
@@ -119,6 +122,7 @@
         self._clock = clock
         self._metrics = metrics
         self._losses = {}
+        self._refusals = RecentRefusals()
         self._tasks = BackgroundTasks()
         gossip.subscribe(CrashSuspectsUpdate, self._apply_suspects)
         gossip.subscribe(EngineDownUpdate, self._apply_engine_down)
@@ -169,6 +173,8 @@
         A call that is lost later with the same run of the engine joins the suspects.
         """
         run = make_run(state)
+        if self._crash_log.is_caused_by_refusals(run):
+            return
         suspects = self._list_suspects(call)
         if self._crash_log.has_crash(run):
             unknown = self._crash_log.select_unknown(run, suspects)
@@ -387,11 +393,40 @@
         logger.bind(engine=state.name, cause=cause).info("engine down report ignored")
         return False
 
+    def record_refusal(self, engine, born_ms):
+        """Record that a brittle engine turned a call away.
+
+        The refusals that caused a crash may be reported after it.
+        """
+        state = self._engines.get(engine)
+        if state is None or state.entry.born_ms != born_ms:
+            return
+        run = make_run(state)
+        tolerance = self._engines.get_refusal_tolerance(state)
+        self._refusals.record(run, tolerance or 0.0, self._clock.monotonic())
+        if self._crash_log.has_crash(run):
+            self._attribute_to_refusals(run)
+
+    def _attribute_to_refusals(self, run):
+        """Tell all hosts that refusals caused a crash, if they did."""
+        at_s = self._crash_log.get_crash_time(run)
+        if self._crash_log.is_caused_by_refusals(run):
+            return
+        if not self._refusals.can_have_caused(run, at_s):
+            return
+        logger.bind(engine=run.engine, start=run.born_ms).info(
+            "crash attributed to refusals"
+        )
+        self._broadcast_suspects(run, at_s, [REFUSALS_MARK])
+
     def _record_crash(self, run, state):
         """Add a crash to the log, with the calls that this host had on the engine."""
         loss = self._losses.pop(run, None)
         at_s = loss.at_s if loss else self._clock.monotonic()
         self._crash_log.add_crash(run, at_s)
+        self._attribute_to_refusals(run)
+        if self._crash_log.is_caused_by_refusals(run):
+            return
         suspects = set(loss.suspects) if loss else set()
         if state is not None:
             for attempt in state.attempts:
@@ -402,13 +437,16 @@
 
     def _send_suspects(self, run, at_s, suspects):
         """Send the requests that this host had on a crashed engine to all hosts."""
+        self._broadcast_suspects(run, at_s, suspects)
+        self._tasks.spawn(self._block_when_settled(suspects))
+
+    def _broadcast_suspects(self, run, at_s, suspects):
         age_ms = int((self._clock.monotonic() - at_s) * MS_PER_S)
         self._gossip.broadcast(
             CrashSuspectsUpdate(
                 run.engine, run.born_ms, run.availability_zone, age_ms, list(suspects)
             )
         )
-        self._tasks.spawn(self._block_when_settled(suspects))
 
     def _apply_suspects(self, update):
         """Add the suspects that this host or a peer had on a crashed engine."""
@@ -416,7 +454,7 @@
         at_s = self._clock.monotonic() - update.age_ms / MS_PER_S
         self._crash_log.add_crash(run, at_s)
         added = self._crash_log.add_suspects(run, update.suspects)
-        if not added:
+        if not added or self._crash_log.is_caused_by_refusals(run):
             return
         self._sound_parts.announce_soon(added)
         self._metrics.crash_evidence.inc(len(added))
--- a/src/sapphirerock/process/engines/slots.py
+++ b/src/sapphirerock/process/engines/slots.py
@@ -68,6 +68,8 @@
         Registered engines.
     peers : PeerTable
         Streams to the owners of slots.
+    crash_watch : CrashWatch
+        Is told of calls that brittle engines turned away.
     clock : Clock
         Source of time.
     """
@@ -75,6 +77,7 @@
     __slots__ = (
         "_engines",
         "_peers",
+        "_crash_watch",
         "_clock",
         "_notice_times",
         "_regions",
@@ -85,9 +88,10 @@
         "_numbers",
     )
 
-    def __init__(self, engines, peers, clock):
+    def __init__(self, engines, peers, crash_watch, clock):
         self._engines = engines
         self._peers = peers
+        self._crash_watch = crash_watch
         self._clock = clock
         self._notice_times = NoticeTimes(self._count_crossings)
         # By availability zone, as far as looked up.
@@ -169,6 +173,8 @@
 
     def send_release(self, owner, message):
         """Tell the owner of a slot that its lease has ended."""
+        if message.was_refused:
+            self._crash_watch.record_refusal(message.engine, message.born_ms)
         if owner == self._own_host:
             self._release(message)
             return
@@ -274,6 +280,8 @@
             waiting.set_result(is_granted)
 
     def _handle_release(self, stream, message):
+        if message.was_refused:
+            self._crash_watch.record_refusal(message.engine, message.born_ms)
         self._release(message)
 
     def _release(self, message):
