Engine table: engines that replace brittle ones are brittle until they answer

If all brittle engines of a service crash together and their entries end, the new ones were taken for engines that bear any number of refusals until they first answered: calls of all hosts went to them without slots.

The tolerance of the last brittle engine of a service holds for 60 s for engines that have not answered since their start; a first answer without a statement ends it.

The row "the engine starts again under its id" of the table of statements expected none: an engine on its own that comes back was to be unknown. That is the fault; the row now expects the tolerance of before, and new rows say when it ends (after an answer without a statement, after a minute).

--- a/features/brittleengines.feature
+++ b/features/brittleengines.feature
@@ -145,5 +145,8 @@
       | another host reports at once that it ended            | 4      |
       | another host reports later that it ended              | none   |
       | another host reports 1 of an earlier start            | 4      |
-      | the engine starts again under its id                  | none   |
+      | the engine starts again under its id                  | 4      |
       | it starts again, and another one of the service has 3 | 3      |
+      | its entry ends, and it starts again                   | 4      |
+      | its entry ends, and it starts again after a minute    | none   |
+      | it starts again, and answers without a statement      | none   |
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -347,7 +347,18 @@
         value = -1.0 if "ended" in words else 1.0
         context.statements._apply("e1", born_ms, "refusal-tolerance", value, "gossip")
     else:
+        if "entry" in words:
+            context.revision += 1
+            ended = ReplicaChange("e1", context.revision, None)
+            context.engines.apply_changes([ended])
+        clock.advance(61.0 if "minute" in words else 0.0)
         add_engine(context, "e1", 2000)
+        if "answers" in words:
+            restarted = context.engines.get("e1")
+            context.statements.record_response(
+                restarted, make_head(None), clock.monotonic()
+            )
+            restarted.answered_s = clock.monotonic()
         if "has" in words:
             add_engine(context, "e2", 1000)
             other = context.engines.get("e2")
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -15,6 +15,9 @@
 # Streams of a version go on being taken up for less than this time after its last
 # engine is gone.
 VERSION_HISTORY_S = 60.0
+# Engines of a service are taken to be brittle until they answer for this time after its
+# last brittle engine is gone.
+TOLERANCE_HISTORY_S = 60.0
 # Engines whose statements are kept beyond their registrations.
 MAX_KEPT_STATEMENTS = 1_000
 
@@ -193,6 +196,7 @@
         "_metrics",
         "_states",
         "_kept_statements",
+        "_last_tolerances",
         "_last_seen_s_by_version",
     )
 
@@ -205,6 +209,8 @@
         # Statements by the engine's id and start, since a registration may lapse while
         # the engine lives, and come back.
         self._kept_statements = OrderedDict()
+        # Tolerance of the latest brittle engine that ended, and time of it, by service.
+        self._last_tolerances = {}
         self._last_seen_s_by_version = {}
 
     def apply_changes(self, changes):
@@ -260,6 +266,9 @@
         known = self._states.pop(name, None)
         if known is not None:
             known.is_removed = True
+            if known.refusal_tolerance is not None:
+                last = known.refusal_tolerance, self._clock.monotonic()
+                self._last_tolerances[known.entry.service] = last
             self.note_version(known.entry.service, known.entry.version)
 
     def note_version(self, service, version):
@@ -347,11 +356,15 @@
     def get_service_tolerance(self, service):
         """Return the refusals a second that the most brittle engine of a service bears.
 
+        If all of them have ended within `TOLERANCE_HISTORY_S`, it is that of the last.
+
         Returns
         -------
         float or None
             None if no engine of the service is brittle.
         """
+        last, ended_s = self._last_tolerances.get(service, (None, -math.inf))
+        is_recent = self._clock.monotonic() - ended_s < TOLERANCE_HISTORY_S
         return min(
             (
                 state.refusal_tolerance
@@ -359,7 +372,7 @@
                 if state.entry.service == service
                 and state.refusal_tolerance is not None
             ),
-            default=None,
+            default=last if is_recent else None,
         )
 
     def is_usable(self, state):
