Slots: calls are not held up by full engines or by an owner that does not reply

A call that no engine had a slot for could wait at each of them in turn: 0.75 s at three engines where it may wait 0.25 s. While the owner of the slots did not reply, each call waited 0.5 s for it.

The waits at several engines together now take no longer than the first may. An owner that has not replied is asked by one call in 0.5 s; the others are refused at once, and told the time until the next.

Two tests on the table of slots and on the turns of a call, both failed before: 0.75 s waited, 300 requests in 3 s to a silent owner; after, 0.25 s and at most 7.

--- a/features/brittleengines.feature
+++ b/features/brittleengines.feature
@@ -102,6 +102,16 @@
       | 1       | 4         | 1    | 240   | 1   | 0.5   | the owner of the slots freezes |
       | 3       | 4         | 3    | 240   | 30  | 0.25  | the owner of the slots freezes |
 
+  Scenario: A call does not wait for the slots of one engine after the other
+    Given a call that may wait 0.25 seconds for a slot, and 3 engines whose slots are taken
+    When the call asks for slots of all engines, and half a second later again
+    Then it waited for 0.25 seconds each time
+
+  Scenario: Calls are not held up by an owner of slots that does not reply
+    Given a host that asks a silent owner for the slots of an engine
+    When 100 calls a second need a slot for 3 seconds
+    Then the owner is asked at most 2 times a second, and other calls are refused at once
+
   Scenario Outline: Slots of a schedule of 2 slots and no tolerated refusals: <events>
     When calls do this with the slots of an engine: <events>
     Then the calls <granted> have a slot
--- a/src/sapphirerock/process/engines/slots.py
+++ b/src/sapphirerock/process/engines/slots.py
@@ -23,7 +23,7 @@
 
 # Twice a round trip between regions and a busy owner, added to the wait for a slot.
 REPLY_TIMEOUT_S = 0.25
-# Time after which a call asks again if the owner did not reply.
+# An owner that did not reply is asked by one call in this time.
 OWNER_RETRY_S = 0.5
 # Interval at which slots whose leases have expired go to waiting calls.
 WAIT_CHECK_INTERVAL_S = 0.1
@@ -84,6 +84,7 @@
         "_awake_s",
         "_schedules",
         "_checked_schedules",
+        "_silent_until_s",
         "_waiting",
         "_numbers",
     )
@@ -101,6 +102,8 @@
         self._schedules = {}
         # Keys of schedules that are checked after a time.
         self._checked_schedules = set()
+        # Monotonic times until which owners that did not reply are not asked.
+        self._silent_until_s = {}
         self._waiting = {}
         self._numbers = itertools.count(1)
         peers.register_handler(SlotRequest, self._handle_request)
@@ -142,6 +145,13 @@
             max_wait_s,
         )
         owner = find_owner(self._peers, entry.name)
+        now_s = self._clock.monotonic()
+        silent_s = self._silent_until_s.get(owner, now_s) - now_s
+        if silent_s > 0:
+            state.next_slot_s = now_s + silent_s
+            return silent_s
+        if owner in self._silent_until_s:
+            self._silent_until_s[owner] = now_s + OWNER_RETRY_S
         try:
             reply = await self._ask(owner, request)
         except asyncio.CancelledError:
@@ -151,7 +161,10 @@
             # The slot may have been leased.
             SlotLease(self, state, name, owner).release()
             reply = SlotReply(False, OWNER_RETRY_S)
+            self._silent_until_s[owner] = self._clock.monotonic() + OWNER_RETRY_S
             logger.bind(engine=entry.name, owner=owner).info("no owner of engine slots")
+        else:
+            self._silent_until_s.pop(owner, None)
         if reply.is_granted:
             return SlotLease(self, state, name, owner)
         state.next_slot_s = self._clock.monotonic() + reply.wait_s
--- a/src/sapphirerock/request/turntaker.py
+++ b/src/sapphirerock/request/turntaker.py
@@ -26,7 +26,14 @@
         Engines that had no turn or no slot for the call.
     """
 
-    __slots__ = ("engines_without_turn", "_runtime", "_call", "_waits_s", "_slot")
+    __slots__ = (
+        "engines_without_turn",
+        "_runtime",
+        "_call",
+        "_waits_s",
+        "_slot",
+        "_slot_waits_end_s",
+    )
 
     def __init__(self, runtime, call):
         self.engines_without_turn = set()
@@ -34,6 +41,8 @@
         self._call = call
         self._waits_s = []
         self._slot = None
+        # Monotonic time until which the call may wait for slots.
+        self._slot_waits_end_s = 0.0
 
     async def take(self, state, max_wait_s):
         """Take what a call needs at an engine and wait for it; return whether it could.
@@ -76,7 +85,11 @@
         return True
 
     async def _take_slot(self, state, max_wait_s):
-        """Lease a slot of a brittle engine; return whether the call may be sent."""
+        """Lease a slot of a brittle engine; return whether the call may be sent.
+
+        Waits at several engines, one after the other, together take no longer than the
+        first may.
+        """
         runtime, call = self._runtime, self._call
         tolerance = runtime.fleet.engines.get_refusal_tolerance(state)
         if tolerance is None:
@@ -88,6 +101,9 @@
             tolerance,
         )
         started_s = runtime.clock.monotonic()
+        if not self.engines_without_turn:
+            self._slot_waits_end_s = started_s + max_wait_s
+        max_wait_s = min(max_wait_s, max(0.0, self._slot_waits_end_s - started_s))
         hold_s = call.response_deadline_s - started_s + SLOT_HOLD_SLACK_S
         leased = await runtime.engine_slots.take(
             state, room, memory_tokens, hold_s, max_wait_s
