Slots: the pause of a schedule is measured once for all waiting calls

After each release the time until a call may be sent was measured for each waiting call again, over all leases.

--- a/src/sapphirerock/decisions/slots.py
+++ b/src/sapphirerock/decisions/slots.py
@@ -262,9 +262,9 @@
     def refuse_waiting(self, room, now_s):
         """End the waits that are too long by now; return the demands."""
         kept, refused = deque(), []
+        first_s = now_s + self.measure_pause_s(room, now_s)
         for item in self._waiting:
-            wait_s = self._estimate_wait_s(len(kept), room, now_s)
-            if now_s + wait_s > item.deadline_s:
+            if first_s + self._estimate_queueing_s(len(kept)) > item.deadline_s:
                 refused.append(item.demand)
             else:
                 kept.append(item)
@@ -297,11 +297,12 @@
 
     def estimate_wait_s(self, room, now_s):
         """Return the time until a slot is free for one more call, in seconds."""
-        return self._estimate_wait_s(len(self._waiting), room, now_s)
-
-    def _estimate_wait_s(self, waiting, room, now_s):
         pause_s = self.measure_pause_s(room, now_s)
-        return pause_s + self._held_s * (waiting + 1) / self._slots
+        return pause_s + self._estimate_queueing_s(len(self._waiting))
+
+    def _estimate_queueing_s(self, waiting):
+        """Return the time until a slot is free for a call behind others, in seconds."""
+        return self._held_s * (waiting + 1) / self._slots
 
     def measure_pause_s(self, room, now_s):
         """Return for how long no call may be sent, whatever slots are free.
