--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -495,7 +495,7 @@
 
     async def probe_and_confirm(entry, timeout_s):
         await asyncio.sleep(0.05)
-        return SimpleNamespace(outcome=None, shows_running=True)
+        return SimpleNamespace(outcome=None, shows_running=True, shows_start=True)
 
     context.runtime = SimpleNamespace(
         clock=clock,
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -835,6 +835,9 @@
 class UnusedFleet:
     """Fails when an attempt begins."""
 
+    def __init__(self, engines):
+        self.engines = engines
+
     def choose_backup_engine(self, call, state):
         """Fail: an attempt chooses its backup before it is sent."""
         raise AssertionError("the request is sent to an engine")
@@ -862,7 +865,7 @@
             crash_watch=host.crash_watch,
             retry_budget=RetryBudget(limits, lambda: 1, host.clock),
             admission=BlockingAdmission(host.crash_log),
-            fleet=UnusedFleet(),
+            fleet=UnusedFleet(host.engines),
         )
         context.responder = RecordingResponder()
         context.stream_call = StreamCall(runtime, call, context.responder)
