Engine monitor: backups are probed while their engine's answer is late

The probe now starts 0.05 s after the engine's probe, and its answer is there when the attempt is to move.

--- a/features/enginesilence.feature
+++ b/features/enginesilence.feature
@@ -36,3 +36,8 @@
       | one call             |
       | a call every 0.05 s  |
       | a call every 0.15 s  |
+
+  Scenario: It is known whether a backup answers when its engine is found silent
+    Given a host, and an engine that never answers
+    When the host has an attempt there, with a backup that answers after 0.13 s
+    Then the backup has answered when the attempt hears that its engine is silent
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -302,6 +302,7 @@
         self.state = state
         self.call = call
         self.is_silent = False
+        self.backup = None
         state.attempts.add(self)
 
     def interrupt(self, cause):
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -18,7 +18,9 @@
 
 from features.steps.edge_steps import start_cluster
 from features.steps.enginecut_steps import plan_calls, send_one
-from features.steps.poison_steps import HostUnderTest, make_call
+from features.steps.poison_steps import HostUnderTest, PendingAttempt, make_call
+from features.steps.relay_steps import RawEngine, send_report
+from sapphirerock.process.engines.crashwatch import RECENT_DATA_S
 from sapphirerock.request.upstreamattempt import UpstreamAttempt
 
 # 70 events of a stream take about 4 s, as on the users' sites.
@@ -297,3 +299,30 @@
 @then("it is marked silent within 0.7 s")
 def check_marked_silent(context):
     assert context.is_silent
+
+
+@when("the host has an attempt there, with a backup that answers after {delay_s:g} s")
+def send_with_backup(context, delay_s):
+    async def answer(engine, writer):
+        await asyncio.sleep(delay_s)
+        await send_report(engine, writer)
+
+    async def run():
+        host = context.host
+        backup = host.add_engine("e2", await RawEngine(answer).start())
+        attempt = PendingAttempt(context.state, make_call())
+        attempt.backup = backup
+        await host.monitor.start()
+        while not attempt.is_silent:
+            await asyncio.sleep(0.002)
+        now_s = host.clock.monotonic()
+        context.has_answered = now_s - backup.heard_s <= RECENT_DATA_S
+        await host.monitor.stop()
+        await host.close()
+
+    context.run(run())
+
+
+@then("the backup has answered when the attempt hears that its engine is silent")
+def check_backup_answered(context):
+    assert context.has_answered
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -29,7 +29,7 @@
 # Two round trips between regions, with room for a busy engine.
 PROBE_TIMEOUT_S = 0.3
 # An engine that has sent data within this time gets calls without a check.
-RECENT_DATA_S = 0.2
+RECENT_DATA_S = 0.25
 CHECK_TIMEOUT_S = 0.2
 # An engine that doesn't answer is probed again, since a lost packet, a busy engine or a
 # network partition hides a crash.
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -13,6 +13,9 @@
 # Even a busy engine sends its events within about 200 ms of each other.
 SILENCE_TIMEOUT_S = 0.2
 PROBE_TIMEOUT_S = 0.2
+# If a probe has no answer after this time, the engines that hold KV copies of the runs
+# are probed, too: their answers come before it is known that the engine is silent.
+BACKUP_CHECK_DELAY_S = 0.05
 # Interval at which an engine that is known to be silent is probed.
 SILENT_ENGINE_PROBE_INTERVAL_S = 0.25
 
@@ -62,11 +65,22 @@
         return bool(state.attempts) and is_silent
 
     async def _probe(self, state):
+        if not self._engines.is_marked_silent(state):
+            self.add_future(self._check_backups(state))
         try:
             await self._probe_and_report(state)
         finally:
             state.is_probe_pending = False
 
+    async def _check_backups(self, state):
+        """Find out whether an engine's backups answer, if its own answer is late."""
+        await self._clock.sleep(BACKUP_CHECK_DELAY_S)
+        if not state.is_probe_pending:
+            return
+        backups = {attempt.backup for attempt in state.attempts if attempt.backup}
+        for backup in backups:
+            self.add_future(self._crash_watch.check_answers(backup))
+
     async def _probe_and_report(self, state):
         """Probe an engine; report it down unless it replies or sends other data."""
         probed_at_s = self._clock.monotonic()
