--- a/features/enginelimits.feature
+++ b/features/enginelimits.feature
@@ -12,6 +12,7 @@
       | 9     | 30 calls a second   | 16      | nothing else happens                | 0.9   | 50      |
       | 9     | 30 calls a second   | 16      | a third of the edges is killed      | 0.6   | 500     |
       | 9     | 30 calls a second   | 16      | a third of the edges freezes        | 0.6   | 500     |
+      | 9     | 30 calls a second   | 16      | a third stands still for 1.2 s each 3.7 s | 0.6 | 500   |
       | 9     | 30 calls a second   | 16      | three edges are added               | 0.6   | 50      |
       | 24    | 40 calls a second   | 14      | nothing else happens                | 0.9   | 50      |
       | 9     | 12 streams a second | 16      | nothing else happens                | 0.9   | 50      |
--- a/features/steps/enginelimit_steps.py
+++ b/features/steps/enginelimit_steps.py
@@ -40,6 +40,7 @@
 BURST_RATIO, BURST_SLACK = 1.5, 5
 REFUSED_STATUSES = (429, 503)
 EDGES_STARTED_TOGETHER = 8
+SILENCE_PERIOD_S, SILENCE_S, SILENCES = 3.7, 1.2, 4
 TROUBLES = {}
 
 
@@ -120,6 +121,21 @@
         cluster.processes[name].resume()
 
 
+@register_trouble("a third stands still for 1.2 s each 3.7 s")
+async def silence_edges(context):
+    """Suspend every third edge again and again, as sound hosts may stand still."""
+    cluster = context.world.cluster
+    names = list(cluster.edges)[::3]
+    context.frozen_edges = [cluster.edges[name] for name in names]
+    for _ in range(SILENCES):
+        await asyncio.sleep(SILENCE_PERIOD_S - SILENCE_S)
+        for name in names:
+            cluster.processes[name].pause()
+        await asyncio.sleep(SILENCE_S)
+        for name in names:
+            cluster.processes[name].resume()
+
+
 @register_trouble("three edges are added")
 async def add_edges(context):
     """Start new edges, which become the owners of some engines' turns."""
