--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -198,8 +198,12 @@
 
 @then("no call is called a suspect")
 def check_no_suspects(context):
-    """Check that evidence that came before the cause was known has been dismissed."""
-    assert count_events(context, "crash attributed to refusals")
+    """Check that evidence that came before the cause was known has been dismissed.
+
+    There is none if no call ran on the engines when they crashed.
+    """
+    if count_events(context, "crash evidence added"):
+        assert count_events(context, "crash attributed to refusals")
     events = count_events(context, "suspect")
     assert not events, events
 
