Silent engines are probed by hosts that need them, and backups later

Each of the 76 hosts probed each engine that a peer had reported silent, every 0.25 s for 1.5 s, and the backup of each engine in another region that was reading a prompt, since such an engine's answer takes over 0.05 s.

Now a host probes a silent engine while it has an attempt there or a call waits for it, and backups are probed 0.14 s after their engine, which is longer than a round trip between regions. The scenario of a host that needs nothing of the engine failed before. A backup in another region may now be known to answer up to 0.1 s after its engine was found silent.

--- a/features/enginesilence.feature
+++ b/features/enginesilence.feature
@@ -39,5 +39,16 @@
 
   Scenario: It is known whether a backup answers when its engine is found silent
     Given a host, and an engine that never answers
-    When the host has an attempt there, with a backup that answers after 0.13 s
+    When the host has an attempt there, with a backup that answers after 0.05 s
     Then the backup has answered when the attempt hears that its engine is silent
+
+  Scenario Outline: A silent engine is probed by hosts that need it: <need>
+    Given a host, and an engine that never answers
+    When it is marked silent at the host for 0.8 s, and <need>
+    Then the host probes it <times>
+
+    Examples:
+      | need                        | times         |
+      | no call needs it            | not at all    |
+      | an attempt is running there | again         |
+      | a call waits for it         | again         |
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -31,6 +31,7 @@
 SILENCE_PERIOD_S = 3.7
 CONFIGURATION_INTERVAL_S = 0.5
 MARK_BOUND_S = 0.7
+AWAIT_INTERVAL_S = 0.05
 # While there is little room, at most a tenth of all calls is refused.
 MAX_REFUSED_SHARE = 0.1
 RELAYED_EDGES = 4
@@ -326,3 +327,26 @@
 @then("the backup has answered when the attempt hears that its engine is silent")
 def check_backup_answered(context):
     assert context.has_answered
+
+
+@when("it is marked silent at the host for {seconds:g} s, and {need}")
+def keep_silent(context, seconds, need):
+    async def run():
+        host, state = context.host, context.state
+        host.crash_watch.mark_silent(state)
+        if need == "an attempt is running there":
+            PendingAttempt(state, make_call())
+        await host.monitor.start()
+        for _ in range(int(seconds / AWAIT_INTERVAL_S)):
+            if need == "a call waits for it":
+                assert host.engines.await_silent_engine("model")
+            await asyncio.sleep(AWAIT_INTERVAL_S)
+        await host.monitor.stop()
+        await host.close()
+
+    context.run(run())
+
+
+@then("the host probes it {times}")
+def check_probes(context, times):
+    assert (context.state.probed_s > 0) is (times == "again"), context.state
--- a/src/sapphirerock/process/engines/admission.py
+++ b/src/sapphirerock/process/engines/admission.py
@@ -134,7 +134,9 @@
                 run_s=run_s,
                 waited_s=now_s - started_s,
                 rest_s=self._fleet.engines.measure_service_rest_s(call.service),
-                max_outage_wait_s=self._choose_max_outage_wait(call, started_s),
+                max_outage_wait_s=(
+                    0.0 if placement else self._choose_max_outage_wait(call, started_s)
+                ),
             )
         )
         return admission, placement
@@ -142,7 +144,7 @@
     def _choose_max_outage_wait(self, call, started_s):
         """Return how long a call may wait while no engine is usable, in seconds."""
         max_wait_s = MAX_OUTAGE_WAIT_SHARE * call.route.target_latency_s
-        if self._fleet.engines.has_silent_engine(call.service):
+        if self._fleet.engines.await_silent_engine(call.service):
             remaining_s = call.response_deadline_s - started_s
             max_wait_s = max(max_wait_s, choose_silence_wait(remaining_s))
         return max_wait_s
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -6,7 +6,6 @@
 from loguru import logger
 from mode import Service
 
-from sapphirerock.decisions.silence import MAX_SILENCE_WAIT_S
 from sapphirerock.process.engines.prober import ProbeOutcome
 
 CHECK_INTERVAL_S = 0.05
@@ -14,8 +13,9 @@
 SILENCE_TIMEOUT_S = 0.2
 PROBE_TIMEOUT_S = 0.2
 # If a probe has no answer after this time, the engines that hold KV copies of the runs
-# are probed, too: their answers come before it is known that the engine is silent.
-BACKUP_CHECK_DELAY_S = 0.05
+# are probed, too, so that calls can move to them when the engine is found silent. An
+# engine in another region answers within this time.
+BACKUP_CHECK_DELAY_S = 0.14
 # Interval at which an engine that is known to be silent is probed.
 SILENT_ENGINE_PROBE_INTERVAL_S = 0.25
 
@@ -58,9 +58,10 @@
         if state.is_probe_pending:
             return False
         if self._engines.is_marked_silent(state):
-            may_answer = now_s - state.silent_since_s <= MAX_SILENCE_WAIT_S
+            # Hosts that need nothing from the engine don't ask it.
+            is_awaited = now_s - state.awaited_s <= SILENT_ENGINE_PROBE_INTERVAL_S
             is_due = now_s - state.probed_s >= SILENT_ENGINE_PROBE_INTERVAL_S
-            return is_due and (may_answer or bool(state.attempts))
+            return is_due and (is_awaited or bool(state.attempts))
         is_silent = now_s - state.last_received_s > SILENCE_TIMEOUT_S
         return bool(state.attempts) and is_silent
 
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -100,6 +100,8 @@
     silent_since_s : float or None
         Monotonic time at which the engine was marked down only because it did not
         answer. Any data from it ends the mark.
+    awaited_s : float
+        Monotonic time at which a call last asked for the end of the silence.
     health : FailureShare
         Share of this host's calls to the engine that failed.
     is_removed : bool
@@ -147,6 +149,7 @@
     down_until_s: float = 0.0
     failures: int = 0
     silent_since_s: float | None = None
+    awaited_s: float = -math.inf
     health: FailureShare = field(default_factory=FailureShare)
     is_removed: bool = False
     is_probe_pending: bool = False
@@ -423,15 +426,23 @@
             return False
         return self._clock.monotonic() - state.silent_since_s <= MAX_SILENCE_WAIT_S
 
-    def has_silent_engine(self, service, excluded=()):
-        """Return whether an engine of a service gets no work only for its silence."""
-        return any(
-            state.entry.service == service
+    def await_silent_engine(self, service, excluded=()):
+        """Return whether an engine of a service gets no work only for its silence.
+
+        A call that waits for such an engine asks again and again, and meanwhile the
+        engines are probed.
+        """
+        silent = [
+            state
+            for state in self._states.values()
+            if state.entry.service == service
             and state.name not in excluded
             and not state.is_draining
             and self.is_marked_silent(state)
-            for state in self._states.values()
-        )
+        ]
+        for state in silent:
+            state.awaited_s = self._clock.monotonic()
+        return bool(silent)
 
     def list_suspects(self, service):
         """Return the names of engines that are late to answer a probe.
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -245,7 +245,7 @@
         if rest_s and rest_s <= self._choose_max_wait():
             await clock.sleep(rest_s)
             return True
-        if not engines.has_silent_engine(self._call.service, excluded):
+        if not engines.await_silent_engine(self._call.service, excluded):
             return False
         now_s = clock.monotonic()
         remaining_s = self._call.response_deadline_s - self._started_s
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -341,7 +341,7 @@
         A call that runs on a silent engine already does not wait for others.
         """
         call, engines = self._call, self._runtime.fleet.engines
-        if self._running or not engines.has_silent_engine(
+        if self._running or not engines.await_silent_engine(
             call.service, self._tried_engines
         ):
             return False
