Calls that a shutdown could cut off are left to another host

Reported by others: in a planned stop, requests that came late in the grace period were taken, passed on and cut off without an answer.

Cause here: whether the shutdown leaves time for a call was asked once, when the head of its request had arrived. A request whose body ended later, a stream that waited for memory, and a call that waited for a turn were sent to an engine however late it was. A stream that is likely to be short was taken at any time, and nothing ends it at its estimate. A plain call was taken if it timed out exactly at the cut-off.

Now asked before the body, after it, in the queue and before each first send. Streams are taken while the platform still sends connections here, if their callers can resume them, or if their timeout ends in time. A plain call keeps 0.25 s for its response.

The tables in decisions.feature are new.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -199,6 +199,32 @@
       | 2.0     | no     | yes  |
       | 6.5     | no     | no   |
 
+  Scenario Outline: Calls that a host takes while it shuts down get a response: a <kind> after <elapsed> s
+    Given a host that cuts calls off 7.4 s after its shutdown began
+    Then after <elapsed> s it takes a <kind> that is ended within <remaining> s: <taken>
+
+    Examples:
+      | elapsed | kind                         | remaining | taken |
+      | 6.1     | call                         | 1.0       | yes   |
+      | 6.35    | call                         | 1.0       | no    |
+      | 6.35    | call                         | 0.4       | yes   |
+      | 2.0     | stream                       | 25.0      | yes   |
+      | 2.4     | stream                       | 25.0      | no    |
+      | 4.3     | stream                       | 25.0      | no    |
+      | 4.3     | stream                       | 2.5       | yes   |
+      | 0.1     | stream that can't be resumed | 25.0      | no    |
+      | 0.1     | stream that can't be resumed | 7.0       | yes   |
+
+  Scenario Outline: A stream that waits for memory while its host shuts down <waits or is refused>
+    Given a host where a stream waits for memory
+    When its shutdown is <elapsed> s old
+    Then the queued stream <waits or is refused>
+
+    Examples:
+      | elapsed | waits or is refused |
+      | 0.5     | still waits         |
+      | 2.4     | is refused at once  |
+
   Scenario Outline: A path is routed by its longest matching prefix: <path>
     Given routes of a host for / and /a/ and /a/b/ and of another host for /a/
     Then the path <path> of that host matches the route <route>
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -16,6 +16,16 @@
     And it exits by itself within its grace period
     And another host sends the complete rest of the stream
 
+  Scenario: A stream whose request is complete late in a shutdown is left to another host
+    Given a shared platform with 2 edges and 2 engines of each service in 1 zone
+    When the body of a stream of 400 events ends 2.6 s after SIGTERM
+    Then the stream is refused as not run, and no engine has run it
+
+  Scenario: Orders that come shortly before a host takes no more are answered
+    Given an edge that has 3.8 s to stop, and engines too slow for orders
+    When it gets an order each 4 ms from 1.7 s to 2.26 s after SIGTERM
+    Then each order that an engine has run is answered, and the others are refused
+
   Scenario: A host without calls exits once it is out of rotation
     Given a shared platform with 2 edges and 1 engine of each service in 1 zone
     When an edge without calls gets SIGTERM
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -21,7 +21,11 @@
 from sapphirerock.connection.store import StoreClient
 from sapphirerock.connection.upstream import make_upstream_session
 from sapphirerock.decisions.crashlog import CrashLog
-from sapphirerock.decisions.leaving import StreamDurations
+from sapphirerock.decisions.leaving import (
+    OUT_OF_ROTATION_DELAY_S,
+    Shutdown,
+    StreamDurations,
+)
 from sapphirerock.decisions.placement import PLACEMENTS
 from sapphirerock.decisions.retrybudget import RetryBudget, RetryLimits
 from sapphirerock.platform import dialect as platform_dialect
@@ -72,9 +76,6 @@
 METRICS_PATH = "/metrics"
 PLACEMENT_POLICY = "least-prompt-tokens"
 BACKLOG = 1024
-# The platform takes a host out of rotation after two failed readiness checks, which
-# are a second apart.
-OUT_OF_ROTATION_DELAY_S = 2.3
 # Part of the grace period before SIGKILL that is reserved for closing connections.
 CLOSE_RESERVE_S = 0.6
 SETTINGS_CHECK_INTERVAL_S = 1.0
@@ -279,9 +280,11 @@
         )
         fleet.on_unreachable.append(self.paths.check)
         stream_durations = StreamDurations()
+        self.shutdown = Shutdown(stream_durations, clock)
         self.admission = AdmissionQueue(
             fleet,
             stream_durations,
+            self.shutdown,
             self._count_hosts,
             generator,
             clock,
@@ -309,6 +312,7 @@
             crash_watch=crash_watch,
             generator=generator,
             stream_durations=stream_durations,
+            shutdown=self.shutdown,
         )
         self.call_handler = CallHandler(runtime, self.routing)
 
@@ -327,9 +331,7 @@
     @property
     def is_ready(self):
         """Whether the platform should send new connections to this host."""
-        return (
-            self.routing.current is not None and not self.call_handler.is_shutting_down
-        )
+        return self.routing.current is not None and not self.shutdown.has_begun
 
     async def _answer_ready(self, request):
         status = 200 if self.is_ready else 503
@@ -351,7 +353,7 @@
         started_s = self.clock.monotonic()
         allowed_s = self.profile.bounds.grace_s - CLOSE_RESERVE_S
         deadline_s = started_s + allowed_s
-        self.call_handler.start_shutdown(allowed_s)
+        self.shutdown.start(allowed_s)
         self.relay_server.is_closed = True
         logger.bind(calls=self.call_handler.active_calls).info("edge shutting down")
         self.peers.announce_shutdown()
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -45,6 +45,8 @@
         Random source of jitter in retry delays and of weighted choices.
     stream_durations : StreamDurations
         Typical duration of a stream, learned from finished streams.
+    shutdown : Shutdown
+        The shutdown of this process, which ends the calls in progress.
     """
 
     clock: object
@@ -65,3 +67,4 @@
     crash_watch: object
     generator: object
     stream_durations: object
+    shutdown: object
--- a/src/sapphirerock/process/engines/admission.py
+++ b/src/sapphirerock/process/engines/admission.py
@@ -6,11 +6,21 @@
 from loguru import logger
 from mode import Service
 
-from sapphirerock.decisions.admission import AdmissionView, Verdict, decide_admission
+from sapphirerock.decisions.admission import (
+    Admission,
+    AdmissionView,
+    Verdict,
+    decide_admission,
+)
 from sapphirerock.decisions.fairqueue import FairQueue, Ticket
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.decisions.silence import choose_silence_wait
-from sapphirerock.request.problem import OVERLOADED, UNAVAILABLE, Problem
+from sapphirerock.request.problem import (
+    OVERLOADED,
+    UNAVAILABLE,
+    Problem,
+    make_shutdown_problem,
+)
 
 # Short against the time between the ends of two runs on a few engines, at which
 # memory becomes free.
@@ -20,6 +30,7 @@
 # Share of the target latency within which a call must start to be on time; the rest is
 # spent on the prefill of its prompt.
 START_TARGET_SHARE = 0.5
+SHUTTING_DOWN = Admission(Verdict.REFUSE, "shutting down")
 
 
 class AdmissionQueue(Service):
@@ -31,6 +42,8 @@
         Chooses engines.
     stream_durations : StreamDurations
         Typical duration of a stream.
+    shutdown : Shutdown
+        The shutdown of this process, before which calls must end.
     count_hosts : callable
         Returns the number of hosts that share the engines.
     generator : random.Random
@@ -40,11 +53,19 @@
     """
 
     def __init__(
-        self, fleet, stream_durations, count_hosts, generator, clock, **kwargs
+        self,
+        fleet,
+        stream_durations,
+        shutdown,
+        count_hosts,
+        generator,
+        clock,
+        **kwargs,
     ):
         super().__init__(**kwargs)
         self._fleet = fleet
         self._stream_durations = stream_durations
+        self._shutdown = shutdown
         self._count_hosts = count_hosts
         self._generator = generator
         self._clock = clock
@@ -119,6 +140,8 @@
 
     def _decide(self, call, queued_ahead_tokens, started_s):
         """Return the admission decision for a call, and its placement or None."""
+        if not self._shutdown.can_take(call.route, call.response_deadline_s):
+            return SHUTTING_DOWN, None
         placement = self._fleet.place(call, ())
         now_s = self._clock.monotonic()
         load = self._fleet.measure_load(call.service)
@@ -150,12 +173,16 @@
         return max_wait_s
 
     def _refuse(self, call, admission):
-        retry_after_s = choose_retry_after(admission.wait_s, self._generator)
-        kind = UNAVAILABLE if admission.wait_s is None else OVERLOADED
+        if admission is SHUTTING_DOWN:
+            problem = make_shutdown_problem()
+        else:
+            retry_after_s = choose_retry_after(admission.wait_s, self._generator)
+            kind = UNAVAILABLE if admission.wait_s is None else OVERLOADED
+            problem = Problem(kind, admission.reason, retry_after_s)
         logger.bind(
             request=call.metadata.attempt_id,
             reason=admission.reason,
             wait_s=admission.wait_s,
-            retry_after_s=retry_after_s,
+            retry_after_s=problem.retry_after_s,
         ).info("call refused by admission queue")
-        return Problem(kind, admission.reason, retry_after_s)
+        return problem
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -9,7 +9,6 @@
 
 from sapphirerock.connection.ingress import read_request_body
 from sapphirerock.connection.responder import Responder
-from sapphirerock.decisions.leaving import ShutdownView
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.streamversions import StreamOrigin, choose_origin
 from sapphirerock.platform.ingress import decode_call_metadata, select_request_headers
@@ -22,20 +21,16 @@
     GENERATION_LOST,
     NO_CONFIGURATION,
     NOT_FOUND,
-    SHUTTING_DOWN,
     TOO_LARGE,
     UNAUTHORISED,
     Problem,
+    make_shutdown_problem,
 )
 from sapphirerock.request.streamcall import StreamCall
-from sapphirerock.version.routing import RouteKind
 
 # A host that starts gets a configuration within this time if the store or a peer is
 # reachable.
 START_RETRY_AFTER_S = 1.0
-# Other hosts accept the call at once. The delay keeps callers from retrying all at the
-# same time.
-SHUTDOWN_RETRY_AFTER_S = 0.1
 # Another host may know where the stream began.
 TAKE_UP_RETRY_AFTER_S = 0.5
 # A host that has just started loads the records of streams within this time.
@@ -73,36 +68,22 @@
 
     __slots__ = (
         "active_calls",
-        "_shutdown_started_s",
-        "_shutdown_allowed_s",
         "_runtime",
         "_routing",
     )
 
     def __init__(self, runtime, routing):
         self.active_calls = 0
-        self._shutdown_started_s = None
-        self._shutdown_allowed_s = 0.0
         self._runtime = runtime
         self._routing = routing
 
-    @property
-    def is_shutting_down(self):
-        """Whether the process is shutting down."""
-        return self._shutdown_started_s is not None
-
-    def start_shutdown(self, allowed_s):
-        """Accept only calls that are expected to end within ``allowed_s`` from now."""
-        self._shutdown_started_s = self._runtime.clock.monotonic()
-        self._shutdown_allowed_s = allowed_s
-
     async def handle(self, request):
         """Serve one request and return its response; called by the HTTP server.
 
         Each request is counted in the metrics, also if its caller disconnects.
         """
-        responder = Responder(request, close_connection=self.is_shutting_down)
         runtime = self._runtime
+        responder = Responder(request, close_connection=runtime.shutdown.has_begun)
         arrived_s = runtime.clock.monotonic()
         route_kind = "none"
         call = None
@@ -125,7 +106,7 @@
                 cause = EarlyEnd.GIVEN_UP
         except (asyncio.CancelledError, ConnectionError):
             cause = EarlyEnd.CALLER_LEFT
-            if self._has_shutdown_ended():
+            if runtime.shutdown.has_ended:
                 cause = EarlyEnd.SHUTDOWN
             raise
         except Exception:
@@ -139,13 +120,6 @@
             runtime.metrics.observe_call(route_kind, responder, elapsed_s)
         return responder.response
 
-    def _has_shutdown_ended(self):
-        """Return whether the time for calls in progress is over."""
-        if not self.is_shutting_down:
-            return False
-        elapsed_s = self._runtime.clock.monotonic() - self._shutdown_started_s
-        return elapsed_s >= self._shutdown_allowed_s
-
     def _record_early_end(self, call, responder, cause, arrived_s):
         """Log and count a whole request that got no complete response."""
         self._runtime.metrics.early_ends.labels(cause.value).inc()
@@ -163,8 +137,8 @@
     async def _read_call(self, request, arrived_s):
         """Match a request to a route and read its body.
 
-        The request is refused if there is no configuration or route, if it would not
-        end before the shutdown, if its key is unknown or if its body is too large.
+        The request is refused if there is no configuration or route, if it could be cut
+        off by the shutdown, if its key is unknown or if its body is too large.
 
         Returns
         -------
@@ -178,24 +152,27 @@
         metadata = decode_call_metadata(request.headers)
         if route is None:
             return self._refuse(metadata, version, Problem(NOT_FOUND, "no route"))
-        if not self._can_accept(route, arrived_s):
-            detail = "another host takes the call"
-            problem = Problem(SHUTTING_DOWN, detail, SHUTDOWN_RETRY_AFTER_S)
-            return self._refuse(metadata, version, problem)
+        caller_timeout_s = (
+            route.timeout_s
+            if metadata.caller_timeout_s is None
+            else metadata.caller_timeout_s
+        )
+        response_deadline_s = arrived_s + min(caller_timeout_s, route.timeout_s)
+        shutdown = self._runtime.shutdown
+        if not shutdown.can_take(route, response_deadline_s):
+            return self._refuse(metadata, version, make_shutdown_problem())
         caller = version.callers.get(metadata.key)
         if version.needs_keys and not route.is_public and caller is None:
             return self._refuse(metadata, version, Problem(UNAUTHORISED, "unknown key"))
         body = await read_request_body(request, version.limits.body_bytes)
         if body is None:
             return self._refuse(metadata, version, Problem(TOO_LARGE, "body too large"))
-        caller_timeout_s = (
-            route.timeout_s
-            if metadata.caller_timeout_s is None
-            else metadata.caller_timeout_s
-        )
+        # The shutdown may have begun, or be near its end, once the body has arrived.
+        if not shutdown.can_take(route, response_deadline_s):
+            return self._refuse(metadata, version, make_shutdown_problem())
         priority = caller.priority if caller else None
         origin = None
-        if route.kind is RouteKind.STREAMING and metadata.takes_up_stream:
+        if route.is_streaming and metadata.takes_up_stream:
             if metadata.resumed_attempt_id:
                 await self._runtime.stored_origins.wait_until_loaded(ORIGINS_WAIT_S)
             choice = await self._choose_origin(route, metadata)
@@ -215,7 +192,7 @@
                 organisation=caller.organisation if caller else None,
                 priority=route.priority if priority is None else priority,
                 deadline_s=arrived_s + caller_timeout_s,
-                response_deadline_s=arrived_s + min(caller_timeout_s, route.timeout_s),
+                response_deadline_s=response_deadline_s,
                 revision=version.revision,
                 origin=origin,
             )
@@ -258,15 +235,6 @@
             for version in self._runtime.fleet.engines.list_versions(share.service)
         }
 
-    def _can_accept(self, route, now_s):
-        """Return whether a call that arrives now can end before the shutdown does."""
-        if not self.is_shutting_down:
-            return True
-        view = ShutdownView(now_s - self._shutdown_started_s, self._shutdown_allowed_s)
-        if route.kind is RouteKind.STREAMING:
-            return view.can_finish(self._runtime.stream_durations.long_s)
-        return view.can_finish(route.timeout_s)
-
     def _refuse(self, metadata, version, problem):
         """Log a refusal and return the problem as an error result."""
         logger.bind(
@@ -298,6 +266,5 @@
             problem = Problem(CRASHES_ENGINES, detail, EVIDENCE_TTL_S)
             await responder.send_problem(problem)
             return
-        is_stream = call.route.kind is RouteKind.STREAMING
-        call_type = StreamCall if is_stream else PlainCall
+        call_type = StreamCall if call.route.is_streaming else PlainCall
         await call_type(self._runtime, call, responder).run()
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -25,6 +25,7 @@
     UNAVAILABLE,
     UPSTREAM_FAILED,
     Problem,
+    make_shutdown_problem,
 )
 from sapphirerock.request.turntaker import TurnTaker
 from sapphirerock.request.upstreamattempt import UpstreamAttempt
@@ -49,6 +50,7 @@
     FAILED = "failed"
     DEADLINE_EXCEEDED = "time is up"
     NO_ENGINE = "no engine left"
+    SHUTTING_DOWN = "this host is shutting down"
 
 
 @dataclass(slots=True, frozen=True)
@@ -198,6 +200,8 @@
             state = await self._choose_engine(turns)
             if state is None:
                 return AttemptResult(PlainCallOutcome.NO_ENGINE)
+            if self._must_leave_to_other_host():
+                return AttemptResult(PlainCallOutcome.SHUTTING_DOWN)
             self._tried_engines.add(state.name)
             self._sends += 1
             result = await self._send(state, turns)
@@ -210,6 +214,13 @@
         self._record_result(result)
         return result
 
+    def _must_leave_to_other_host(self):
+        """Return whether the shutdown could cut off the call, which has not run."""
+        call = self._call
+        return not self._count_engines() and not self._runtime.shutdown.can_take(
+            call.route, call.response_deadline_s
+        )
+
     def _log_response(self, state, response):
         self._log.bind(
             engine=state.name,
@@ -286,7 +297,7 @@
 
     def _may_retry(self, outcome):
         """Return whether the call may be sent again; if so, count the retry."""
-        if outcome is PlainCallOutcome.NO_ENGINE:
+        if outcome in (PlainCallOutcome.NO_ENGINE, PlainCallOutcome.SHUTTING_DOWN):
             return False
         if outcome is PlainCallOutcome.FAILED:
             if not self._call.route.may_retry:
@@ -320,6 +331,8 @@
         elif self._failures:
             problem = Problem(UPSTREAM_FAILED, "the upstream gave no whole answer")
             await self._responder.send_problem(problem)
+        elif self._must_leave_to_other_host():
+            await self._responder.send_problem(make_shutdown_problem())
         elif self._turns.engines_without_turn:
             await self._responder.send_problem(self._turns.make_problem())
         else:
--- a/src/sapphirerock/request/problem.py
+++ b/src/sapphirerock/request/problem.py
@@ -116,6 +116,9 @@
     "platform-unavailable", 503, "The platform does not answer"
 )
 SHUTTING_DOWN = ProblemKind("leaving", 503, "This host takes no new work")
+# Other hosts accept the call at once. The delay keeps callers from retrying all at the
+# same time.
+SHUTDOWN_RETRY_AFTER_S = 0.1
 NO_CONFIGURATION = ProblemKind(
     "no-configuration", 503, "This host knows no configuration yet"
 )
@@ -123,3 +126,9 @@
 UPSTREAM_FAILED = ProblemKind(
     "upstream-failed", 502, "The upstream gave no answer", outcome=UNKNOWN
 )
+
+
+def make_shutdown_problem():
+    """Return the refusal of a call that this host's shutdown could cut off."""
+    detail = "another host takes the call"
+    return Problem(SHUTTING_DOWN, detail, SHUTDOWN_RETRY_AFTER_S)
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -41,6 +41,7 @@
     UNAVAILABLE,
     UPSTREAM_FAILED,
     Problem,
+    make_shutdown_problem,
 )
 from sapphirerock.request.turntaker import TurnTaker
 from sapphirerock.request.upstreamattempt import UpstreamAttempt
@@ -325,6 +326,9 @@
                 return StreamOutcome.NOT_RUN
             placement = admitted.ok
         placement = await self._take_turn(turns, placement)
+        if self._must_leave_to_other_host():
+            await self._responder.send_problem(make_shutdown_problem())
+            return StreamOutcome.RELAYED
         while placement is None and self._may_wait_for_silent_engine():
             await self._runtime.clock.sleep(SILENT_ENGINE_CHECK_S)
             placement = await self._take_turn(turns, None)
@@ -335,6 +339,13 @@
         await self._responder.send_problem(turns.make_problem())
         return StreamOutcome.RELAYED
 
+    def _must_leave_to_other_host(self):
+        """Return whether the shutdown could cut off the call, which has not run."""
+        if self._losses or self._failures or self._running:
+            return False
+        call = self._call
+        return not self._runtime.shutdown.can_take(call.route, call.response_deadline_s)
+
     def _may_wait_for_silent_engine(self):
         """Return whether an engine may answer soon that gets no work for its silence.
 
--- a/src/sapphirerock/version/routing.py
+++ b/src/sapphirerock/version/routing.py
@@ -68,10 +68,15 @@
     has_prompt: bool = False
     is_resumable: bool = False
 
+    @property
+    def is_streaming(self):
+        """Whether responses are streams of events."""
+        return self.kind is RouteKind.STREAMING
+
     @property
     def may_retry(self):
         """Whether a call may run more than once."""
-        if self.kind is RouteKind.STREAMING:
+        if self.is_streaming:
             return self.is_resumable
         return self.kind is RouteKind.IDEMPOTENT
 
