Peers: a message to several peers is encoded once

A hub of the large site (195 hosts, profile of its first 4 s of traffic) sent 6,945 messages, each encoded for each receiver anew: encoding and counting took 0.24 of 1.2 s of its busy time. Counters of bytes are looked up once for each kind.

--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from expression import Error, Ok
 from loguru import logger
+from tools.localfleet import send_to_each
 from tools.rawclient import RawConnection, RawResponse
 from tools.sharedcaller import make_headers
 from tools.sharedcluster import SharedCluster, make_configuration
@@ -731,8 +732,9 @@
             send=lambda message: 0,
         )
 
-    def count_bytes(self, stream, kind, size):
-        """Ignore the size of a message."""
+    def send_to(self, streams, message, kind):
+        """Send a message on several streams."""
+        send_to_each(streams, message, kind)
 
 
 class RefreshingHost:
@@ -1012,6 +1014,10 @@
     def count_bytes(self, stream, kind, size):
         """Ignore the size of a message."""
 
+    def send_to(self, streams, message, kind):
+        """Send a message on several streams."""
+        send_to_each(streams, message, kind)
+
 
 class OriginStream:
     """Stream that delivers at once, and counts the records that it carries."""
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -7,6 +7,7 @@
 
 import msgpack
 from behave import given, then, when
+from tools.localfleet import send_to_each
 from tools.sharedcluster import make_configuration, make_route
 
 from sapphirerock.connection.messages import (
@@ -140,7 +141,7 @@
             view_sources=[],
             streams=self.streams,
             hosts=SimpleNamespace(own_address=own_address),
-            count_bytes=lambda stream, kind, size: None,
+            send_to=send_to_each,
         )
         store = SimpleNamespace(observe_era=lambda era: True)
         kinds = [ReplicatedKind(Replica("config"))]
--- a/src/sapphirerock/connection/peer.py
+++ b/src/sapphirerock/connection/peer.py
@@ -108,6 +108,16 @@
 
         Closes the stream when too much data waits to be sent.
 
+        Returns
+        -------
+        int
+            Size of the frame in bytes; 0 when the stream is closed.
+        """
+        return self.send_frame(encode_frame(correlation, message))
+
+    def send_frame(self, frame):
+        """Send an encoded message as `send` does, for one that several peers get.
+
         Returns
         -------
         int
@@ -115,7 +125,6 @@
         """
         if not self.is_open:
             return 0
-        frame = encode_frame(correlation, message)
         self.sent_bytes += len(frame)
         self._writer.write(frame)
         if self._writer.transport.get_write_buffer_size() > WRITE_BUFFER_LIMIT_BYTES:
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -8,7 +8,13 @@
 from opentelemetry.trace import NoOpTracer, SpanKind
 
 from sapphirerock.connection.errors import PeerUnavailable
-from sapphirerock.connection.messages import Heartbeat, Hello, Refusal, RelayOpen
+from sapphirerock.connection.messages import (
+    Heartbeat,
+    Hello,
+    Refusal,
+    RelayOpen,
+    encode_frame,
+)
 from sapphirerock.connection.peer import (
     HANDSHAKE_TIMEOUT_S,
     make_unpacker,
@@ -84,6 +90,8 @@
         self._key = key.encode()
         self._clock = clock
         self._metrics = metrics
+        # Counters of `peer_bytes` by their labels.
+        self._byte_counters = {}
         self._handlers = {Heartbeat: self._handle_heartbeat}
         self._dials = {}
         self._server = None
@@ -146,9 +154,7 @@
 
     def send_heartbeats(self):
         """Send a heartbeat to every peer at once, without waiting for the interval."""
-        message = self._make_heartbeat()
-        for stream in list(self._open_streams):
-            self._send_heartbeat(stream, message)
+        self.send_to(list(self._open_streams), self._make_heartbeat(), "heartbeat")
 
     async def get_stream(self, host):
         """Return the stream to a host; connect if there is none.
@@ -194,9 +200,30 @@
         accepts : callable or None
             Takes a stream; None sends to all peers.
         """
-        for stream in list(self.streams.values()):
-            if accepts is None or accepts(stream):
-                self.count_bytes(stream, kind, stream.send(message))
+        streams = [
+            stream
+            for stream in self.streams.values()
+            if accepts is None or accepts(stream)
+        ]
+        self.send_to(streams, message, kind)
+
+    def send_to(self, streams, message, kind):
+        """Send a message on several streams; it is encoded once.
+
+        Parameters
+        ----------
+        streams : list of PeerStream
+            The streams.
+        message : Message
+            The message.
+        kind : str
+            Label under which the bytes are counted.
+        """
+        if not streams:
+            return
+        frame = encode_frame(0, message)
+        for stream in streams:
+            self.count_bytes(stream, kind, stream.send_frame(frame))
 
     def count_bytes(self, stream, kind, size):
         """Count bytes sent to a peer by message kind and network distance."""
@@ -206,7 +233,11 @@
             distance = "between-regions"
         elif stream.hello.availability_zone == own_address.availability_zone:
             distance = "zone"
-        self._metrics.peer_bytes.labels(kind, distance).inc(size)
+        counter = self._byte_counters.get((kind, distance))
+        if counter is None:
+            counter = self._metrics.peer_bytes.labels(kind, distance)
+            self._byte_counters[kind, distance] = counter
+        counter.inc(size)
 
     async def dial_seed(self, endpoint):
         """Connect to a host of unknown name at an address.
@@ -322,7 +353,7 @@
 
     async def _run_stream(self, stream):
         self._open_streams.add(stream)
-        self._send_heartbeat(stream, self._make_heartbeat())
+        self.send_to([stream], self._make_heartbeat(), "heartbeat")
         try:
             await stream.run(self._clock)
         finally:
@@ -353,9 +384,6 @@
         views = [view for describe in self.view_sources for view in describe()]
         return Heartbeat(self.is_shutting_down, views)
 
-    def _send_heartbeat(self, stream, message):
-        self.count_bytes(stream, "heartbeat", stream.send(message))
-
     def _handle_heartbeat(self, stream, message):
         # It may have been silent for a moment.
         self.hosts.mark_alive(stream.host)
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -442,10 +442,12 @@
     def _send_delta(self, delta, streams):
         """Send a delta, compressed if it is large and the peer reads that."""
         packed = pack_message(delta)
-        for stream in streams:
-            is_packed = packed is not None and stream.accepts_packed
-            size = stream.send(packed if is_packed else delta)
-            self._peers.count_bytes(stream, "objects", size)
+        plain_streams = list(streams)
+        if packed is not None:
+            plain_streams = [item for item in streams if not item.accepts_packed]
+            packed_streams = [item for item in streams if item.accepts_packed]
+            self._peers.send_to(packed_streams, packed, "objects")
+        self._peers.send_to(plain_streams, delta, "objects")
 
     def _handle_packed(self, stream, message):
         try:
