Stream origins: a hub sends all records of a batch in one message

Hubs sent a message for each host that had sent records. A host of the large site got 160 messages in 4 s of traffic; two hubs with ten batches a second send 80 at most.

--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -211,25 +211,58 @@
         """Send on the records that have arrived since the last batch, as a hub."""
         self._log_dropped()
         pending, self._pending = self._pending, defaultdict(list)
-        if self._peers.is_hub(self._own_address.host):
-            for host, keys in pending.items():
-                self._forward(host, keys)
+        if pending and self._peers.is_hub(self._own_address.host):
+            self._forward_to_zone(pending)
+            self._forward_to_hubs(pending)
 
-    def _forward(self, source, keys):
-        """Send records to this zone's hosts; those of this zone to other hubs, too."""
-        message = self.export(keys)
+    def _forward_to_zone(self, pending):
+        """Send all records to the hosts of this zone, in one message for all.
+
+        A host that sent some of them gets these back if there are others.
+        """
         own_zone = self._own_address.availability_zone
-        source_address = self._peers.hosts.find(source)
-        is_from_zone = (
-            source == self._own_address.host
-            or source_address is not None
-            and source_address.availability_zone == own_zone
-        )
-        for stream in list(self._peers.streams.values()):
-            is_in_zone = stream.hello.availability_zone == own_zone
-            if stream.host != source and (
-                is_in_zone or is_from_zone and self._peers.is_hub(stream.host)
-            ):
+        streams = [
+            stream
+            for stream in self._peers.streams.values()
+            if stream.hello.availability_zone == own_zone
+            and pending.keys() != {stream.host}
+        ]
+        keys = [key for host_keys in pending.values() for key in host_keys]
+        self._send_to(streams, self.export(keys))
+
+    def _forward_to_hubs(self, pending):
+        """Send the records of this zone's hosts to the hubs of other zones."""
+        own_zone = self._own_address.availability_zone
+        keys = [
+            key
+            for host, host_keys in pending.items()
+            if self._is_in_zone(host)
+            for key in host_keys
+        ]
+        streams = [
+            stream
+            for stream in self._peers.streams.values()
+            if stream.hello.availability_zone != own_zone
+            and self._peers.is_hub(stream.host)
+        ]
+        if keys:
+            self._send_to(streams, self.export(keys))
+
+    def _is_in_zone(self, host):
+        if host == self._own_address.host:
+            return True
+        address = self._peers.hosts.find(host)
+        own_zone = self._own_address.availability_zone
+        return address is not None and address.availability_zone == own_zone
+
+    def _send_to(self, streams, message):
+        """Send records on several streams, in the newest form that each peer knows."""
+        if not message.groups:
+            return
+        newest = [item for item in streams if ENGINES_VIEW in item.known_views]
+        self._peers.send_to(newest, message, "stream-origin")
+        for stream in streams:
+            if ENGINES_VIEW not in stream.known_views:
                 self._send(stream, message)
 
     def _drop_expired(self):
