Load sharing: a host gets one message an interval

Now the first hub sends its hosts the sum of all zones, ten times a second. Sums are kept as totals instead of being added up over all sources for each message, and hosts that have loaded none of the engines get the same encoded message.

Found by the new test: the load that the second hub of a zone places itself reached no other host. Hubs now tell each other, too.

--- a/features/steps/loadsharing_steps.py
+++ b/features/steps/loadsharing_steps.py
@@ -29,6 +29,7 @@
         self.streams = {}
         self.zone_hubs = [host]
         self.handlers = {}
+        self.on_connect = []
 
     def register_handler(self, message_type, handler):
         """Register the handler of a message type."""
@@ -42,8 +43,10 @@
         """Return whether this host takes a host for the first hub of its zone."""
         return host in self.zone_hubs
 
-    def count_bytes(self, stream, kind, size):
-        """Ignore the size of a message."""
+    def send_to(self, streams, message, kind):
+        """Send a message on several streams."""
+        for stream in streams:
+            stream.send(message)
 
 
 class QueuedStream:
--- a/src/sapphirerock/process/peers/loadsharing.py
+++ b/src/sapphirerock/process/peers/loadsharing.py
@@ -2,9 +2,10 @@
 
 Engines' own reports are old when they arrive, so hosts exchange the load that they
 placed themselves. Each host sends its load to the hubs of its zone, which
-`PeerTable.choose_neighbours` chooses. A hub adds up the loads and sends the sum to the
-hubs of other zones and to the hosts of its own. The traffic that a host receives grows
-with engines and zones, not with hosts.
+`PeerTable.choose_neighbours` chooses. The first hub of a zone adds up the loads, and
+sends the sum of its zone to the hubs of other zones, and the sum of all zones to the
+hosts of its own. So a host gets one message an interval, whatever the number of hosts
+and zones.
 """
 
 from collections import defaultdict
@@ -21,45 +22,66 @@
 FULL_PUBLISH_INTERVAL_S = 3.0
 # The loads of a host or zone that has sent no report for this time are dropped.
 SOURCE_EXPIRY_S = 8.0
+NO_LOAD = EngineLoadCell()
 
 
 class LoadTable:
     """Loads by source and engine, and their sum by engine."""
 
-    __slots__ = ("_cells", "_updated_at_s")
+    __slots__ = ("_cells", "_updated_at_s", "_totals")
 
     def __init__(self):
         self._cells = defaultdict(dict)
         self._updated_at_s = {}
+        self._totals = {}
 
     def apply_report(self, source, cells, now_s):
         """Apply a source's report on some engines; return the engines' names."""
         self._updated_at_s[source] = now_s
         source_cells = self._cells[source]
         for engine, *numbers in cells:
-            if any(numbers):
-                source_cells[engine] = EngineLoadCell(*numbers)
-            else:
-                source_cells.pop(engine, None)
+            self._replace(source_cells, engine, numbers)
         return {cell[0] for cell in cells}
 
+    def _replace(self, source_cells, engine, numbers):
+        """Replace a source's load of an engine, and update the engine's sum."""
+        total = self._totals.setdefault(engine, EngineLoadCell())
+        previous = source_cells.pop(engine, None)
+        if previous is not None:
+            total.subtract(previous)
+        if any(numbers):
+            source_cells[engine] = cell = EngineLoadCell(*numbers)
+            total.add(cell)
+        elif not any(total.to_numbers()):
+            del self._totals[engine]
+
+    def drop_source(self, source):
+        """Drop the loads of a source; return the engines that it loaded."""
+        self._updated_at_s.pop(source, None)
+        source_cells = self._cells.pop(source, {})
+        engines = set(source_cells)
+        for engine in engines:
+            self._replace(source_cells, engine, ())
+        return engines
+
+    def drop_all(self):
+        """Drop the loads of all sources; return the engines that were loaded."""
+        affected = set()
+        for source in list(self._cells):
+            affected |= self.drop_source(source)
+        return affected
+
     def drop_silent_sources(self, now_s):
         """Drop sources without a recent report; return the engines that they loaded."""
         affected = set()
         for source, updated_at_s in list(self._updated_at_s.items()):
             if now_s - updated_at_s > SOURCE_EXPIRY_S:
-                del self._updated_at_s[source]
-                affected.update(self._cells.pop(source, ()))
+                affected |= self.drop_source(source)
         return affected
 
-    def sum_engine(self, engine, excluded_sources=()):
-        """Return the sum of an engine's loads over all sources not excluded."""
-        total = EngineLoadCell()
-        for source, cells in self._cells.items():
-            cell = cells.get(engine)
-            if cell is not None and source not in excluded_sources:
-                total.add(cell)
-        return total
+    def sum_engine(self, engine):
+        """Return the sum of an engine's loads over all sources."""
+        return self._totals.get(engine, NO_LOAD)
 
     def get(self, source, engine):
         """Return the load that a source has placed on an engine, or None."""
@@ -67,7 +89,11 @@
 
     def list_engines(self):
         """Return the engines that any source has loaded."""
-        return {engine for cells in self._cells.values() for engine in cells}
+        return self._totals.keys()
+
+    def list_loaded_by(self, source):
+        """Return the engines that a source has loaded."""
+        return self._cells.get(source, {}).keys()
 
 
 class LoadSharing(Service):
@@ -88,19 +114,32 @@
         self._engines = engines
         self._peers = peers
         self._clock = clock
-        # Loads by host of this zone, which only its hubs receive, and sums by zone.
+        # Loads by host of this zone, which only its hubs receive, and sums by zone. A
+        # host that is no hub gets the sum of all zones under the name of its own.
         self._host_loads = LoadTable()
         self._zone_loads = LoadTable()
+        # The hub that sent the sum of all zones last.
+        self._zone_hub = None
         self._published = {}
         self._zone_published = {}
+        self._all_published = {}
         self._full_publish_at_s = -FULL_PUBLISH_INTERVAL_S
         peers.register_handler(HostLoads, self._handle_host_loads)
         peers.register_handler(ZoneLoads, self._handle_zone_loads)
+        peers.on_connect.append(self._request_full_publish)
 
     @property
     def _own_address(self):
         return self._peers.hosts.own_address
 
+    @property
+    def _is_hub(self):
+        return self._peers.is_hub(self._own_address.host)
+
+    def _request_full_publish(self, stream):
+        """Publish all loads at the next interval, since a new peer knows none."""
+        self._full_publish_at_s = -FULL_PUBLISH_INTERVAL_S
+
     def _handle_host_loads(self, stream, message):
         affected = self._host_loads.apply_report(
             stream.host, message.cells, self._clock.monotonic()
@@ -108,54 +147,63 @@
         self._update_remote_loads(affected)
 
     def _handle_zone_loads(self, stream, message):
-        own_zone = self._own_address.availability_zone
-        if message.availability_zone == own_zone:
-            if self._peers.is_hub(self._own_address.host):
+        zone, own_zone = message.availability_zone, self._own_address.availability_zone
+        is_from_own_zone = stream.hello.availability_zone == own_zone
+        affected = set()
+        if self._is_hub:
+            if zone == own_zone:
                 return
-        elif (
-            self._peers.is_hub(self._own_address.host)
-            and stream.hello.availability_zone != own_zone
-        ):
-            # Only the first hub of a zone publishes its sum, to the hubs of other
-            # zones, which forward it to their hosts. What a host of this zone has
-            # forwarded is not forwarded again: while hosts disagree about the hubs, it
-            # would go back and forth.
-            self._forward_to_zone_hosts(message)
-        affected = self._zone_loads.apply_report(
-            message.availability_zone, message.cells, self._clock.monotonic()
+        elif not is_from_own_zone:
+            # Part of the sum that this zone's hub sends.
+            return
+        elif zone == own_zone and stream.host != self._zone_hub:
+            self._zone_hub = stream.host
+            affected = self._zone_loads.drop_all()
+        affected |= self._zone_loads.apply_report(
+            zone, message.cells, self._clock.monotonic()
         )
         self._update_remote_loads(affected)
 
     def _update_remote_loads(self, names):
         """Recompute the load that other hosts have placed on some engines."""
-        is_hub = self._peers.is_hub(self._own_address.host)
-        own_zone = (self._own_address.availability_zone,)
+        is_hub = self._is_hub
         now_s = self._clock.monotonic()
         for name in names:
             state = self._engines.get(name)
             if state is None:
                 continue
-            total = self._zone_loads.sum_engine(name, own_zone if is_hub else ())
+            total = EngineLoadCell()
+            total.add(self._zone_loads.sum_engine(name))
             if is_hub:
                 total.add(self._host_loads.sum_engine(name))
             state.remote_load = total
             state.loads_updated_s = now_s
 
     @Service.task
-    async def _publish(self):
+    async def _publish_periodically(self):
         while not self.should_stop:
             await self._clock.sleep(PUBLISH_INTERVAL_S)
-            now_s = self._clock.monotonic()
-            affected = self._host_loads.drop_silent_sources(now_s)
-            affected |= self._zone_loads.drop_silent_sources(now_s)
-            self._update_remote_loads(affected)
-            is_full = now_s - self._full_publish_at_s > FULL_PUBLISH_INTERVAL_S
-            if is_full:
-                self._full_publish_at_s = now_s
-            if self._peers.is_hub(self._own_address.host):
-                self._publish_zone(is_full)
-            else:
-                self._publish_to_hubs(is_full)
+            self.publish()
+
+    def publish(self):
+        """Send loads that have changed, and all loads now and then."""
+        now_s = self._clock.monotonic()
+        is_hub = self._is_hub
+        affected = self._host_loads.drop_silent_sources(now_s)
+        affected |= self._zone_loads.drop_silent_sources(now_s)
+        if is_hub:
+            # Received before this host became a hub.
+            own_zone = self._own_address.availability_zone
+            affected |= self._zone_loads.drop_source(own_zone)
+            self._zone_hub = None
+        self._update_remote_loads(affected)
+        is_full = now_s - self._full_publish_at_s > FULL_PUBLISH_INTERVAL_S
+        if is_full:
+            self._full_publish_at_s = now_s
+        own_loads = self._collect_own_loads()
+        if is_hub:
+            self._publish_sums(own_loads, is_full)
+        self._publish_to_hubs(own_loads, is_full)
 
     def _collect_own_loads(self):
         """Return the load that this host has placed on each engine."""
@@ -165,68 +213,80 @@
             if state.local_load.is_loaded
         }
 
-    def _publish_to_hubs(self, is_full):
-        current = self._collect_own_loads()
-        cells = find_changed(self._published, current, is_full)
-        self._published = current
+    def _publish_to_hubs(self, own_loads, is_full):
+        """Send this host's loads to the hubs of its zone, except itself."""
+        cells = find_changed(self._published, own_loads, is_full)
+        self._published = own_loads
         if not cells and not is_full:
             return
-        message = HostLoads(cells)
-        for host in self._peers.zone_hubs:
-            stream = self._peers.streams.get(host)
-            if stream is not None:
-                self._peers.count_bytes(stream, "load", stream.send(message))
-
-    def _publish_zone(self, is_full):
-        """Send the zone's sum to the hubs of other zones and to the hosts of this one.
-
-        Each host of this zone gets the sum without its own load.
-        """
-        own_loads = self._collect_own_loads()
-        names = self._host_loads.list_engines() | own_loads.keys()
-        current = {}
-        for name in names:
-            total = self._host_loads.sum_engine(name)
+        hubs = [self._peers.streams.get(host) for host in self._peers.zone_hubs]
+        streams = [stream for stream in hubs if stream is not None]
+        self._peers.send_to(streams, HostLoads(cells), "load")
+
+    def _publish_sums(self, own_loads, is_full):
+        """Send the sum of this zone to other zones, and of all zones to this one."""
+        zone_sums, all_sums = {}, {}
+        for name in self._host_loads.list_engines() | own_loads.keys():
+            total = EngineLoadCell()
+            total.add(self._host_loads.sum_engine(name))
             if name in own_loads:
                 total.add(EngineLoadCell(*own_loads[name]))
-            current[name] = total.to_numbers()
-        cells = find_changed(self._zone_published, current, is_full)
-        self._zone_published = current
-        if not cells and not is_full:
-            return
+            zone_sums[name] = total.to_numbers()
+        for name in self._zone_loads.list_engines() | zone_sums.keys():
+            total = EngineLoadCell(*zone_sums.get(name, ()))
+            total.add(self._zone_loads.sum_engine(name))
+            all_sums[name] = total.to_numbers()
+        zone_cells = find_changed(self._zone_published, zone_sums, is_full)
+        all_cells = find_changed(self._all_published, all_sums, is_full)
+        self._zone_published, self._all_published = zone_sums, all_sums
         if not self._peers.is_first_hub(self._own_address.host):
             return
+        if zone_cells or is_full:
+            self._send_to_other_hubs(zone_cells)
+        if all_cells or is_full:
+            self._send_to_zone_hosts(all_cells)
+
+    def _send_to_other_hubs(self, cells):
         zone = self._own_address.availability_zone
-        message = ZoneLoads(zone, cells)
-        for stream in list(self._peers.streams.values()):
+        streams = [
+            stream
+            for stream in self._peers.streams.values()
+            if stream.hello.availability_zone != zone
+            and self._peers.is_hub(stream.host)
+        ]
+        self._peers.send_to(streams, ZoneLoads(zone, cells), "load")
+
+    def _send_to_zone_hosts(self, cells):
+        """Send loads to the hosts of this zone, to each without its own load.
+
+        Most hosts have loaded none of the engines, and get the same message.
+        """
+        zone, changed = self._own_address.availability_zone, {cell[0] for cell in cells}
+        others = []
+        for stream in self._peers.streams.values():
             if stream.hello.availability_zone != zone:
-                if self._peers.is_hub(stream.host):
-                    self._peers.count_bytes(stream, "load", stream.send(message))
-            elif not self._peers.is_hub(stream.host):
-                without_receiver = ZoneLoads(
-                    zone, self._subtract_host(stream.host, cells)
-                )
-                self._peers.count_bytes(stream, "load", stream.send(without_receiver))
+                continue
+            if self._peers.is_hub(stream.host):
+                continue
+            if changed.isdisjoint(self._host_loads.list_loaded_by(stream.host)):
+                others.append(stream)
+            else:
+                own_cells = self._subtract_host(stream.host, cells)
+                self._peers.send_to([stream], ZoneLoads(zone, own_cells), "load")
+        self._peers.send_to(others, ZoneLoads(zone, cells), "load")
 
     def _subtract_host(self, host, cells):
-        """Return a zone's loads without that of one host, which has newer figures."""
+        """Return loads without that of one host, which has newer figures."""
         reduced = []
-        for engine, *numbers in cells:
-            part = self._host_loads.get(host, engine)
-            cell = EngineLoadCell(*numbers)
+        for cell in cells:
+            part = self._host_loads.get(host, cell[0])
             if part is not None:
-                cell.subtract(part)
-            reduced.append([engine, *cell.to_numbers()])
+                total = EngineLoadCell(*cell[1:])
+                total.subtract(part)
+                cell = [cell[0], *total.to_numbers()]
+            reduced.append(cell)
         return reduced
 
-    def _forward_to_zone_hosts(self, message):
-        """Forward another zone's loads to the hosts of this zone."""
-        zone = self._own_address.availability_zone
-        for stream in list(self._peers.streams.values()):
-            is_same_zone = stream.hello.availability_zone == zone
-            if is_same_zone and not self._peers.is_hub(stream.host):
-                self._peers.count_bytes(stream, "load", stream.send(message))
-
 
 def find_changed(published, current, is_full):
     """Return [engine, numbers...] of each engine whose load is to be published.
