--- a/src/sapphirerock/process/engines/admission.py
+++ b/src/sapphirerock/process/engines/admission.py
@@ -71,6 +71,7 @@
         self._clock = clock
         self._queues = {}
         self._calls = {}
+        self._has_waiting = asyncio.Event()
 
     async def admit(self, call):
         """Wait until a call is admitted or refused.
@@ -98,6 +99,7 @@
         )
         queue.push(ticket)
         self._calls[ticket] = (call, started_s)
+        self._has_waiting.set()
         try:
             return await ticket.admitted
         finally:
@@ -135,6 +137,9 @@
     @Service.task
     async def _admit_waiting_periodically(self):
         while not self.should_stop:
+            if not self._calls:
+                self._has_waiting.clear()
+            await self._has_waiting.wait()
             await self._clock.sleep(QUEUE_CHECK_INTERVAL_S)
             self.admit_waiting()
 
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -47,7 +47,7 @@
         while not self.should_stop:
             await self._clock.sleep(CHECK_INTERVAL_S)
             now_s = self._clock.monotonic()
-            for state in self._engines.list_all():
+            for state in self._engines.list_watched():
                 if self._is_probe_due(state, now_s):
                     state.is_probe_pending = True
                     state.probed_s = now_s
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -364,6 +364,14 @@
         """Return the states of all engines."""
         return list(self._states.values())
 
+    def list_watched(self):
+        """Return the states of engines that run calls of this host or were silent."""
+        return [
+            state
+            for state in self._states.values()
+            if state.attempts or state.silent_since_s is not None
+        ]
+
     def list_usable(self, service):
         """Return the states of a service's engines that may get new work."""
         return [
