Hosts start from their peers; entries of hosts are sent on in batches

A fleet of 195 hosts made 23 calls to the store for each host that started, which are priced: every host listed six kinds at once, and watched three until it knew the others of its zone, where the entry of each other host ended the watches. Each entry was a message of its own as well: a small host got 430 in the first 6 s, a seed, to which all hosts connected, 16,000.

Now only the hosts at the seeds' addresses read the store at once. Others load what the first peer has, if it has contact with the store, and read the store themselves after a second. For 2 s they leave the watch to peers that have contact. Hosts begin with different seeds, one at a time, and streams that nothing uses close after 5 s. Entries of hosts are gathered for 0.2 s before they are sent on. An entry that an earlier process wrote is replaced by the revision in the refusal.

Shown by starts.feature: nine edges of three zones, killed and restarted: 13 to 24 calls each of those that are no seeds before, 4 now (three lists and the own entry).

--- a/features/configspread.feature
+++ b/features/configspread.feature
@@ -35,3 +35,8 @@
       | host | receivers        |
       | a1   | b1 and c1        |
       | b1   | a1 and a2 and c1 |
+
+  Scenario: Entries of hosts that start together are sent on together
+    Given a host that gathers changes for 0.05 s before it sends them on
+    When it gets 30 changes from a1, one after the other
+    Then it sends one message with 30 changes to b1
--- a/features/starts.feature
+++ b/features/starts.feature
@@ -61,3 +61,8 @@
     Given a process that imports mode while croniter is deferred
     When it computes the seconds until the next minute by croniter
     Then croniter was loaded by the call, and the seconds are from 0 to 60
+
+  Scenario: Hosts that start together load the store's objects from the seeds
+    Given a shared platform with 9 edges in 3 zones
+    When all edges are killed and restarted
+    Then each edge but the seeds has made at most 4 calls to the store once all are ready
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -1,5 +1,6 @@
 """Steps on how large configurations are sent from host to host."""
 
+import asyncio
 import hashlib
 import re
 import zlib
@@ -130,7 +131,7 @@
 class FeedUnderTest:
     """A feed of one host in zone-a, with recorded streams to its peers."""
 
-    def __init__(self, zones_by_host):
+    def __init__(self, zones_by_host, batch_s=0.0):
         self.streams = {
             host: RecordingStream(host, zone) for host, zone in zones_by_host.items()
         }
@@ -144,7 +145,7 @@
             send_to=send_to_each,
         )
         store = SimpleNamespace(observe_era=lambda era: True)
-        kinds = [ReplicatedKind(Replica("config"))]
+        kinds = [ReplicatedKind(Replica("config"), batch_s=batch_s)]
         self.feed = ObjectFeed(store, kinds, self.peers, ManualClock(1.0))
 
     def receive_heartbeat(self, host, views):
@@ -169,6 +170,30 @@
     context.host.receive_change("a1")
 
 
+@given("a host that gathers changes for {batch:g} s before it sends them on")
+def make_batching_feed(context, batch):
+    context.batch_s = batch
+    context.host = FeedUnderTest({"a1": "zone-a", "b1": "zone-b"}, batch)
+
+
+@when("it gets {count:d} changes from {host}, one after the other")
+def receive_changes(context, count, host):
+    async def run():
+        for number in range(1, count + 1):
+            changes = [[f"host-{number}", number, {}]]
+            delta = ObjectDelta("config", number - 1, number, changes, None)
+            context.host.feed._handle_delta(context.host.streams[host], delta)
+        await asyncio.sleep(2 * context.batch_s)
+
+    context.run(run())
+
+
+@then("it sends one message with {count:d} changes to {host}")
+def check_batch(context, count, host):
+    (message,) = context.host.streams[host].sent
+    assert len(message.changes) == count, message
+
+
 @given("a host with peers in its zone and in two others")
 def make_feed_of_three_zones(context):
     context.host = FeedUnderTest(
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -59,7 +59,11 @@
 from sapphirerock.process.peers.gossip import Gossip
 from sapphirerock.process.peers.hosts import HostTable
 from sapphirerock.process.peers.loadsharing import LoadSharing
-from sapphirerock.process.peers.membership import MEMBERSHIP_WATCH_TIMEOUT_S, Membership
+from sapphirerock.process.peers.membership import (
+    MEMBERSHIP_BATCH_S,
+    MEMBERSHIP_WATCH_TIMEOUT_S,
+    Membership,
+)
 from sapphirerock.process.peers.relayserver import RelayServer
 from sapphirerock.process.peers.storedorigins import StoredOrigins
 from sapphirerock.process.peers.streamorigins import StreamOriginTable
@@ -218,10 +222,13 @@
             [
                 ReplicatedKind(configuration_replica),
                 ReplicatedKind(engine_replica),
-                ReplicatedKind(router_replica, MEMBERSHIP_WATCH_TIMEOUT_S),
+                ReplicatedKind(
+                    router_replica, MEMBERSHIP_WATCH_TIMEOUT_S, MEMBERSHIP_BATCH_S
+                ),
             ],
             self.peers,
             clock,
+            reads_store_first=is_seed(profile),
         )
         self.load_sharing = LoadSharing(self.engines, self.peers, clock)
         self.stream_origins = StreamOriginTable(self.peers, clock)
@@ -374,6 +381,15 @@
         await asyncio.sleep(0)
 
 
+def is_seed(profile):
+    """Return whether other hosts connect to this one when they start.
+
+    So does a host that knows no other one.
+    """
+    others = [seed for seed in profile.seeds if seed != profile.peer_endpoint]
+    return len(others) < len(profile.seeds) or not others
+
+
 def read_file_stamp(path):
     """Return a file's modification time, size and inode, or None if stat fails."""
     try:
--- a/src/sapphirerock/process/peers/membership.py
+++ b/src/sapphirerock/process/peers/membership.py
@@ -8,15 +8,25 @@
 from mode import Service
 
 from sapphirerock.connection.storeobjects import ObjectMissing, StoreConflict
+from sapphirerock.decisions.rendezvous import rank_candidates
+from sapphirerock.process.replicas.replica import ReplicaChange
 from sapphirerock.process.settings.hostsettings import HostAddress
 
 REGISTRATION_CHECK_INTERVAL_S = 1.0
 # A watch of the registrations may wait this long: hosts also find each other through
 # peers, and nothing waits for the list in the store.
 MEMBERSHIP_WATCH_TIMEOUT_S = 5.0
+# Registrations of hosts that start together are sent on together.
+MEMBERSHIP_BATCH_S = 0.2
+# A host that starts writes its entry after this time, also if it has not yet got the
+# entries of others, among which may be its own of an earlier process.
+FIRST_WRITE_DELAY_S = 1.0
+FIRST_WRITE_POLL_S = 0.05
 # A working store answers within this time; a host that shuts down waits no longer.
 DEREGISTER_TIMEOUT_S = 0.5
 SEED_DIAL_INTERVAL_S = 1.0
+# Seeds may be starting, too. A connection that is refused costs little.
+FIRST_SEED_DIAL_INTERVAL_S = 0.2
 MAX_PORT = 65_535
 
 
@@ -87,15 +97,28 @@
 
         A failed write is tried again after `REGISTRATION_CHECK_INTERVAL_S`.
         """
+        started_s = self._clock.monotonic()
+        while not self._replica.horizon and not self.should_stop:
+            if self._clock.monotonic() - started_s > FIRST_WRITE_DELAY_S:
+                break
+            await self._clock.sleep(FIRST_WRITE_POLL_S)
         while not self.should_stop:
             registered = self._replica.get(self._own_address.host)
             differs = registered is not None and registered.spec != self._make_spec()
             if self._must_write or differs:
                 self._must_write = False
                 written = await self._write(registered)
-                self._must_write |= written.is_error()
+                if written.is_ok():
+                    self._apply_written(written.ok)
+                else:
+                    self._must_write = True
             await self._clock.sleep(REGISTRATION_CHECK_INTERVAL_S)
 
+    def _apply_written(self, entry):
+        """Note this host's entry before the store's watchers report it."""
+        change = ReplicaChange(entry.name, entry.revision, entry.spec)
+        self._replica.apply(self._replica.horizon, self._replica.horizon, [change])
+
     def _request_write(self):
         """Write the entry again, since the store may have lost it."""
         self._must_write = True
@@ -107,11 +130,14 @@
             return await self._store.replace(kind, name, spec, registered.revision)
         created = await self._store.create(kind, name, spec)
         if created.is_error() and isinstance(created.error, StoreConflict):
-            return await self._replace_stale_entry(kind, name, spec)
+            return await self._replace_stale_entry(kind, name, spec, created.error)
         return created
 
-    async def _replace_stale_entry(self, kind, name, spec):
+    async def _replace_stale_entry(self, kind, name, spec, conflict):
         """Replace the entry of an earlier process on this host."""
+        if conflict.current is not None:
+            revision = conflict.current.revision
+            return await self._store.replace(kind, name, spec, revision)
         read = await self._store.read(kind, name)
         if read.is_error():
             return Error(read.error)
@@ -137,13 +163,32 @@
 
     @Service.task
     async def _connect_to_seeds(self):
-        """Connect to hosts at the seed addresses while no peer is connected."""
+        """Connect to seeds, one after the other, until other hosts are known.
+
+        Hosts begin with different seeds, so that all hosts of a fleet that starts don't
+        connect to the same one.
+        """
         while not self.should_stop:
-            if not self._peers.streams:
-                for seed in self.seeds:
-                    if seed.address != self._own_address.address:
-                        await self._peers.dial_seed(seed)
-            await self._clock.sleep(SEED_DIAL_INTERVAL_S)
+            if not self._peers.streams or not self._replica.horizon:
+                await self._dial_next_seed()
+            await self._clock.sleep(
+                SEED_DIAL_INTERVAL_S
+                if self._peers.streams
+                else FIRST_SEED_DIAL_INTERVAL_S
+            )
+
+    async def _dial_next_seed(self):
+        """Dial the seeds that are not connected until one answers."""
+        connected = {
+            stream.hello.address for stream in self._peers.streams.values()
+        } | {self._own_address.address}
+        names = {str(seed): seed for seed in self.seeds}
+        for name in rank_candidates(names, self._own_address.host):
+            if names[name].address in connected:
+                continue
+            dialled = await self._peers.dial_seed(names[name])
+            if dialled.is_ok():
+                return
 
 
 def decode_host(name, spec):
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -30,7 +30,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # With two hubs, the failure of one loses no update.
 HUBS_PER_ZONE = 2
-IDLE_TIMEOUT_S = 30.0
+# A stream costs both ends a heartbeat each half second, a new one as much as four.
+IDLE_TIMEOUT_S = 5.0
 # A host that has just started gets records from its peers on their first streams.
 FIRST_CONNECT_INTERVAL_S = 0.1
 
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -4,7 +4,8 @@
 store and sends changes to the other hosts. The others take over in a fixed order,
 only while no host ranked before them has contact with the store. So the number of
 calls to the store grows with zones, not with hosts, and a host whose calls the store
-rejects gets the objects from its peers.
+rejects gets the objects from its peers. A host that starts gets them from its peers,
+too: only the seeds, to which all hosts connect first, read the store at once.
 """
 
 import asyncio
@@ -43,6 +44,13 @@
 DELTA_LIMIT_BYTES = 512 << 10
 # A store that works answers within this time.
 REFRESH_TIMEOUT_S = 0.3
+# A host that starts reads the store itself if no peer has sent all objects after this
+# time, in which it connects to a seed and gets a large configuration over a slow link.
+START_FROM_PEERS_S = 1.0
+START_POLL_S = 0.02
+# A host that started from its peers leaves the watch to them for this time, in which it
+# gets to know the hosts of its zone.
+WATCH_SETTLE_S = 2.0
 # Longer than the interval between heartbeats and a round trip.
 PEER_SIGN_TIMEOUT_S = 0.7
 PEER_SIGN_POLL_S = 0.05
@@ -136,10 +144,13 @@
     watch_wait_s : float
         Longest wait of one watch call, in seconds. Kinds whose changes may arrive
         late have a longer one.
+    batch_s : float
+        Time for which changes are gathered before they are sent on, in seconds.
     """
 
     replica: Replica
     watch_wait_s: float = WATCH_WAIT_S
+    batch_s: float = 0.0
 
 
 class ObjectFeed(Service):
@@ -155,11 +166,20 @@
         Streams to peers.
     clock : Clock
         Source of time.
+    reads_store_first : bool
+        Whether this host reads the store when it starts, even if peers may have the
+        objects.
     """
 
-    def __init__(self, store, kinds, peers, clock, **kwargs):
+    def __init__(self, store, kinds, peers, clock, reads_store_first=True, **kwargs):
         super().__init__(**kwargs)
         self._store = store
+        self._reads_store_first = reads_store_first
+        self._started_s = clock.monotonic()
+        self._batch_times_s = {item.replica.kind: item.batch_s for item in kinds}
+        # Changes to send on with the next batch, by kind and the stream that they came
+        # from.
+        self._batches = {}
         self._replicas = {item.replica.kind: item.replica for item in kinds}
         self._watch_waits_s = {item.replica.kind: item.watch_wait_s for item in kinds}
         self._states = {kind: FeedState() for kind in self._replicas}
@@ -173,6 +193,7 @@
 
     async def on_start(self):
         """Start to replicate each kind."""
+        self._started_s = self._clock.monotonic()
         for replica in self._replicas.values():
             self.add_future(self._replicate(replica))
 
@@ -286,9 +307,10 @@
         return self._rank_zone().index(self._peers.hosts.own_address.host)
 
     async def _replicate(self, replica):
-        """Read the list once, then watch whenever this host should."""
+        """Get all objects once, then watch whenever this host should."""
         state = self._states[replica.kind]
-        needs_list, pause_s = True, RETRY_PAUSE_S
+        needs_list = not await self._start_from_peers(replica)
+        pause_s = RETRY_PAUSE_S
         while not self.should_stop:
             if not needs_list and not self._should_watch(replica.kind):
                 await self._wait_for_lost_contact(state)
@@ -305,6 +327,26 @@
             else:
                 pause_s = RETRY_PAUSE_S
 
+    async def _start_from_peers(self, replica):
+        """Wait for peers to send all objects; return whether they have.
+
+        Objects of peers that have no contact with the store themselves may be old.
+        """
+        if self._reads_store_first:
+            return False
+        kind = replica.kind
+        while not self.should_stop:
+            is_current = self.measure_age_s(kind) <= CONTACT_TIMEOUT_S
+            if self._states[kind].is_synchronised and replica.horizon and is_current:
+                logger.bind(kind=kind, objects=len(replica)).info(
+                    "objects loaded from peers"
+                )
+                return True
+            if self._clock.monotonic() - self._started_s > START_FROM_PEERS_S:
+                return False
+            await self._clock.sleep(START_POLL_S)
+        return False
+
     async def _wait_for_lost_contact(self, state):
         """Wait until a peer reports a lost contact, at most `RETRY_PAUSE_S`."""
         state.contact_lost.clear()
@@ -316,6 +358,8 @@
 
     def _should_watch(self, kind):
         """Return whether no host ranked before this one has contact with the store."""
+        if not self._reads_store_first and self._leaves_watch_to_peers(kind):
+            return False
         ranking = self._rank_zone()
         own_rank = ranking.index(self._peers.hosts.own_address.host)
         if own_rank < WATCHERS_PER_ZONE:
@@ -333,6 +377,12 @@
         overdue_s = self._clock.monotonic() - max([NEVER_S, *contacts]) - timeout_s
         return overdue_s > (own_rank - WATCHERS_PER_ZONE) * TAKEOVER_STAGGER_S
 
+    def _leaves_watch_to_peers(self, kind):
+        """Return whether this host has just started and peers have contact."""
+        uptime_s = self._clock.monotonic() - self._started_s
+        has_started = uptime_s > WATCH_SETTLE_S
+        return not has_started and self.measure_age_s(kind) <= CONTACT_TIMEOUT_S
+
     async def _read_list(self, replica, state):
         read = await self._store.list_all(replica.kind)
         if read.is_ok():
@@ -413,16 +463,42 @@
             Whether any change was new.
         """
         state = self._states[replica.kind]
+        was_complete = replica.horizon > 0
         state.is_synchronised |= after > 0 or names is not None
         applied = replica.apply(after, horizon, changes, names)
+        if source is None and replica.horizon and not was_complete:
+            # Peers that start, too, can load the objects from here now.
+            self._peers.send_heartbeats()
         if not applied:
             return False
         # Only the changes that were new are forwarded, not a whole list.
-        packed = [pack_change(change) for change in applied]
-        horizon = min(horizon, replica.horizon)
+        batch_s = self._batch_times_s[replica.kind]
+        if batch_s:
+            self._add_to_batch(replica, applied, source, batch_s)
+        else:
+            horizon = min(horizon, replica.horizon)
+            self._forward(replica, horizon, applied, source)
+        return True
+
+    def _forward(self, replica, horizon, changes, source):
+        packed = [pack_change(change) for change in changes]
         delta = ObjectDelta(replica.kind, replica.newest, horizon, packed, None)
         self._send_delta(delta, self._list_receivers(source))
-        return True
+
+    def _add_to_batch(self, replica, changes, source, batch_s):
+        """Gather changes; the first ones of a batch set the time at which it is sent.
+
+        When all hosts start, each of them is a change that each host forwards.
+        """
+        batches = self._batches.setdefault(replica.kind, {})
+        if not batches:
+            asyncio.get_running_loop().call_later(batch_s, self._send_batch, replica)
+        batches.setdefault(source, []).extend(changes)
+
+    def _send_batch(self, replica):
+        batches = self._batches.pop(replica.kind, {})
+        for source, changes in batches.items():
+            self._forward(replica, replica.horizon, changes, source)
 
     def _list_receivers(self, source):
         """Return the streams on which a change is sent on.
@@ -529,7 +605,8 @@
             is_equal = (newest, size) == (replica.newest, len(replica))
             state.is_synchronised |= is_equal and not has_no_contact
             has_other_size = newest == replica.newest and size != len(replica)
-            if newest <= replica.newest and not has_other_size:
+            has_all = replica.horizon > 0 or has_no_contact
+            if newest <= replica.newest and not has_other_size and has_all:
                 continue
             if (
                 now_s - state.pulled_at_s.get(stream.host, NEVER_S)
