Duties go to hosts that have the capacity for them

Hubs, watchers, and owners of turns, slots and records were chosen by the names of hosts alone. On the large site each zone has three hosts of 2.15 cores and 27 to 32 of 0.516 cores on a tenth of the link, so nine hubs in ten were small: a hub got 1,008 messages and sent 6,945 in the first 4 s of traffic, a third of its time.

Hosts tell their capacity class in heartbeats and entries, from the limits in the platform's settings, and those of the highest class come first. Hosts of earlier builds tell no class; while one lives, all hosts choose as before, so that old and new builds agree.

--- a/src/sapphirerock/platform/settingsfile.py
+++ b/src/sapphirerock/platform/settingsfile.py
@@ -3,6 +3,7 @@
 import orjson
 from expression import Error, Ok
 
+from sapphirerock.decisions.duties import HostCapacity
 from sapphirerock.process.settings.hostprofile import (
     Endpoint,
     HostProfile,
@@ -65,6 +66,7 @@
         store=_decode_store(document["platform"]),
         bounds=_decode_bounds(document.get("bounds") or {}),
         regions=dict(document.get("zones") or {}),
+        capacity=_decode_capacity(document.get("limits") or {}),
     )
 
 
@@ -86,6 +88,17 @@
     )
 
 
+def _decode_capacity(entry):
+    if not {"cpu_share", "memory_mb", "link_mbps"} <= entry.keys():
+        return None
+    return HostCapacity(
+        # `cpu_share` is a share of one core, which is `cores` times as fast as usual.
+        cores=float(entry["cpu_share"]) * float(entry.get("cores") or 1),
+        memory_mb=float(entry["memory_mb"]),
+        link_mbps=float(entry["link_mbps"]),
+    )
+
+
 def _decode_bounds(entry):
     default = ServiceBounds()
     return ServiceBounds(
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -21,6 +21,7 @@
 from sapphirerock.connection.store import StoreClient
 from sapphirerock.connection.upstream import make_upstream_session
 from sapphirerock.decisions.crashlog import CrashLog
+from sapphirerock.decisions.duties import classify_capacity
 from sapphirerock.decisions.leaving import (
     OUT_OF_ROTATION_DELAY_S,
     Shutdown,
@@ -154,6 +155,7 @@
             host=profile.host,
             zone=profile.availability_zone,
             callers=str(caller_endpoint),
+            capacity_class=self.hosts.own_class,
         ).info("edge started")
 
     @Service.task
@@ -194,7 +196,10 @@
             profile.caller_endpoint.port,
             profile.peer_endpoint.port,
         )
-        self.hosts = HostTable(own_address, (), clock)
+        own_class = None
+        if profile.capacity is not None:
+            own_class = classify_capacity(profile.capacity)
+        self.hosts = HostTable(own_address, (), clock, own_class)
         incarnation = time.time_ns()
         # The platform gives its hosts no shared secret; they have a separate network.
         self.peers = PeerTable(
--- a/src/sapphirerock/process/engines/versionhistory.py
+++ b/src/sapphirerock/process/engines/versionhistory.py
@@ -13,7 +13,7 @@
 from mode import Service
 
 from sapphirerock.connection.storeobjects import ObjectMissing, StoreConflict
-from sapphirerock.decisions.rendezvous import pick_candidate
+from sapphirerock.decisions.duties import pick_for_duty
 from sapphirerock.platform.names import ENGINE_VERSIONS_KIND, ENGINES_KIND
 from sapphirerock.process.engines.table import VERSION_HISTORY_S
 from sapphirerock.process.storeretry import retry_store_call
@@ -155,7 +155,8 @@
         """Return whether this host writes an object, which one live host does."""
         own_host = self._hosts.own_address.host
         live = [address.host for address in self._hosts.list_live()]
-        return pick_candidate([own_host, *live], name) == own_host
+        classes = self._hosts.list_capacity_classes()
+        return pick_for_duty([own_host, *live], name, classes) == own_host
 
     async def _retry(self, operation, call):
         return await retry_store_call(
--- a/src/sapphirerock/process/peers/hosts.py
+++ b/src/sapphirerock/process/peers/hosts.py
@@ -7,6 +7,9 @@
 DEAD_HOST_COOLDOWN_S = 3.0
 # A host that can't be reached may be cut off and go on for this time or longer.
 UNREACHABLE_HOST_TTL_S = 60.0
+# A new host tells its capacity on its first stream and in its entry. One that has not
+# after this time is of an earlier build.
+CAPACITY_WAIT_S = 2.0
 
 
 @dataclass(slots=True)
@@ -23,12 +26,18 @@
         Monotonic time until which the host is considered dead.
     unreachable_since_s : float or None
         Monotonic time since which no connection to the host could be made.
+    known_since_s : float
+        Monotonic time at which the host became known.
+    capacity_class : int or None
+        Class of the host's capacity; None if it has not told it.
     """
 
     address: HostAddress
     is_shutting_down: bool = False
     dead_until_s: float = 0.0
     unreachable_since_s: float | None = None
+    known_since_s: float = 0.0
+    capacity_class: int | None = None
 
 
 class HostTable:
@@ -42,12 +51,15 @@
         Hosts named in this host's settings, kept even without a registration.
     clock : Clock
         Source of time.
+    own_class : int or None
+        Capacity class of this host; None if capacities are not used.
     """
 
-    __slots__ = ("own_address", "_hosts", "_seeds", "_clock")
+    __slots__ = ("own_address", "own_class", "_hosts", "_seeds", "_clock")
 
-    def __init__(self, own_address, seeds, clock):
+    def __init__(self, own_address, seeds, clock, own_class=None):
         self.own_address = own_address
+        self.own_class = own_class
         self._clock = clock
         self._seeds = {peer.host for peer in seeds}
         self._hosts = {peer.host: KnownHost(peer) for peer in seeds}
@@ -57,15 +69,44 @@
         """Add or update a host after a handshake, which shows that it is running."""
         known = self._hosts.get(address.host)
         if known is None or known.address != address:
-            self._hosts[address.host] = KnownHost(address)
+            self._add(address)
         else:
             known.is_shutting_down = False
 
-    def update_from_registration(self, address):
+    def update_from_registration(self, address, capacity_class=None):
         """Add or update a host from its registration in the store."""
         known = self._hosts.get(address.host)
         if known is None or known.address != address:
-            self._hosts[address.host] = KnownHost(address)
+            self._add(address)
+        if capacity_class is not None:
+            self.note_capacity(address.host, capacity_class)
+
+    def _add(self, address):
+        now_s = self._clock.monotonic()
+        self._hosts[address.host] = KnownHost(address, known_since_s=now_s)
+
+    def note_capacity(self, host, capacity_class):
+        """Record the capacity class that a host has told."""
+        if host in self._hosts:
+            self._hosts[host].capacity_class = capacity_class
+
+    def list_capacity_classes(self):
+        """Return the capacity class of each host; none unless all hosts tell theirs.
+
+        Returns
+        -------
+        dict of str to int
+        """
+        if self.own_class is None:
+            return {}
+        oldest_s = self._clock.monotonic() - CAPACITY_WAIT_S
+        classes = {self.own_address.host: self.own_class}
+        for name, known in self._hosts.items():
+            if known.capacity_class is not None:
+                classes[name] = known.capacity_class
+            elif known.known_since_s <= oldest_s and not known.is_shutting_down:
+                return {}
+        return classes
 
     def remove(self, host):
         """Drop a host whose registration has ended, unless the settings name it."""
--- a/src/sapphirerock/process/peers/membership.py
+++ b/src/sapphirerock/process/peers/membership.py
@@ -28,6 +28,9 @@
 # Seeds may be starting, too. A connection that is refused costs little.
 FIRST_SEED_DIAL_INTERVAL_S = 0.2
 MAX_PORT = 65_535
+# View of a heartbeat and field of an entry by which a host tells its capacity class.
+CAPACITY_VIEW = "host-capacity"
+CAPACITY_FIELD = "capacity_class"
 
 
 class Membership(Service):
@@ -59,6 +62,8 @@
         self._clock = clock
         self._must_write = True
         replica.subscribe(self._apply_changes)
+        peers.view_sources.append(self._describe_capacity)
+        peers.on_heartbeat.append(self._note_capacity)
         store.on_restore.append(self._request_write)
 
     @property
@@ -66,7 +71,8 @@
         return self._peers.hosts.own_address
 
     def _make_spec(self):
-        own_address = self._own_address
+        own_address, own_class = self._own_address, self._peers.hosts.own_class
+        capacity = {} if own_class is None else {CAPACITY_FIELD: own_class}
         return {
             "availability_zone": own_address.availability_zone,
             "region": own_address.region,
@@ -74,8 +80,18 @@
             "caller_port": own_address.caller_port,
             "peer_port": own_address.peer_port,
             "incarnation": self._incarnation,
+            **capacity,
         }
 
+    def _describe_capacity(self):
+        own_class = self._peers.hosts.own_class
+        return [] if own_class is None else [[CAPACITY_VIEW, own_class, 0, 0, ""]]
+
+    def _note_capacity(self, stream, heartbeat):
+        for kind, capacity_class, *_ in heartbeat.views:
+            if kind == CAPACITY_VIEW:
+                self._peers.hosts.note_capacity(stream.host, capacity_class)
+
     def _apply_changes(self, changes):
         hosts = self._peers.hosts
         for change in changes:
@@ -85,7 +101,10 @@
                 hosts.remove(change.name)
                 continue
             try:
-                hosts.update_from_registration(decode_host(change.name, change.spec))
+                hosts.update_from_registration(
+                    decode_host(change.name, change.spec),
+                    decode_capacity_class(change.spec),
+                )
             except (KeyError, TypeError, ValueError, OverflowError) as error:
                 logger.bind(entry=change.name, cause=repr(error)).warning(
                     "invalid host registration ignored"
@@ -207,3 +226,15 @@
         raise ValueError("a port is out of range")
     IPv4Address(spec["address"])
     return HostAddress(name, *texts, *ports)
+
+
+def decode_capacity_class(spec):
+    """Return the capacity class in a host's entry, or None if there is none.
+
+    Raises
+    ------
+    TypeError, ValueError
+        The class is no number.
+    """
+    capacity_class = spec.get(CAPACITY_FIELD)
+    return None if capacity_class is None else int(capacity_class)
--- a/src/sapphirerock/process/peers/owners.py
+++ b/src/sapphirerock/process/peers/owners.py
@@ -1,10 +1,10 @@
 """The host that owns a thing which all hosts share, such as an engine's turns."""
 
-from sapphirerock.decisions.rendezvous import pick_candidate
+from sapphirerock.decisions.duties import pick_for_duty
 
 
 def find_owner(peers, name, without=None):
-    """Return the live host that owns a thing by rendezvous hashing, or None.
+    """Return the live host that owns a thing, or None.
 
     Parameters
     ----------
@@ -18,4 +18,5 @@
     names = [address.host for address in peers.hosts.list_live()]
     if not peers.is_shutting_down:
         names.append(peers.hosts.own_address.host)
-    return pick_candidate([host for host in names if host != without], name)
+    candidates = [host for host in names if host != without]
+    return pick_for_duty(candidates, name, peers.hosts.list_capacity_classes())
--- a/src/sapphirerock/process/peers/table.py
+++ b/src/sapphirerock/process/peers/table.py
@@ -21,7 +21,7 @@
     open_peer_stream,
     read_first_message,
 )
-from sapphirerock.decisions.rendezvous import rank_candidates
+from sapphirerock.decisions.duties import HUB_DUTY, rank_for_duty
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.tasks import BackgroundTasks
 
@@ -441,8 +441,9 @@
         zones = {own_address.availability_zone: [own_address.host]}
         for address in self.hosts.list_live():
             zones.setdefault(address.availability_zone, []).append(address.host)
+        classes = self.hosts.list_capacity_classes()
         self._hubs = {
-            zone: rank_candidates(names, "hub")[:HUBS_PER_ZONE]
+            zone: rank_for_duty(names, HUB_DUTY, classes)[:HUBS_PER_ZONE]
             for zone, names in zones.items()
         }
         self._all_hubs = frozenset().union(*self._hubs.values())
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -23,7 +23,7 @@
     StoreUnavailable,
     get_era,
 )
-from sapphirerock.decisions.rendezvous import rank_candidates
+from sapphirerock.decisions.duties import HUB_DUTY, rank_for_duty
 from sapphirerock.process.replicas.replica import Replica, ReplicaChange
 
 WATCHERS_PER_ZONE = 1
@@ -300,8 +300,9 @@
 
     def _rank_zone(self):
         """Return the zone's live hosts in the order in which they become watchers."""
-        names = [address.host for address in self._peers.hosts.list_live_in_zone()]
-        return rank_candidates(names, "hub")
+        hosts = self._peers.hosts
+        names = [address.host for address in hosts.list_live_in_zone()]
+        return rank_for_duty(names, HUB_DUTY, hosts.list_capacity_classes())
 
     def _find_rank(self):
         return self._rank_zone().index(self._peers.hosts.own_address.host)
--- a/src/sapphirerock/process/settings/hostprofile.py
+++ b/src/sapphirerock/process/settings/hostprofile.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from sapphirerock.decisions.duties import HostCapacity
+
 
 @dataclass(slots=True, frozen=True)
 class Endpoint:
@@ -101,6 +103,8 @@
         Bounds that the router must keep to.
     regions : dict of str to str
         Region of each availability zone.
+    capacity : HostCapacity or None
+        What the process may use of the host; None if the platform does not tell.
     """
 
     host: str
@@ -114,3 +118,4 @@
     store: StoreAccess
     bounds: ServiceBounds
     regions: dict
+    capacity: HostCapacity | None = None
--- a/tools/localfleet.py
+++ b/tools/localfleet.py
@@ -64,10 +64,10 @@
         Size of these messages.
     """
 
-    def __init__(self, name, zone, clock):
+    def __init__(self, name, zone, clock, capacity_class):
         self.name = name
         self.address = HostAddress(name, zone, zone[0], "127.0.0.1", 1, 2)
-        self.hosts = HostTable(self.address, (), clock)
+        self.hosts = HostTable(self.address, (), clock, capacity_class)
         self.peers = PeerTable(self.hosts, "", 1, clock, EdgeMetrics())
         self.received = Counter()
         self.received_bytes = 0
@@ -87,6 +87,9 @@
     ----------
     count : int
         Number of hosts.
+    large_per_zone : int
+        Hosts of each zone that have a higher capacity class than the others, the last
+        ones by name.
 
     Attributes
     ----------
@@ -94,17 +97,18 @@
         Sender, receiver and frame of each message under way.
     """
 
-    def __init__(self, count):
+    def __init__(self, count, large_per_zone=0):
         self.clock = ManualClock(100.0)
         self.queue = deque()
         zones = itertools.cycle(ZONES)
+        first_large = count - large_per_zone * len(ZONES)
         self.hosts = [
-            FleetHost(f"{zone}-{number}", zone, self.clock)
+            FleetHost(f"{zone}-{number}", zone, self.clock, int(number >= first_large))
             for number, zone in zip(range(count), zones, strict=False)
         ]
         self._hosts_by_name = {host.name: host for host in self.hosts}
         for host, other in itertools.permutations(self.hosts, 2):
-            host.hosts.update_from_registration(other.address)
+            host.hosts.update_from_registration(other.address, other.hosts.own_class)
 
     def connect(self):
         """Open the streams that the hosts choose."""
--- a/tools/sharedcluster.py
+++ b/tools/sharedcluster.py
@@ -175,6 +175,13 @@
                 "history_s": 20,
                 "value_bytes": 1 << 20,
             },
+            "limits": {
+                "cpu_share": 0.5,
+                "cores": 2,
+                "memory_mb": 300,
+                "max_fds": 4100,
+                "link_mbps": 1000,
+            },
             "a_field_of_tomorrow": {"any": "value"},
             **changes,
         }
