Hosts at rest: fewer wake-ups and look-ups

Engines are checked for silence each 0.05 s only while one is watched, and each 0.2 s otherwise, which is when an attempt that began meanwhile can be silent first. Records of streams are sent on once there are some, and whether they are to be written to the store is looked up when there are new ones, otherwise each 0.3 s. Capacity classes are collected when one changes, at least each 0.5 s. Stand-ins of hosts tell their classes.

--- a/features/steps/enginelimit_steps.py
+++ b/features/steps/enginelimit_steps.py
@@ -337,6 +337,7 @@
         hosts=SimpleNamespace(
             own_address=own_address,
             list_live=list_live,
+            list_capacity_classes=dict,
             count_reachable=lambda: min(len(group), possibly_running),
             count_possibly_running=lambda: possibly_running,
         ),
@@ -672,6 +673,7 @@
     clock, peers = SystemClock(), Mock(ask=ask, is_shutting_down=True)
     peers.hosts.own_address.host = "a1"
     peers.hosts.list_live.return_value = [SimpleNamespace(host="b1")]
+    peers.hosts.list_capacity_classes.return_value = {}
     limits = EngineLimitTable(Mock(), peers, Mock(), clock)
     context.states = []
     for number in range(count):
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -990,6 +990,7 @@
         self.hosts = SimpleNamespace(
             own_address=SimpleNamespace(host=name, availability_zone=zone),
             find=self.known_hosts.get,
+            list_capacity_classes=dict,
         )
         self.table = StreamOriginTable(self, clock)
 
--- a/features/steps/slotwait_steps.py
+++ b/features/steps/slotwait_steps.py
@@ -90,6 +90,7 @@
         hosts=SimpleNamespace(
             own_address=own_address,
             list_live=lambda: [SimpleNamespace(host="owner")],
+            list_capacity_classes=dict,
         ),
         # A host that is shutting down owns no slots.
         is_shutting_down=True,
--- a/src/sapphirerock/process/engines/monitor.py
+++ b/src/sapphirerock/process/engines/monitor.py
@@ -44,10 +44,13 @@
 
     @Service.task
     async def _probe_silent_engines(self):
+        watched = []
         while not self.should_stop:
-            await self._clock.sleep(CHECK_INTERVAL_S)
+            # An attempt that begins meanwhile is not silent before this time is over.
+            await self._clock.sleep(CHECK_INTERVAL_S if watched else SILENCE_TIMEOUT_S)
             now_s = self._clock.monotonic()
-            for state in self._engines.list_watched():
+            watched = self._engines.list_watched()
+            for state in watched:
                 if self._is_probe_due(state, now_s):
                     state.is_probe_pending = True
                     state.probed_s = now_s
--- a/src/sapphirerock/process/peers/hosts.py
+++ b/src/sapphirerock/process/peers/hosts.py
@@ -1,5 +1,6 @@
 """Known entry hosts: their addresses and whether they are alive."""
 
+import math
 from dataclasses import dataclass
 
 from sapphirerock.process.settings.hostsettings import HostAddress
@@ -10,6 +11,8 @@
 # A new host tells its capacity on its first stream and in its entry. One that has not
 # after this time is of an earlier build.
 CAPACITY_WAIT_S = 2.0
+# The capacity classes are looked up anew after this time, or once one has changed.
+CLASSES_TTL_S = 0.5
 
 
 @dataclass(slots=True)
@@ -55,12 +58,22 @@
         Capacity class of this host; None if capacities are not used.
     """
 
-    __slots__ = ("own_address", "own_class", "_hosts", "_seeds", "_clock")
+    __slots__ = (
+        "own_address",
+        "own_class",
+        "_hosts",
+        "_seeds",
+        "_clock",
+        "_classes",
+        "_classes_until_s",
+    )
 
     def __init__(self, own_address, seeds, clock, own_class=None):
         self.own_address = own_address
         self.own_class = own_class
         self._clock = clock
+        self._classes = {}
+        self._classes_until_s = -math.inf
         self._seeds = {peer.host for peer in seeds}
         self._hosts = {peer.host: KnownHost(peer) for peer in seeds}
         self._hosts.pop(own_address.host, None)
@@ -84,11 +97,14 @@
     def _add(self, address):
         now_s = self._clock.monotonic()
         self._hosts[address.host] = KnownHost(address, known_since_s=now_s)
+        self._classes_until_s = -math.inf
 
     def note_capacity(self, host, capacity_class):
         """Record the capacity class that a host has told."""
-        if host in self._hosts:
-            self._hosts[host].capacity_class = capacity_class
+        known = self._hosts.get(host)
+        if known is not None and known.capacity_class != capacity_class:
+            known.capacity_class = capacity_class
+            self._classes_until_s = -math.inf
 
     def list_capacity_classes(self):
         """Return the capacity class of each host; none unless all hosts tell theirs.
@@ -97,6 +113,13 @@
         -------
         dict of str to int
         """
+        now_s = self._clock.monotonic()
+        if now_s >= self._classes_until_s:
+            self._classes = self._collect_classes()
+            self._classes_until_s = now_s + CLASSES_TTL_S
+        return self._classes
+
+    def _collect_classes(self):
         if self.own_class is None:
             return {}
         oldest_s = self._clock.monotonic() - CAPACITY_WAIT_S
@@ -112,6 +135,7 @@
         """Drop a host whose registration has ended, unless the settings name it."""
         if host not in self._seeds:
             self._hosts.pop(host, None)
+            self._classes_until_s = -math.inf
 
     def mark_shutting_down(self, host):
         """Record that a host is shutting down."""
--- a/src/sapphirerock/process/peers/storedorigins.py
+++ b/src/sapphirerock/process/peers/storedorigins.py
@@ -25,6 +25,8 @@
 MIN_WRITE_INTERVAL_S = 0.1
 MAX_WRITE_INTERVAL_S = 0.5
 WRITE_INTERVAL_PER_RECORD_S = 1e-5
+# Without new records, whether this host is to write is looked up at this interval.
+OWNER_CHECK_INTERVAL_S = 0.3
 # Records of the oldest streams are left out beyond this, which is 700 KB of the 1 MB
 # that an object may have.
 MAX_STORED_RECORDS = 50_000
@@ -65,6 +67,9 @@
         self._loaded = asyncio.Event()
         self._revision = None
         self._written_keys = frozenset()
+        # Number of records at the last check, and time of it.
+        self._checked_count = -1
+        self._checked_at_s = 0.0
 
     async def wait_until_loaded(self, timeout_s):
         """Wait until the records in the store are known, at most for a time."""
@@ -129,6 +134,12 @@
 
         A failed write is repeated with the next one.
         """
+        now_s = self._clock.monotonic()
+        has_new = self._checked_count != self._origins.stored_count
+        if not has_new and now_s - self._checked_at_s < OWNER_CHECK_INTERVAL_S:
+            return
+        self._checked_count = self._origins.stored_count
+        self._checked_at_s = now_s
         if find_owner(self._peers, STREAM_ORIGINS_KIND) != self._own_host:
             return
         keys = self._origins.list_keys(self._has_several_versions, MAX_STORED_RECORDS)
@@ -140,6 +151,7 @@
             logger.bind(operation="write", cause=repr(written.error)).info(
                 STORE_FAILURE
             )
+            self._checked_count = -1
             return
         self._written_keys = frozenset(keys)
 
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -5,6 +5,7 @@
 send the records on in batches to the hosts of their zone and to the hubs of others.
 """
 
+import asyncio
 import math
 from collections import OrderedDict, defaultdict
 from dataclasses import dataclass
@@ -52,18 +53,25 @@
         Streams to other hosts.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    stored_count : int
+        Number of records stored so far.
     """
 
     def __init__(self, peers, clock, **kwargs):
         super().__init__(**kwargs)
         self._peers = peers
         self._clock = clock
+        self.stored_count = 0
         self._records = OrderedDict()
         # Records dropped before they expired, since the last log line.
         self._dropped = 0
         # Keys to send on at the next batch, by the host that sent them; this host's
         # own under its name.
         self._pending = defaultdict(list)
+        self._has_pending = asyncio.Event()
         peers.register_handler(StreamOrigins, self._handle_origins)
         peers.register_handler(StreamOriginEngines, self._handle_origins)
         peers.announce_support(ENGINES_VIEW, self._send_all)
@@ -100,7 +108,11 @@
         for host in hubs or list(self._peers.streams):
             self._send(self._peers.streams.get(host), message)
         if self._peers.is_hub(own_host):
-            self._pending[own_host].append(key)
+            self._add_pending(own_host, key)
+
+    def _add_pending(self, host, key):
+        self._pending[host].append(key)
+        self._has_pending.set()
 
     def list_keys(self, selects, limit):
         """Return the keys of the newest records that have not expired.
@@ -159,6 +171,7 @@
         return count
 
     def _store(self, key, record):
+        self.stored_count += 1
         self._records[key] = record
         if len(self._records) > MAX_RECORDS:
             _, oldest = self._records.popitem(last=False)
@@ -190,12 +203,14 @@
             known = self._records.get(key)
             if known is None or known.origin != origin:
                 self._store(key, OriginRecord(origin, now_s + ttl_s))
-                self._pending[stream.host].append(key)
+                self._add_pending(stream.host, key)
 
     @Service.task
     async def _send_batches(self):
         while not self.should_stop:
+            await self._has_pending.wait()
             await self._clock.sleep(BATCH_INTERVAL_S)
+            self._has_pending.clear()
             self._drop_expired()
             self.send_pending()
 
