Placement: small fleets compare all engines

The policy left out engines as soon as one call was placed within the age of a view; now once two are.

--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -233,15 +233,16 @@
 
     While a host's view is as old as `VIEW_AGE_S`, other hosts place calls from the same
     view. The more they are, the fewer random engines the host compares. In a small
-    fleet, where hardly two calls are placed within that time, it compares all.
+    fleet, where no two calls are placed within that time, it compares all: there the
+    cheapest engine is the best choice.
     """
 
     __slots__ = ()
 
     def choose(self, views, prompt):
         """Return the cheapest of some random engines, or one that has the prompt."""
-        rivals = sum(view.runs for view in views) / TYPICAL_RUN_S * VIEW_AGE_S
-        size = max(RANDOM_CHOICES, math.ceil(len(views) / (1 + rivals)))
+        placed = sum(view.runs for view in views) / TYPICAL_RUN_S * VIEW_AGE_S
+        size = max(RANDOM_CHOICES, math.ceil(len(views) / max(1.0, placed)))
         if size < len(views):
             cached = [view for view in views if view.cached_tokens]
             views = cached + self._random.sample(views, size)
