--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -52,7 +52,8 @@
     MAX_RECORDS,
     StreamOriginTable,
 )
-from sapphirerock.process.replicas.feed import ObjectFeed, ReplicatedKind
+from sapphirerock.process.replicas.feed import ObjectFeed
+from sapphirerock.process.replicas.feedstate import ReplicatedKind
 from sapphirerock.process.replicas.replica import Replica, ReplicaChange
 from sapphirerock.process.settings.hostsettings import HostAddress
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -20,7 +20,8 @@
 )
 from sapphirerock.connection.packing import pack_message, unpack_message
 from sapphirerock.process.clock import ManualClock
-from sapphirerock.process.replicas.feed import ObjectFeed, ReplicatedKind
+from sapphirerock.process.replicas.feed import ObjectFeed
+from sapphirerock.process.replicas.feedstate import ReplicatedKind
 from sapphirerock.process.replicas.replica import Replica
 
 # A watcher on a link of 5 Mbit/s sends a configuration to 14 hosts within 2 s, half of
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -69,7 +69,8 @@
 from sapphirerock.process.peers.storedorigins import StoredOrigins
 from sapphirerock.process.peers.streamorigins import StreamOriginTable
 from sapphirerock.process.peers.table import PeerTable
-from sapphirerock.process.replicas.feed import ObjectFeed, ReplicatedKind
+from sapphirerock.process.replicas.feed import ObjectFeed
+from sapphirerock.process.replicas.feedstate import ReplicatedKind
 from sapphirerock.process.replicas.replica import Replica
 from sapphirerock.process.settings.hostsettings import HostAddress, TracingSettings
 from sapphirerock.process.settings.routing import RoutingStore
--- a/src/sapphirerock/process/orders/placer.py
+++ b/src/sapphirerock/process/orders/placer.py
@@ -21,7 +21,7 @@
 from sapphirerock.decisions.rendezvous import rank_candidates
 from sapphirerock.platform.names import LEASES_KIND, ROUTERS_KIND, SETTINGS_KIND
 from sapphirerock.process.clock import SystemClock
-from sapphirerock.process.replicas.feed import collapse_events
+from sapphirerock.process.replicas.deltas import collapse_events
 from sapphirerock.process.replicas.replica import Replica, ReplicaChange
 from sapphirerock.process.settings.store import SettingsStore
 from sapphirerock.process.telemetry.metrics import Metrics
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -9,26 +9,34 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
-import orjson
 from expression import Error
 from loguru import logger
 from mode import Service
 
 from sapphirerock.connection.messages import ObjectDelta, ObjectPull, PackedMessage
-from sapphirerock.connection.packing import pack_message, unpack_message
+from sapphirerock.connection.packing import unpack_message
 from sapphirerock.connection.storeobjects import (
     HistoryGone,
     StoreUnavailable,
     get_era,
 )
 from sapphirerock.decisions.duties import HUB_DUTY, rank_for_duty
-from sapphirerock.process.replicas.replica import Replica, ReplicaChange
+from sapphirerock.process.replicas.deltas import (
+    DeltaSender,
+    collapse_events,
+    split_changes,
+)
+from sapphirerock.process.replicas.feedstate import (
+    NEVER_S,
+    NO_CONTACT,
+    WATCH_WAIT_S,
+    Contact,
+    FeedState,
+)
+from sapphirerock.process.replicas.replica import ReplicaChange
 
 WATCHERS_PER_ZONE = 1
-# Bounds the time until a silent watch is noticed. Each wait costs one call.
-WATCH_WAIT_S = 1.0
 RETRY_PAUSE_S = 0.3
 # Upper limit of the growing pause between calls to a store that rejects this host.
 MAX_RETRY_PAUSE_S = 1.0
@@ -40,8 +48,6 @@
 # A watch that lags behind a peer's change by more than this is taken as silent.
 MAX_WATCH_LAG_S = 0.4
 MIN_PULL_INTERVAL_S = 0.2
-# A link of 5 Mbit/s carries a message of this size within a second.
-DELTA_LIMIT_BYTES = 512 << 10
 # A store that works answers within this time.
 REFRESH_TIMEOUT_S = 0.3
 # A host that starts reads the store itself if no peer has sent all objects after this
@@ -61,98 +67,10 @@
 MIN_OUTAGE_S = 1.5
 # View in a heartbeat by which a host says that it reads compressed messages.
 PACKED_VIEW = "packed-messages"
-# Monotonic time that stands for an event that has not happened.
-NEVER_S = -1e9
 # Age that stands for no contact in a heartbeat; also the highest age that is sent.
 NO_CONTACT_MS = 1 << 30
 
 
-@dataclass(slots=True, frozen=True)
-class Contact:
-    """A host's last contact with the store.
-
-    Parameters
-    ----------
-    at_s : float
-        Monotonic time, `NEVER_S` for none.
-    host : str
-        The host that called the store.
-    """
-
-    at_s: float
-    host: str
-
-
-NO_CONTACT = Contact(NEVER_S, "")
-
-
-class FeedState:
-    """State of the feed of one kind: contacts with the store, and the watch.
-
-    Attributes
-    ----------
-    contact_at_s : float
-        Monotonic time of the store's last response to this host.
-    last_call_failed : bool
-        Whether this host's last call to the store failed.
-    is_synchronised : bool
-        Whether the replica has been complete once.
-    peer_contacts : dict of str to Contact
-        The last contact that each peer reported, by host.
-    pulled_at_s : dict of str to float
-        Monotonic time of the last pull from each peer, by host.
-    watch : asyncio.Task or None
-        The call that waits for changes.
-    contact_lost : asyncio.Event
-        Set when a peer reports that it lost contact with the store, so that this host
-        may have to start watching.
-    """
-
-    __slots__ = (
-        "contact_at_s",
-        "last_call_failed",
-        "is_synchronised",
-        "peer_contacts",
-        "pulled_at_s",
-        "watch",
-        "contact_lost",
-    )
-
-    def __init__(self):
-        self.contact_at_s = NEVER_S
-        self.last_call_failed = False
-        self.is_synchronised = False
-        self.peer_contacts = {}
-        self.pulled_at_s = {}
-        self.watch = None
-        self.contact_lost = asyncio.Event()
-
-    @property
-    def own_contact_at_s(self):
-        """Monotonic time of this host's last contact, `NEVER_S` after a failed call."""
-        return NEVER_S if self.last_call_failed else self.contact_at_s
-
-
-@dataclass(slots=True, frozen=True)
-class ReplicatedKind:
-    """A kind of objects to replicate.
-
-    Parameters
-    ----------
-    replica : Replica
-        Replica of the objects.
-    watch_wait_s : float
-        Longest wait of one watch call, in seconds. Kinds whose changes may arrive
-        late have a longer one.
-    batch_s : float
-        Time for which changes are gathered before they are sent on, in seconds.
-    """
-
-    replica: Replica
-    watch_wait_s: float = WATCH_WAIT_S
-    batch_s: float = 0.0
-
-
 class ObjectFeed(Service):
     """Keeps replicas up to date from the store and from peers.
 
@@ -177,9 +95,7 @@
         self._reads_store_first = reads_store_first
         self._started_s = clock.monotonic()
         self._batch_times_s = {item.replica.kind: item.batch_s for item in kinds}
-        # Changes to send on with the next batch, by kind and the stream that they came
-        # from.
-        self._batches = {}
+        self._deltas = DeltaSender(peers)
         self._replicas = {item.replica.kind: item.replica for item in kinds}
         self._watch_waits_s = {item.replica.kind: item.watch_wait_s for item in kinds}
         self._states = {kind: FeedState() for kind in self._replicas}
@@ -475,57 +391,12 @@
         # Only the changes that were new are forwarded, not a whole list.
         batch_s = self._batch_times_s[replica.kind]
         if batch_s:
-            self._add_to_batch(replica, applied, source, batch_s)
+            self._deltas.add_to_batch(replica, applied, source, batch_s)
         else:
             horizon = min(horizon, replica.horizon)
-            self._forward(replica, horizon, applied, source)
+            self._deltas.forward(replica, horizon, applied, source)
         return True
 
-    def _forward(self, replica, horizon, changes, source):
-        packed = [pack_change(change) for change in changes]
-        delta = ObjectDelta(replica.kind, replica.newest, horizon, packed, None)
-        self._send_delta(delta, self._list_receivers(source))
-
-    def _add_to_batch(self, replica, changes, source, batch_s):
-        """Gather changes; the first ones of a batch set the time at which it is sent.
-
-        When all hosts start, each of them is a change that each host forwards.
-        """
-        batches = self._batches.setdefault(replica.kind, {})
-        if not batches:
-            asyncio.get_running_loop().call_later(batch_s, self._send_batch, replica)
-        batches.setdefault(source, []).extend(changes)
-
-    def _send_batch(self, replica):
-        batches = self._batches.pop(replica.kind, {})
-        for source, changes in batches.items():
-            self._forward(replica, replica.horizon, changes, source)
-
-    def _list_receivers(self, source):
-        """Return the streams on which a change is sent on.
-
-        A peer of this host's zone that had a change has sent it to the hosts of the
-        zone itself. One that it does not reach pulls it after the next heartbeat.
-        """
-        zone = self._peers.hosts.own_address.availability_zone
-        is_own_zone = source is not None and source.hello.availability_zone == zone
-        return [
-            stream
-            for stream in self._peers.streams.values()
-            if stream is not source
-            and not (is_own_zone and stream.hello.availability_zone == zone)
-        ]
-
-    def _send_delta(self, delta, streams):
-        """Send a delta, compressed if it is large and the peer reads that."""
-        packed = pack_message(delta)
-        plain_streams = list(streams)
-        if packed is not None:
-            plain_streams = [item for item in streams if not item.accepts_packed]
-            packed_streams = [item for item in streams if item.accepts_packed]
-            self._peers.send_to(packed_streams, packed, "objects")
-        self._peers.send_to(plain_streams, delta, "objects")
-
     def _handle_packed(self, stream, message):
         try:
             delta = unpack_message(message)
@@ -582,7 +453,7 @@
                 horizon = replica.horizon if is_last else part[-1][1]
                 delta = ObjectDelta(replica.kind, after, horizon, part, None)
                 after = horizon
-            self._send_delta(delta, [stream])
+            self._deltas.send_delta(delta, [stream])
 
     def _compare_views(self, stream, heartbeat):
         """Record a peer's contacts and pull the changes that this host lacks."""
@@ -615,38 +486,3 @@
             ):
                 state.pulled_at_s[stream.host] = now_s
                 stream.send(ObjectPull(kind, 0 if has_other_size else replica.horizon))
-
-
-def pack_change(change):
-    """Return a change as an entry of `ObjectDelta`."""
-    return [change.name, change.revision, change.spec]
-
-
-def split_changes(changes):
-    """Return entries of `ObjectDelta` in parts of bounded size, at least one part."""
-    parts, size = [[]], 0
-    for change in changes:
-        packed = pack_change(change)
-        size += len(orjson.dumps(packed))
-        if size > DELTA_LIMIT_BYTES and parts[-1]:
-            parts.append([])
-            size = 0
-        parts[-1].append(packed)
-    return parts
-
-
-def collapse_events(read):
-    """Return the last change of each object in the events of a watch.
-
-    A deletion gets the revision that the watch reached, because the revision in the
-    deleted object is that of an earlier state.
-    """
-    last = {}
-    for event in read.events:
-        last[event.object.name] = event
-    return [
-        ReplicaChange(event.object.name, read.revision, None)
-        if event.is_deleted
-        else ReplicaChange(event.object.name, event.object.revision, event.object.spec)
-        for event in last.values()
-    ]
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -48,7 +48,8 @@
 from sapphirerock.process.peers.loads import LoadForwarder
 from sapphirerock.process.peers.membership import MEMBERSHIP_WATCH_TIMEOUT_S, Membership
 from sapphirerock.process.peers.table import PeerTable
-from sapphirerock.process.replicas.feed import ObjectFeed, ReplicatedKind
+from sapphirerock.process.replicas.feed import ObjectFeed
+from sapphirerock.process.replicas.feedstate import ReplicatedKind
 from sapphirerock.process.replicas.replica import Replica
 from sapphirerock.process.runtime import Runtime
 from sapphirerock.process.settings.store import SettingsStore
