--- a/review/engine.py
+++ b/review/engine.py
@@ -3,7 +3,9 @@
 It registers itself in the store, reports, answers calls, streams events to those that
 tell their tokens, and lists its runs. With
 ``POST /control`` and ``{"lose": X}`` it resets the connection of a share X of the
-requests that it ran, before the first event, and stays sound otherwise.
+requests that it ran, before the first event, and stays sound otherwise; ``event_s``
+sets the time between its events. A stream that goes on after its last event ends at
+once.
 """
 
 import asyncio
@@ -44,6 +46,7 @@
         self._id = name or "i-" + uuid.uuid4().hex[:10]
         self._born_ms = time.time_ns() // 1_000_000
         self._lose = 0.0
+        self._event_s = EVENT_S
         self._running = 0
         self._runs = []
 
@@ -84,7 +87,9 @@
             headers[name.strip().lower()] = value.strip()
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         if target == "/control":
-            self._lose = json.loads(body)["lose"]
+            order = json.loads(body)
+            self._lose = order.get("lose", self._lose)
+            self._event_s = order.get("event_s", self._event_s)
             return self._answer(writer, 200, b"{}")
         if target == "/runs":
             return self._answer(writer, 200, json.dumps(self._runs).encode())
@@ -153,7 +158,7 @@
             event = f"id: {number}\ndata: {attempt[:4]}.{number}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(self._event_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
