Review: routers miss that engines drain while the store turns hubs away (DRAIN)

Cause: a hub does not pass on within its zone what a host of the zone read from the store, and a host that then gets a later change from the hub compares the newest revision and the number of objects, which agree, and never asks for the change before it.

--- a/review/engine.py
+++ b/review/engine.py
@@ -47,23 +47,37 @@
         self._born_ms = time.time_ns() // 1_000_000
         self._lose = 0.0
         self._event_s = EVENT_S
+        self._call_s = CALL_S
+        self._drained_at_s = None
+        self._arrivals = []
         self._running = 0
         self._runs = []
 
-    async def register(self):
-        """Write this engine's entry to the store."""
+    def _make_entry(self, state):
+        """Return this engine's entry in the store."""
         spec = {
             "service": self._service,
             "address": self.address,
             "zone": self._zone,
             "version": "v1",
             "slots": 64,
-            "state": "ready",
+            "state": state,
             "cold_ms": 0,
             "seq": 0,
             "born": self._born_ms,
         }
-        body = json.dumps({"metadata": {"name": self._id}, "spec": spec}).encode()
+        return json.dumps({"metadata": {"name": self._id}, "spec": spec}).encode()
+
+    async def _report_draining(self):
+        """Report that this engine drains, and note when the store accepted that."""
+        path = f"/sapphirerock/objects/servers/{self._id}"
+        body = self._make_entry("draining")
+        if (await exchange(self._store, "PUT", path, body=body)).status == 200:
+            self._drained_at_s = time.time()
+
+    async def register(self):
+        """Write this engine's entry to the store."""
+        body = self._make_entry("ready")
         path = "/sapphirerock/objects/servers"
         while (await exchange(self._store, "POST", path, body=body)).status != 200:
             await asyncio.sleep(0.2)
@@ -90,7 +104,13 @@
             order = json.loads(body)
             self._lose = order.get("lose", self._lose)
             self._event_s = order.get("event_s", self._event_s)
+            self._call_s = order.get("call_s", self._call_s)
+            if order.get("drain"):
+                await self._report_draining()
             return self._answer(writer, 200, b"{}")
+        if target == "/arrivals":
+            document = {"drained_at_s": self._drained_at_s, "arrivals": self._arrivals}
+            return self._answer(writer, 200, json.dumps(document).encode())
         if target == "/runs":
             return self._answer(writer, 200, json.dumps(self._runs).encode())
         if target == "/sapphirerock/report":
@@ -106,7 +126,9 @@
         return await self._run(reader, writer, attempt, headers)
 
     async def _call(self, writer, method, target, attempt):
-        await asyncio.sleep(CALL_S)
+        sender = writer.get_extra_info("peername")[0]
+        self._arrivals.append([attempt, time.time(), sender])
+        await asyncio.sleep(self._call_s)
         self._runs.append([attempt, round(time.time(), 3), False])
         body = f"{method} {target} {attempt}".encode()
         echo = f"Sapphirerock-Attempt-Id: {attempt}"
