--- a/review/2/case.py
+++ b/review/2/case.py
@@ -33,7 +33,8 @@
 LEAVE_AFTER_S = 4.0
 LEAVE_GAP_S = 0.015
 # An engine that drains serves for drain_ms and some seconds more.
-DRAIN_S = 3.0
+DRAIN_S = 4.0
+BOUNDS = {"drain_ms": 4000, "contact_ms": 5000, "config_apply_ms": 4000}
 SERVES_S = 8.0
 DEADLINE_MS = 3000
 KEY = "n2ctnfzs989anu6wsjnb"
@@ -123,7 +124,7 @@
         for number in range(ROUTERS[zone]):
             deployment.plan_router(f"front-{zone}-{number}", zone, "region-0")
     for name in deployment.routers:
-        deployment.start_router(name)
+        deployment.start_router(name, **BOUNDS)
     await deployment.wait_ready()
 
     async def are_registered():
