Engine table: the engine that started last is the one at an address

Cause: EngineTable removed each known engine at the address of an entry that it added. A list of the store comes in the order of names, so where the former id sorts after the present one, the running engine was dropped, and nothing brought it back.

Why this works: the engine in use at an address follows from the start times in the entries (revisions, where an entry states none), whatever their order, and is determined anew whenever an entry at the address comes, moves or ends.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -101,6 +101,19 @@
     When the engines crash and restart with the same ids
     Then calls are served again within 2 seconds
 
+  # Guards against the loss of a running engine whose former entry comes later in a list.
+  Scenario Outline: A host that starts beside entries of engines' former starts serves calls: <names>
+    Given a shared platform with 1 edge and 1 engine of each service
+    When the edge is restarted beside former entries of the engines with <names>
+    Then calls are served again within 2 seconds
+    When the former entries expire
+    Then calls are served
+
+    Examples:
+      | names                            |
+      | ids that sort before the present |
+      | ids that sort after the present  |
+
   Scenario: An engine that takes over the address of another service's engine gets no calls of that service
     Given a shared platform with 1 edge and 2 engines of each service
     When an engine is replaced at its address by an unregistered one of another service
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -547,6 +547,40 @@
     context.run(run())
 
 
+FORMER_ID_PREFIXES = {
+    "ids that sort before the present": "a-former-",
+    "ids that sort after the present": "z-former-",
+}
+
+
+@when("the edge is restarted beside former entries of the engines with {names}")
+def restart_beside_former_entries(context, names):
+    cluster = context.world.cluster
+    context.former_ids = []
+
+    async def run():
+        cluster.processes["edge-0"].kill()
+        for item in await cluster.list_objects(ENGINES_KIND):
+            former_id = FORMER_ID_PREFIXES[names] + item["metadata"]["name"]
+            spec = {**item["spec"], "born": item["spec"]["born"] - 60_000}
+            await cluster.put_object(ENGINES_KIND, former_id, spec)
+            context.former_ids.append(former_id)
+        cluster.start_edge("edge-0")
+        await cluster.wait_edges_ready("edge-0")
+
+    context.run(run())
+
+
+@when("the former entries expire")
+def expire_former_entries(context):
+    async def run():
+        for former_id in context.former_ids:
+            await delete_registration(context.world.cluster, former_id)
+        await asyncio.sleep(0.3)
+
+    context.run(run())
+
+
 @then("calls are served again within {bound:g} seconds")
 def check_served_again(context, bound):
     context.run(wait_for_status(context, "edge-0", "/stock/1", 200, bound))
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -104,8 +104,12 @@
         Monotonic time at which a call last asked for the end of the silence.
     health : FailureShare
         Share of this host's calls to the engine that failed.
-    is_removed : bool
-        Whether the registration has ended or another engine has taken the address.
+    registered_revision : int
+        Revision of the store at which this host first saw the registration.
+    has_ended : bool
+        Whether the registration has ended or another engine answers at the address.
+    is_superseded : bool
+        Whether an engine that started later is registered at the address.
     is_probe_pending : bool
         Whether a probe of the engine is waiting for its answer.
     probed_s : float
@@ -151,7 +155,9 @@
     silent_since_s: float | None = None
     awaited_s: float = -math.inf
     health: FailureShare = field(default_factory=FailureShare)
-    is_removed: bool = False
+    registered_revision: int = 0
+    has_ended: bool = False
+    is_superseded: bool = False
     is_probe_pending: bool = False
     probed_s: float = -math.inf
     is_relayed: bool = False
@@ -173,6 +179,11 @@
         """The engine's id."""
         return self.entry.name
 
+    @property
+    def is_removed(self):
+        """Whether the engine is no longer the one to use at its address."""
+        return self.has_ended or self.is_superseded
+
     @property
     def has_answered(self):
         """Whether it is known what the engine states of itself since its start."""
@@ -255,30 +266,58 @@
                 )
                 self._remove(change.name)
             else:
-                self._add_or_update(decoded.ok)
+                self._add_or_update(decoded.ok, change.revision)
         self._metrics.engines.set(len(self._states))
 
-    def _add_or_update(self, entry):
+    def _add_or_update(self, entry, revision):
         """Add an engine, or update its entry if the engine has not restarted."""
         known = self._states.get(entry.name)
         if known is not None and is_same_start(known.entry, entry):
             known.entry = entry
             return
-        ended = [] if known is None else [known]
-        self._remove(entry.name)
-        for state in self._states.values():
-            # An address has one engine; the older entry has not expired yet.
-            if state.entry.address == entry.address:
-                state.is_removed = True
-                ended.append(state)
-        added = self._states[entry.name] = EngineState(entry)
+        self._drop(entry.name)
+        added = EngineState(entry, registered_revision=revision)
+        self._states[entry.name] = added
         for attribute, value in self._kept_statements.get(
             (entry.name, entry.born_ms), {}
         ).items():
             setattr(added, attribute, value)
-        for state in ended:
-            if 0 < state.entry.born_ms < entry.born_ms:
-                self._notify_of_restart(state)
+        if known is not None:
+            self._notify_of_restart(known, added)
+            self._update_address(known.entry.address)
+        self._update_address(entry.address)
+
+    def _update_address(self, address):
+        """Determine which of the engines registered at an address is the one to use.
+
+        The entry of an engine that has restarted or been replaced expires only after
+        that of its successor was written, and entries arrive in any order: a list of
+        the store is sorted by name.
+        """
+        states = [
+            state
+            for state in self._states.values()
+            if state.entry.address == address and not state.has_ended
+        ]
+        latest = find_latest_start(states)
+        for state in states:
+            is_superseded = state is not latest
+            if state.is_superseded == is_superseded:
+                continue
+            state.is_superseded = is_superseded
+            logger.bind(
+                engine=state.name,
+                start=state.entry.born_ms,
+                address=address,
+                latest=latest.name,
+                latest_start=latest.entry.born_ms,
+            ).info(
+                "engine superseded at its address"
+                if is_superseded
+                else "engine no longer superseded at its address"
+            )
+            if is_superseded:
+                self._notify_of_restart(state, latest)
 
     def keep_statement(self, state, attribute, value):
         """Keep a statement for as long as the run of an engine may last."""
@@ -287,18 +326,27 @@
         while len(self._kept_statements) > MAX_KEPT_STATEMENTS:
             self._kept_statements.popitem(last=False)
 
-    def _notify_of_restart(self, state):
-        for notify in self.on_restart:
-            notify(state)
+    def _notify_of_restart(self, ended, later):
+        """Notify of the end of a run if another one is known to have begun later."""
+        if 0 < ended.entry.born_ms < later.entry.born_ms:
+            for notify in self.on_restart:
+                notify(ended)
 
     def _remove(self, name):
+        known = self._drop(name)
+        if known is not None:
+            self._update_address(known.entry.address)
+
+    def _drop(self, name):
+        """Drop an engine, and return its state or None."""
         known = self._states.pop(name, None)
         if known is not None:
-            known.is_removed = True
+            known.has_ended = True
             if known.refusal_tolerance is not None:
                 last = known.refusal_tolerance, self._clock.monotonic()
                 self._last_tolerances[known.entry.service] = last
             self.note_version(known.entry.service, known.entry.version)
+        return known
 
     def note_version(self, service, version):
         """Note that an engine of a service had a software version until now."""
@@ -491,11 +539,12 @@
 
     def mark_replaced(self, state):
         """Remove an engine permanently because another one answers at its address."""
-        if not state.is_removed:
+        if not state.has_ended:
             logger.bind(engine=state.name, address=state.entry.address).warning(
                 "engine replaced at its address"
             )
-            state.is_removed = True
+            state.has_ended = True
+            self._update_address(state.entry.address)
 
     def mark_down(self, state, cause, is_silent=False):
         """Give an engine no new work for a time.
@@ -548,3 +597,23 @@
         new.address,
         new.born_ms,
     )
+
+
+def find_latest_start(states):
+    """Return the state of the engine that started last, or None if there is none.
+
+    Where an engine has not registered its start time, the order of the registrations
+    decides.
+
+    Parameters
+    ----------
+    states : list of EngineState
+        Engines that are registered at one address.
+    """
+    if all(state.entry.born_ms for state in states):
+        return max(
+            states,
+            key=lambda state: (state.entry.born_ms, state.registered_revision),
+            default=None,
+        )
+    return max(states, key=lambda state: state.registered_revision)
