Feed: hosts notice gaps before the newest change, hubs pass all changes on

Cause: two faults. A hub did not pass on within its zone what came from a host of the zone, which holds for changes from the other hub only; a host that watches in the hubs' place is connected to the hubs alone. And two replicas counted as equal by the newest revision and the number of objects, so that a host which got only the later of two updates never pulled the earlier one.

Why this works: a hub passes on all that does not come from the zone's other hub, and heartbeats carry a digest of each replica's names and revisions. Hosts of an earlier build ignore it.

--- a/features/configspread.feature
+++ b/features/configspread.feature
@@ -34,6 +34,7 @@
     Examples:
       | host | receivers        |
       | a1   | b1 and c1        |
+      | a2   | a1 and b1 and c1 |
       | b1   | a1 and a2 and c1 |
 
   Scenario: Entries of hosts that start together are sent on together
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -114,6 +114,9 @@
     raise AssertionError("unpacked")
 
 
+HUBS = ("a0", "a1", "b1", "c1")
+
+
 class RecordingStream:
     """A stream to a peer that keeps what is sent."""
 
@@ -144,6 +147,7 @@
             streams=self.streams,
             hosts=SimpleNamespace(own_address=own_address),
             send_to=send_to_each,
+            is_hub=lambda host: host in HUBS,
         )
         store = SimpleNamespace(observe_era=lambda era: True)
         kinds = [ReplicatedKind(Replica("config"), batch_s=batch_s)]
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -97,7 +97,9 @@
         Kind of objects, highest revision that the sender's replica has applied,
         number of objects in it, milliseconds since a host was last in contact with
         the store, and the name of that host. For the crash log: its name, its digest,
-        its size, 0 and an empty string. A host ignores kinds that it doesn't know.
+        its size, 0 and an empty string. For the digests of the replicas: their name, a
+        dict of digests by kind, and fields without a meaning. A host ignores kinds that
+        it doesn't know.
     """
 
     leaving: bool
--- a/src/sapphirerock/process/replicas/deltas.py
+++ b/src/sapphirerock/process/replicas/deltas.py
@@ -65,16 +65,21 @@
     def _list_receivers(self, source):
         """Return the streams on which a change is sent on.
 
-        A peer of this host's zone that had a change has sent it to the hosts of the
-        zone itself. One that it does not reach pulls it after the next heartbeat.
+        A hub of this host's zone that had a change has sent it to the hosts of the zone
+        itself. Other hosts are connected to the hubs only. A host that a hub does not
+        reach pulls the change after the next heartbeat.
         """
         zone = self._peers.hosts.own_address.availability_zone
-        is_own_zone = source is not None and source.hello.availability_zone == zone
+        is_from_zone_hub = (
+            source is not None
+            and source.hello.availability_zone == zone
+            and self._peers.is_hub(source.host)
+        )
         return [
             stream
             for stream in self._peers.streams.values()
             if stream is not source
-            and not (is_own_zone and stream.hello.availability_zone == zone)
+            and not (is_from_zone_hub and stream.hello.availability_zone == zone)
         ]
 
     def send_delta(self, delta, streams):
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -22,6 +22,12 @@
     get_era,
 )
 from sapphirerock.decisions.duties import HUB_DUTY, rank_for_duty
+from sapphirerock.decisions.replicaviews import (
+    WHOLE_LIST,
+    ReplicaPull,
+    ReplicaView,
+    choose_pull,
+)
 from sapphirerock.process.replicas.deltas import (
     DeltaSender,
     collapse_events,
@@ -67,6 +73,8 @@
 MIN_OUTAGE_S = 1.5
 # View in a heartbeat by which a host says that it reads compressed messages.
 PACKED_VIEW = "packed-messages"
+# View in a heartbeat with the digests of a host's replicas by kind.
+DIGESTS_VIEW = "object-digests"
 # Age that stands for no contact in a heartbeat; also the highest age that is sent.
 NO_CONTACT_MS = 1 << 30
 
@@ -116,14 +124,19 @@
     def describe_views(self):
         """Return [kind, newest revision, size, age in ms, host] of each replica.
 
-        A further view tells the peer that it may send compressed messages.
+        Further views tell the peer that it may send compressed messages, and the
+        digests of the replicas.
 
         Age and host are those of the newest contact with the store: this host's
         own or, if this host is a hub, that of a host in its zone. Contacts that hubs
         report are not forwarded, so that no contact looks newer by circulating.
         """
         now_s = self._clock.monotonic()
-        views = [[PACKED_VIEW, 0, 0, NO_CONTACT_MS, ""]]
+        digests = {kind: replica.digest for kind, replica in self._replicas.items()}
+        views = [
+            [PACKED_VIEW, 0, 0, NO_CONTACT_MS, ""],
+            [DIGESTS_VIEW, digests, 0, NO_CONTACT_MS, ""],
+        ]
         for kind, replica in self._replicas.items():
             contact = self._find_reported_contact(kind)
             age_ms = min(int((now_s - contact.at_s) * 1000), NO_CONTACT_MS)
@@ -458,7 +471,9 @@
     def _compare_views(self, stream, heartbeat):
         """Record a peer's contacts and pull the changes that this host lacks."""
         now_s = self._clock.monotonic()
-        for kind, newest, size, age_ms, host in heartbeat.views:
+        views = heartbeat.views
+        digests = next((view[1] for view in views if view[0] == DIGESTS_VIEW), {})
+        for kind, newest, size, age_ms, host in views:
             stream.accepts_packed |= kind == PACKED_VIEW
             replica = self._replicas.get(kind)
             if replica is None:
@@ -474,15 +489,19 @@
                 NO_CONTACT if has_no_contact else Contact(now_s - age_ms / 1000, host)
             )
             state.peer_contacts[stream.host] = contact
-            is_equal = (newest, size) == (replica.newest, len(replica))
-            state.is_synchronised |= is_equal and not has_no_contact
-            has_other_size = newest == replica.newest and size != len(replica)
-            has_all = replica.horizon > 0 or has_no_contact
-            if newest <= replica.newest and not has_other_size and has_all:
+            own = ReplicaView(replica.newest, len(replica), replica.digest)
+            peer = ReplicaView(newest, size, digests.get(kind))
+            state.is_synchronised |= own.is_same(peer) and not has_no_contact
+            last_pull = state.pulls.get(stream.host)
+            after = choose_pull(own, peer, replica.horizon, last_pull, now_s)
+            if after is None and not replica.horizon and not has_no_contact:
+                after = WHOLE_LIST
+            if after is None:
                 continue
-            if (
-                now_s - state.pulled_at_s.get(stream.host, NEVER_S)
-                >= MIN_PULL_INTERVAL_S
-            ):
-                state.pulled_at_s[stream.host] = now_s
-                stream.send(ObjectPull(kind, 0 if has_other_size else replica.horizon))
+            if last_pull is None or now_s - last_pull.at_s >= MIN_PULL_INTERVAL_S:
+                state.pulls[stream.host] = ReplicaPull(now_s, own, peer)
+                if own.newest == peer.newest and own.newest:
+                    logger.bind(
+                        kind=kind, peer=stream.host, newest=newest, after=after
+                    ).info("replica differs from peer's")
+                stream.send(ObjectPull(kind, after))
--- a/src/sapphirerock/process/replicas/feedstate.py
+++ b/src/sapphirerock/process/replicas/feedstate.py
@@ -43,8 +43,8 @@
         Whether the replica has been complete once.
     peer_contacts : dict of str to Contact
         The last contact that each peer reported, by host.
-    pulled_at_s : dict of str to float
-        Monotonic time of the last pull from each peer, by host.
+    pulls : dict of str to ReplicaPull
+        The last pull from each peer, by host.
     watch : asyncio.Task or None
         The call that waits for changes.
     contact_lost : asyncio.Event
@@ -57,7 +57,7 @@
         "last_call_failed",
         "is_synchronised",
         "peer_contacts",
-        "pulled_at_s",
+        "pulls",
         "watch",
         "contact_lost",
     )
@@ -67,7 +67,7 @@
         self.last_call_failed = False
         self.is_synchronised = False
         self.peer_contacts = {}
-        self.pulled_at_s = {}
+        self.pulls = {}
         self.watch = None
         self.contact_lost = asyncio.Event()
 
--- a/src/sapphirerock/process/replicas/replica.py
+++ b/src/sapphirerock/process/replicas/replica.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import orjson
+import xxhash
 
 # Recent deletions are kept for peers that missed them. A peer that lacks older ones
 # gets the whole list.
@@ -56,12 +57,16 @@
     newest : int
         Highest revision among the applied changes. Unlike `horizon`, it doesn't
         increase when other kinds change.
+    digest : int
+        Digest of the names and revisions of all objects that exist. Replicas that got
+        the same changes in different orders have the same one.
     """
 
     __slots__ = (
         "kind",
         "horizon",
         "newest",
+        "digest",
         "_is_compressed",
         "_live",
         "_deleted",
@@ -73,6 +78,7 @@
         self.kind = kind
         self.horizon = 0
         self.newest = 0
+        self.digest = 0
         self._is_compressed = compress
         self._live = {}
         self._deleted = {}
@@ -165,6 +171,11 @@
         current = self._live.get(change.name) or self._deleted.get(change.name)
         if change.revision <= (floor if current is None else current.revision):
             return False
+        replaced = self._live.get(change.name)
+        if replaced is not None:
+            self.digest ^= hash_revision(replaced)
+        if not change.is_deletion:
+            self.digest ^= hash_revision(change)
         if change.is_deletion:
             self._live.pop(change.name, None)
             self._deleted[change.name] = change
@@ -203,3 +214,8 @@
             self._decompress(item) for item in candidates if item.revision > after
         ]
         return after, sorted(changes, key=lambda change: change.revision)
+
+
+def hash_revision(change):
+    """Return a 32-bit hash of an object's name and revision."""
+    return xxhash.xxh32_intdigest(f"{change.name}\0{change.revision}".encode())
