Upstream responses: one bound for the memory of all, an end for those without progress

Callers: engines that send bytes without end in response to many calls at once fill a host's memory (over the limit it is killed, with all its requests) and keep it so busy that sound calls are refused or late.

Cause: RESPONSE_LIMIT_BYTES bounds one response; nothing bounded all of a process. A stream's bytes that bring the caller nothing were read until its deadline, 256 KiB of a connection at a time.

Why this works: a response over 64 KiB gets all the memory that it may need from a part of the settings' memory_mb before it is read on, and no upstream more than half of it; it waits unread meanwhile. An attempt at a stream ends after 64 KiB beyond twice of what is new, an event has 32 KiB at most, and connections are read in blocks of 4 KiB.

--- a/features/steps/halfresponse_steps.py
+++ b/features/steps/halfresponse_steps.py
@@ -27,6 +27,7 @@
 )
 from sapphirerock.connection.peer import open_peer_stream
 from sapphirerock.connection.plain import PlainRequest, send_plain_request
+from sapphirerock.connection.responsememory import ResponseMemory
 from sapphirerock.connection.sendonce import send_once
 from sapphirerock.connection.sessions import make_session
 from sapphirerock.connection.store import StoreClient, decode_response
@@ -192,7 +193,7 @@
     request = PlainRequest("POST", "order/1", "", {}, b"wool")
     async with make_session(LOOPBACK, force_close=True) as session:
         result = await send_plain_request(
-            session, Service, request, TIMEOUT_S, (send_once,)
+            session, Service, request, TIMEOUT_S, ResponseMemory(1 << 23), (send_once,)
         )
     if result.is_ok():
         return Reading(True)
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -20,6 +20,7 @@
 from features.steps.enginecut_steps import plan_calls, send_one
 from features.steps.poison_steps import HostUnderTest, PendingAttempt, make_call
 from features.steps.relay_steps import RawEngine, send_report
+from sapphirerock.connection.responsememory import ResponseMemory
 from sapphirerock.process.engines.crashwatch import RECENT_DATA_S
 from sapphirerock.request.upstreamattempt import UpstreamAttempt
 
@@ -283,7 +284,8 @@
     async def run():
         host = context.host
         await host.monitor.start()
-        runtime = SimpleNamespace(clock=host.clock)
+        memory = ResponseMemory(1 << 23)
+        runtime = SimpleNamespace(clock=host.clock, response_memory=memory)
         started_s = time.monotonic()
         attempts = []
         while time.monotonic() < started_s + MARK_BOUND_S:
--- a/features/steps/silentrace_steps.py
+++ b/features/steps/silentrace_steps.py
@@ -13,6 +13,7 @@
 from features.steps.silence_steps import EVENT_S, PLAIN_TIMEOUT_MS, STREAM_EVENTS
 from sapphirerock.connection.eventsplitter import StreamEvent
 from sapphirerock.connection.response import KvCopy
+from sapphirerock.connection.responsememory import ResponseMemory
 from sapphirerock.decisions.continuation import RecoveryStep, StreamOutcome
 from sapphirerock.decisions.retrybudget import RetryBudget, RetryLimits
 from sapphirerock.decisions.streamversions import StreamOrigin
@@ -101,6 +102,7 @@
         crash_watch=host.crash_watch,
         retry_budget=RetryBudget(limits, lambda: 1, host.clock),
         fleet=EmptyFleet(host.engines),
+        response_memory=ResponseMemory(1 << 23),
         stream_durations=SimpleNamespace(record_stream=lambda elapsed_s: None),
         stream_origins=SimpleNamespace(record=lambda *origin: None),
         version_history=SimpleNamespace(knows_all=lambda: False),
--- a/src/sapphirerock/connection/eventsplitter.py
+++ b/src/sapphirerock/connection/eventsplitter.py
@@ -15,7 +15,7 @@
 # What a stream may have between its events.
 COMMENTS = re.compile(rb"(?:\xef\xbb\xbf)?(?:(?::[^\r\n]*|retry:[ \d]*)?\r?\n)+")
 # Far above the size of any event; longer data is not an event stream.
-EVENT_LIMIT_BYTES = 1 << 20
+EVENT_LIMIT_BYTES = 32 << 10
 LOGGED_BYTES = 80
 
 
--- a/src/sapphirerock/connection/eventstream.py
+++ b/src/sapphirerock/connection/eventstream.py
@@ -14,6 +14,7 @@
 from expression import Error, Ok
 
 from sapphirerock.connection.errors import UpstreamBroken, UpstreamSilent
+from sapphirerock.decisions.streamprogress import WASTE_LIMIT_BYTES
 
 EVENT_END = b"\n\n"
 DATA_FIELD = b"data: "
@@ -95,9 +96,10 @@
         -------
         expression.Result of TokenEvent, DoneEvent or ConnectionFailure
             `UpstreamSilent` when nothing arrived in time, `UpstreamBroken` when
-            the connection ended early or an event is malformed.
+            the connection ended early, an event is malformed or only comments arrive.
         """
         self._set_silence_timeout(silence_timeout_s)
+        comment_bytes = 0
         while True:
             try:
                 block = await self._response.content.readuntil(EVENT_END)
@@ -111,6 +113,9 @@
                 return Error(UpstreamBroken(self.upstream, "end of stream"))
             if not block.startswith(COMMENT_PREFIX):
                 return self._decode_event(block)
+            comment_bytes += len(block)
+            if comment_bytes > WASTE_LIMIT_BYTES:
+                return Error(UpstreamBroken(self.upstream, "comments without end"))
 
     def _set_silence_timeout(self, timeout_s):
         """Set the timeout and start the timer if it is not running.
--- a/src/sapphirerock/connection/plain.py
+++ b/src/sapphirerock/connection/plain.py
@@ -52,7 +52,9 @@
     body: bytes
 
 
-async def send_plain_request(session, upstream, request, timeout_s, middlewares=()):
+async def send_plain_request(
+    session, upstream, request, timeout_s, memory, middlewares=()
+):
     """Send a call and read the complete response.
 
     Parameters
@@ -65,6 +67,8 @@
         The call.
     timeout_s : float
         Timeout of the call and its response together, in seconds.
+    memory : ResponseMemory
+        Memory that a large response needs while it is read.
     middlewares : tuple of aiohttp client middlewares
         Middlewares for this call only, such as `send_once`.
 
@@ -77,6 +81,7 @@
     url = f"{upstream.url}/{request.path}"
     if request.query:
         url += f"?{request.query}"
+    hold = memory.open_hold(upstream.name)
     try:
         async with session.request(
             request.method,
@@ -87,7 +92,7 @@
             allow_redirects=False,
             middlewares=middlewares,
         ) as response:
-            read = await read_body(upstream.name, response)
+            read = await read_body(upstream.name, response, hold=hold)
             return read.map(
                 lambda body: PlainResponse(response.status, response.content_type, body)
             )
@@ -100,6 +105,8 @@
         return Error(UpstreamSilent(upstream.name, timeout_s))
     except (ClientError, OSError) as error:
         return Error(UpstreamBroken(upstream.name, repr(error)))
+    finally:
+        hold.release()
 
 
 def select_forwarded_headers(headers):
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -30,36 +30,47 @@
 )
 from sapphirerock.connection.sendonce import send_once
 from sapphirerock.connection.sessions import ResetAwareProtocol, use_protocol
+from sapphirerock.decisions.responsememory import (
+    FREE_RESPONSE_BYTES,
+    choose_reservation,
+)
 from sapphirerock.process.clock import MAX_TIMER_DELAY_S
 
 # Longer than the slowest round trip between regions, and than a retransmission within
 # a zone.
 CONNECT_TIMEOUT_S = 0.25
 SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
-# An event is a few hundred bytes long, a plain response a few thousand.
-READ_BUFFER_BYTES = 1 << 16
+# An event is a few hundred bytes long, a plain response a few thousand. No connection
+# keeps the others waiting for longer than it takes to parse this much.
+READ_BUFFER_BYTES = 1 << 12
 HEAD_LIMIT_BYTES = 1 << 15
 # A buffered response of an upstream is at most as large as a caller's request may be
-# on the deployments known; a few of them fit into a host's memory.
+# on the deployments known. `ResponseMemory` limits how many of them a host holds.
 RESPONSE_LIMIT_BYTES = 4 << 20
 # A report lists the runs of an engine, at about 60 bytes each.
-REPORT_LIMIT_BYTES = 256 << 10
+REPORT_LIMIT_BYTES = FREE_RESPONSE_BYTES
 # Bytes that may arrive without adding to a body: heads, chunk lines, trailers. Chunks
 # of small events may add as much as the events themselves.
-OVERHEAD_LIMIT_BYTES = 256 << 10
+OVERHEAD_LIMIT_BYTES = 64 << 10
 
 
 class UpstreamProtocol(ResetAwareProtocol):
     """Client protocol that is safe for upstreams that fail.
 
     Closing does not wait for unsent bytes, which the upstream may never read.
-    A connection that receives many bytes that belong to no body is aborted.
+    A connection that receives many bytes that belong to no body is aborted. Bytes are
+    read in small blocks, so that fast upstreams don't hold up others.
     """
 
     def __init__(self, loop):
         super().__init__(loop)
         self._received_bytes = 0
 
+    def connection_made(self, transport):
+        """Limit the size of the blocks that are read."""
+        super().connection_made(transport)
+        limit_read_size(transport, READ_BUFFER_BYTES)
+
     def data_received(self, data):
         """Parse received bytes; fail if too many of them belong to no body."""
         super().data_received(data)
@@ -83,6 +94,12 @@
             super().close()
 
 
+def limit_read_size(transport, size):
+    """Limit the bytes that a transport reads at once, which are 256 KiB otherwise."""
+    # asyncio has no public way to set it.
+    transport.max_size = size
+
+
 def make_upstream_session(address):
     """Return an HTTP client session for exchanges with upstreams.
 
@@ -188,9 +205,21 @@
     return UpstreamUnreachable(upstream, isinstance(cause, ConnectionRefusedError))
 
 
-async def read_body(upstream, response, limit_bytes=RESPONSE_LIMIT_BYTES):
+async def read_body(upstream, response, limit_bytes=RESPONSE_LIMIT_BYTES, hold=None):
     """Read the complete body of a response.
 
+    Parameters
+    ----------
+    upstream : str
+        Name of the upstream, for errors.
+    response : aiohttp.ClientResponse
+        The response.
+    limit_bytes : int
+        Largest allowed length.
+    hold : ResponseHold or None
+        Gets the memory for a large body, for which the upstream has to wait; released
+        here only if the body can't be read. None if none is needed.
+
     Returns
     -------
     expression.Result of bytes or ConnectionFailure
@@ -201,21 +230,38 @@
     TimeoutError
         When a timeout that the request was made with expires.
     """
-    parts, size = [], 0
+    read = None
     try:
-        async for part in response.content.iter_any():
-            size += len(part)
-            if size > limit_bytes:
-                response.close()
-                reason = f"the body exceeds {limit_bytes} bytes"
-                return Error(UpstreamBroken(upstream, reason))
-            parts.append(part)
+        read = await read_parts(response, limit_bytes, hold)
     except TimeoutError:
         # A subclass of OSError; the timeout belongs to the caller of this function.
         raise
     except (ClientError, OSError) as error:
         return Error(UpstreamBroken(upstream, repr(error)))
-    return Ok(b"".join(parts))
+    finally:
+        if read is None and hold is not None:
+            hold.release()
+    if read is None:
+        response.close()
+        reason = f"the body exceeds {limit_bytes} bytes"
+        return Error(UpstreamBroken(upstream, reason))
+    return Ok(read)
+
+
+async def read_parts(response, limit_bytes, hold):
+    """Return the body of a response, or None if it is too long; see `read_body`."""
+    parts, size = [], 0
+    stated_bytes = response.content_length
+    if stated_bytes is not None and stated_bytes > limit_bytes:
+        return None
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > limit_bytes:
+            return None
+        parts.append(part)
+        if size >= FREE_RESPONSE_BYTES and hold is not None:
+            await hold.reserve(choose_reservation(stated_bytes, limit_bytes))
+    return b"".join(parts)
 
 
 async def send_request(session, upstream, address, request, timeout_s):
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -17,9 +17,13 @@
 
 from sapphirerock.connection.dialects import DIALECTS
 from sapphirerock.connection.ingress import CallerServer
+from sapphirerock.connection.responsememory import ResponseMemory
 from sapphirerock.connection.sessions import make_session
 from sapphirerock.connection.store import StoreClient
-from sapphirerock.connection.upstream import make_upstream_session
+from sapphirerock.connection.upstream import (
+    RESPONSE_LIMIT_BYTES,
+    make_upstream_session,
+)
 from sapphirerock.decisions.crashlog import CrashLog
 from sapphirerock.decisions.duties import classify_capacity
 from sapphirerock.decisions.leaving import (
@@ -28,6 +32,7 @@
     StreamDurations,
 )
 from sapphirerock.decisions.placement import PLACEMENTS
+from sapphirerock.decisions.responsememory import choose_response_memory
 from sapphirerock.decisions.retrybudget import RetryBudget, RetryLimits
 from sapphirerock.platform import dialect as platform_dialect
 from sapphirerock.platform.configuration import decode_configuration
@@ -306,6 +311,15 @@
         engine_statements = EngineStatementTable(
             self.engines, self.peers, self.gossip, clock
         )
+        capacity = profile.capacity
+        response_memory = ResponseMemory(
+            choose_response_memory(
+                capacity.memory_mb if capacity else None, RESPONSE_LIMIT_BYTES
+            )
+        )
+        self.metrics.response_memory.set_function(
+            lambda: response_memory.reserved_bytes
+        )
         runtime = EdgeRuntime(
             clock=clock,
             metrics=self.metrics,
@@ -324,6 +338,7 @@
             retry_budget=self.retry_budget,
             crash_watch=crash_watch,
             generator=generator,
+            response_memory=response_memory,
             stream_durations=stream_durations,
             shutdown=self.shutdown,
         )
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -43,6 +43,8 @@
         Investigates engine crashes and blocks poison requests.
     generator : random.Random
         Random source of jitter in retry delays and of weighted choices.
+    response_memory : ResponseMemory
+        Memory for large responses of engines.
     stream_durations : StreamDurations
         Typical duration of a stream, learned from finished streams.
     shutdown : Shutdown
@@ -66,5 +68,6 @@
     retry_budget: object
     crash_watch: object
     generator: object
+    response_memory: object
     stream_durations: object
     shutdown: object
--- a/src/sapphirerock/process/peers/relayserver.py
+++ b/src/sapphirerock/process/peers/relayserver.py
@@ -15,7 +15,7 @@
     ENGINE_UNREACHABLE,
     RELAY_BLOCK_BYTES,
 )
-from sapphirerock.connection.upstream import CONNECT_TIMEOUT_S
+from sapphirerock.connection.upstream import CONNECT_TIMEOUT_S, limit_read_size
 
 # Leaves most of a host's descriptors and memory to its own callers: a connection uses
 # two descriptors, and up to 200 KiB if neither end reads.
@@ -140,6 +140,7 @@
         self._metrics.relayed_connections.labels("opened").inc()
         for end in (writer, engine_writer):
             end.transport.set_write_buffer_limits(RELAY_BLOCK_BYTES)
+            limit_read_size(end.transport, RELAY_BLOCK_BYTES)
         writer.write(encode_frame(0, RelayOpened()))
         requests = asyncio.ensure_future(copy_request(reader, engine_writer))
         responses = asyncio.ensure_future(copy_response(engine_reader, writer))
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -20,10 +20,13 @@
     JournalOpen,
     JournalRecordMessage,
 )
+from sapphirerock.connection.responsememory import ResponseMemory
 from sapphirerock.connection.sessions import make_session
 from sapphirerock.connection.store import StoreClient
+from sapphirerock.connection.upstream import RESPONSE_LIMIT_BYTES
 from sapphirerock.connection.versionedvalues import VersionedValues
 from sapphirerock.decisions.quarantine import Quarantine
+from sapphirerock.decisions.responsememory import choose_response_memory
 from sapphirerock.decisions.retrybudget import RetryBudget, RetryLimits
 from sapphirerock.platform.names import (
     CLAIMS_KIND,
@@ -197,6 +200,9 @@
             retry_budget=RetryBudget(
                 CHECK_RETRY_LIMITS, self.peers.hosts.count_possibly_running, clock
             ),
+            response_memory=ResponseMemory(
+                choose_response_memory(None, RESPONSE_LIMIT_BYTES)
+            ),
         )
         self.generations = GenerationTable(self.runtime)
         self.gateway = Gateway(self.runtime, self.generations, self.limits)
--- a/src/sapphirerock/process/runtime.py
+++ b/src/sapphirerock/process/runtime.py
@@ -43,6 +43,8 @@
     retry_budget : RetryBudget
         This host's share of the retry budget for retries and hedges of checks
         (idempotent calls).
+    response_memory : ResponseMemory
+        Memory for large responses of upstreams.
     random : random.Random
         Source of jitter.
     tasks : BackgroundTasks
@@ -62,6 +64,7 @@
     journal: object
     ledger: object
     retry_budget: object
+    response_memory: object
     random: Random = field(default_factory=Random)
     tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
--- a/src/sapphirerock/process/telemetry/edgemetrics.py
+++ b/src/sapphirerock/process/telemetry/edgemetrics.py
@@ -34,6 +34,7 @@
         "relayed_connections",
         "relayed_attempts",
         "relayed_engines",
+        "response_memory",
     )
 
     def __init__(self):
@@ -92,6 +93,9 @@
         self.relayed_engines = gauge(
             "relayed_engines", "Engines that are reached only through peers"
         )
+        self.response_memory = gauge(
+            "response_memory_bytes", "Memory reserved for large responses"
+        )
 
     def observe_call(self, kind, responder, seconds):
         """Record an answer; status 0 means that the caller disconnected before it."""
--- a/src/sapphirerock/request/idempotentcall.py
+++ b/src/sapphirerock/request/idempotentcall.py
@@ -128,6 +128,7 @@
                     state.settings,
                     self._request,
                     self._deadline_s - started_s,
+                    runtime.response_memory,
                 )
         finally:
             runtime.upstreams.end_call(state)
--- a/src/sapphirerock/request/order.py
+++ b/src/sapphirerock/request/order.py
@@ -169,6 +169,7 @@
                     state.settings,
                     self._request,
                     remaining_s,
+                    runtime.response_memory,
                     (send_once,),
                 )
             runtime.upstreams.end_call(state)
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -96,6 +96,7 @@
         "_sends",
         "_failures",
         "_response",
+        "_holds",
         "_turns",
         "_started_s",
         "_log",
@@ -112,6 +113,8 @@
         self._sends = 0
         self._failures = 0
         self._response = None
+        # Memory of the responses, one of which is sent to the caller.
+        self._holds = []
         self._turns = None
         self._started_s = runtime.clock.monotonic()
         self._log = logger.bind(request=call.metadata.attempt_id, route=call.route.name)
@@ -124,6 +127,8 @@
             await self._run_attempts()
         finally:
             self._race.cancel()
+            for hold in self._holds:
+                hold.release()
 
     async def _run_attempts(self):
         """Start another attempt whenever one fails or its engine falls silent."""
@@ -353,6 +358,7 @@
                 self._race.report_silence if self._call.route.may_retry else None
             ),
         )
+        self._holds.append(attempt.hold)
         with attempt:
             self._running.add(attempt)
             try:
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -27,6 +27,7 @@
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.decisions.silence import choose_silence_wait
+from sapphirerock.decisions.streamprogress import ProgressCheck
 from sapphirerock.decisions.streamversions import StreamOrigin
 from sapphirerock.decisions.turns import RESUMPTION_MAX_WAIT_S, choose_max_wait
 from sapphirerock.process.engines.prober import ProbeOutcome
@@ -540,6 +541,7 @@
                 self._outrun_engines.add(state.name)
                 raise
             finally:
+                attempt.hold.release()
                 del self._running[attempt]
                 if backup_task is not None:
                     backup_task.cancel()
@@ -587,7 +589,7 @@
             return self._handle_failure(attempt, opened.error)
         if not opened.ok.is_success or not opened.ok.is_stream:
             return await self._handle_buffered_response(attempt)
-        splitter = EventSplitter()
+        splitter, progress_check = EventSplitter(), ProgressCheck()
         while True:
             read = await attempt.read_chunk()
             if read.is_error():
@@ -599,6 +601,11 @@
             except EventMalformed as error:
                 self._log.bind(cause=str(error)).warning("malformed event in stream")
                 return StreamOutcome.FAILED
+            if progress_check.is_exceeded(read.ok, events, self._progress.last_id):
+                self._log.bind(
+                    engine=attempt.state.name, wasted=progress_check.wasted_bytes
+                ).warning("stream without progress ended")
+                return StreamOutcome.FAILED
             if events:
                 if not attempt.has_output:
                     attempt.has_output = True
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -52,11 +52,15 @@
         Whether an event of the response has arrived.
     relay : str or None
         Name of the peer that relays the connection; None for a direct connection.
+    hold : ResponseHold
+        Memory of a large response. The caller releases it when the response has been
+        sent on.
     """
 
     __slots__ = (
         "call",
         "state",
+        "hold",
         "backup",
         "head",
         "has_output",
@@ -89,6 +93,7 @@
         self.head = None
         self.has_output = False
         self.relay = None
+        self.hold = runtime.response_memory.open_hold(state.name)
         self._silent_since_s = None
         self._is_relay_silent = False
         self._runtime = runtime
@@ -298,7 +303,7 @@
         expression.Result of BufferedResponse or ConnectionFailure
         """
         read = await self._wait_until_deadline(
-            read_body(self.state.name, self._response)
+            read_body(self.state.name, self._response, hold=self.hold)
         )
         if read.is_error():
             return read
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -877,6 +877,13 @@
     "a chunk line": EndlessBytes(b"10;", FILLER, (CHUNKED, EVENTS)),
     "trailers": EndlessBytes(b"0\r\n", b"X-Filler: abcdef\r\n", (CHUNKED,)),
     "an event": EndlessBytes(b"id: 1\ndata: ", FILLER, (EVENTS,)),
+    "an event in chunks": EndlessBytes(
+        b"d\r\nid: 1\ndata: ab\r\n",
+        b"10\r\n" + FILLER + b"\r\n",
+        (CHUNKED, EVENTS),
+    ),
+    "comments": EndlessBytes(b"", b": wait\n\n", (EVENTS,)),
+    "an event again": EndlessBytes(b"", b"id: 1\ndata: abc\n\n", (EVENTS,)),
 }
 ENDLESS_WRITE_BYTES = 1 << 16
 
