Callers' connections: follow the limits of the configuration in force

Callers: after a configuration raised a limit, connections that were open kept the older one. A head or an idle time within the new limit was cut off without an answer or a refusal, a larger header got 400.

Cause: CallerServer read the limits once for each new connection.

Evidence: callerlimits.feature on: the raised time for heads, the raised idle time and the raised size of headers fail, as do the lowered size and the time at which an idle connection closes (5 of 6 scenarios; the sixth was changed since, and passes on both).

Why this works: a connection asks for the limits when it needs them. Longer timeouts hold at once, shorter ones for new connections, whose callers know them. Headers over the limit in force get 431.

After: callerlimits 6 of 6, stopping, forwarding and errors passed.

--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -11,22 +11,37 @@
 DRAIN_POLL_S = 0.05
 # A connection that was accepted just before the listener closed shows at a later poll.
 EMPTY_DRAIN_POLLS = 2
+# Largest header that any open connection can receive, since its parser keeps its limit
+# when a later configuration allows larger ones.
+LARGEST_HEADER_BYTES = 64 << 10
 
 
 class CallerConnection(RequestHandler):
     """aiohttp's server protocol with a timeout for the head of a request.
 
+    An open connection follows the limits of the configuration in force, but for shorter
+    timeouts: its caller may not know these yet.
+
     Parameters
     ----------
-    limits : CallerLimits
-        Limits for the connection.
+    read_limits : callable
+        Returns the current `CallerLimits`.
     """
 
-    __slots__ = ("_head_timer", "_limits")
-
-    def __init__(self, manager, limits, **kwargs):
-        super().__init__(manager, keepalive_timeout=limits.idle_timeout_s, **kwargs)
-        self._limits = limits
+    __slots__ = ("_first_limits", "_head_timer", "_read_limits")
+
+    def __init__(self, manager, read_limits, **kwargs):
+        limits = read_limits()
+        header_bytes = max(limits.header_bytes, LARGEST_HEADER_BYTES)
+        super().__init__(
+            manager,
+            keepalive_timeout=limits.idle_timeout_s,
+            max_line_size=header_bytes,
+            max_field_size=header_bytes,
+            **kwargs,
+        )
+        self._first_limits = limits
+        self._read_limits = read_limits
         self._head_timer = None
 
     def connection_made(self, transport):
@@ -43,7 +58,11 @@
             self._stop_head_timer()
         elif self._head_timer is None:
             self._head_timer = asyncio.get_running_loop().call_later(
-                self._limits.header_timeout_s, self._close_slow_connection
+                max(
+                    self._first_limits.header_timeout_s,
+                    self._read_limits().header_timeout_s,
+                ),
+                self._close_slow_connection,
             )
 
     def connection_lost(self, exc):
@@ -56,6 +75,18 @@
             self._head_timer.cancel()
             self._head_timer = None
 
+    def _process_keepalive(self):
+        """Close the connection if it is idle, unless it may be so for longer by now."""
+        idle_timeout_s = self._read_limits().idle_timeout_s
+        extra_s = max(0.0, idle_timeout_s - self._first_limits.idle_timeout_s)
+        close_time_s = self._next_keepalive_close_time + extra_s
+        if self.is_idle and self._loop.time() < close_time_s:
+            self._keepalive_handle = self._loop.call_at(
+                close_time_s, self._process_keepalive
+            )
+        else:
+            super()._process_keepalive()
+
     def _close_slow_connection(self):
         self._head_timer = None
         self.force_close()
@@ -75,7 +106,7 @@
     handler : coroutine function
         Takes a request and returns its response.
     read_limits : callable
-        Returns the current `CallerLimits`, which each new connection uses.
+        Returns the current `CallerLimits`.
 
     Attributes
     ----------
@@ -90,15 +121,12 @@
 
     def __call__(self):
         """Return the protocol of a new connection."""
-        limits = self._read_limits()
         return CallerConnection(
             self,
-            limits,
+            self._read_limits,
             loop=self._loop,
             access_log=None,
             auto_decompress=False,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
             lingering_time=LINGERING_TIME_S,
         )
 
@@ -146,6 +174,13 @@
             connection.force_close()
 
 
+def has_large_header(request: BaseRequest, limit_bytes):
+    """Return whether a header of a request, or its target, exceeds a size limit."""
+    return len(request.raw_path) > limit_bytes or any(
+        len(value) > limit_bytes for _, value in request.raw_headers
+    )
+
+
 async def read_request_body(request: BaseRequest, limit_bytes):
     """Read a request's body up to a size limit.
 
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from opentelemetry.trace import SpanKind
 
-from sapphirerock.connection.ingress import read_request_body
+from sapphirerock.connection.ingress import has_large_header, read_request_body
 from sapphirerock.connection.responder import Responder
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.streamversions import StreamOrigin, choose_origin
@@ -19,6 +19,7 @@
 from sapphirerock.request.problem import (
     CRASHES_ENGINES,
     GENERATION_LOST,
+    HEADER_TOO_LARGE,
     NO_CONFIGURATION,
     NOT_FOUND,
     TOO_LARGE,
@@ -138,7 +139,8 @@
         """Match a request to a route and read its body.
 
         The request is refused if there is no configuration or route, if it could be cut
-        off by the shutdown, if its key is unknown or if its body is too large.
+        off by the shutdown, if its key is unknown or if a header or its body is too
+        large.
 
         Returns
         -------
@@ -150,6 +152,9 @@
         path = request.raw_path.partition("?")[0]
         route = version.find_route(request.headers.get("Host", ""), path)
         metadata = decode_call_metadata(request.headers)
+        if has_large_header(request, version.limits.header_bytes):
+            problem = Problem(HEADER_TOO_LARGE, "header too large")
+            return self._refuse(metadata, version, problem)
         if route is None:
             return self._refuse(metadata, version, Problem(NOT_FOUND, "no route"))
         caller_timeout_s = (
--- a/src/sapphirerock/request/problem.py
+++ b/src/sapphirerock/request/problem.py
@@ -94,6 +94,7 @@
     "order-outcome-unknown", 409, "The order may have run", outcome=UNKNOWN
 )
 TOO_LARGE = ProblemKind("body-too-large", 413, "The body is too large")
+HEADER_TOO_LARGE = ProblemKind("header-too-large", 431, "A header is too large")
 KEY_REUSED = ProblemKind("key-reused", 422, "The key belongs to another request")
 REFUSED_SETTINGS = ProblemKind("refused-settings", 422, "The settings are refused")
 CRASHES_ENGINES = ProblemKind(
