Response memory: grants to ended calls; heads of callers; shorter bursts

Causes: a response whose call had been cancelled, but whose task had not run since, could be granted memory, and the grant failed in the call that had released it. The parser's new limit of 64 KiB a header let a caller send 8 MiB of headers. Beside other load, the first blocks of 60 endless responses held sound orders up.

Why this works: such a grant is returned at once. A head may have 128 KiB. Of a body 32 KiB are read before memory is asked for, and each event or comment that brings nothing counts 96 bytes more.

--- a/features/endlessresponses.feature
+++ b/features/endlessresponses.feature
@@ -52,6 +52,12 @@
       | trailers           | POST /order/1  | 1.5   |
       | a body             | GET /stock/1   | 1.5   |
 
+  Scenario: 60 callers that send header lines without end
+    Given a shared platform with 1 edge and 3 engines of each service
+    When 60 callers send header lines without end, and 40 orders are sent meanwhile
+    Then the memory of the edge grew by less than 32 MB
+    And each of the 40 others is served within 0.5 s
+
   Scenario Outline: Large responses share the memory for them: <responses>
     Given memory for large responses of 8 MB
     When large responses begin and end: <responses>
@@ -68,6 +74,12 @@
       | a 4, a 4, a ends                 | a       |
       | a 4, b 4, c 4, d 4, c leaves, a ends | b, d |
 
+  # Guards against a grant to a response whose call has just ended.
+  Scenario: Calls that end while their responses wait for memory leave it to others
+    Given memory for large responses of 8 MB
+    When 200 responses of 5 upstreams wait for memory, and calls end at random
+    Then all memory is free, and each other response had its part
+
   Scenario Outline: An attempt at a stream ends if it brings nothing new: <content>
     When the body of a stream is <content>
     Then reading it <result>
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -1,6 +1,7 @@
 """Steps on engines that send bytes without end."""
 
 import asyncio
+import random
 import re
 import time
 
@@ -9,6 +10,7 @@
 from tools.sharedcaller import make_headers
 
 from sapphirerock.connection.eventsplitter import EventSplitter
+from sapphirerock.connection.responsememory import ResponseMemory
 from sapphirerock.decisions.responsememory import MemoryRequest, ResponseBudget
 from sapphirerock.decisions.streamprogress import ProgressCheck
 
@@ -22,6 +24,7 @@
 BLOCK_BYTES = 4096
 SENT_BYTES = 200_000
 COMMENT = b": wait\n\n"
+SEED = 4403
 
 
 async def read_memory_mb(context):
@@ -137,31 +140,57 @@
         await inject_all(
             context, "spoil", (prefix,), manner=f"endless {endless}", amount=10 * count
         )
-        memory_mb = await read_memory_mb(context)
-        peak = asyncio.ensure_future(watch_peak(context))
         calls = [
-            asyncio.ensure_future(send_one(context, number, method, target, TIMEOUT_MS))
+            send_one(context, number, method, target, TIMEOUT_MS)
             for number in range(1, count + 1)
         ]
-        await asyncio.sleep(HEAD_START_S)
-        sound = []
-        for number in range(count + 1, count + 1 + others):
-            sound.append(
-                asyncio.ensure_future(
-                    send_one(context, number, "POST", other_target, TIMEOUT_MS)
-                )
-            )
-            await asyncio.sleep(OTHER_INTERVAL_S)
-        context.others = await asyncio.gather(*sound)
-        context.results = await asyncio.gather(*calls)
-        peak.cancel()
-        await asyncio.wait((peak,))
-        peak_mb = max(context.peak_mb, await read_memory_mb(context))
-        context.growth_mb = peak_mb - memory_mb
+        await send_beside(context, calls, others, other_target)
 
     context.run(run())
 
 
+async def send_beside(context, calls, count, target):
+    """Start faulty calls; send others meanwhile, and keep results and memory."""
+    memory_mb = await read_memory_mb(context)
+    peak = asyncio.ensure_future(watch_peak(context))
+    faulty = [asyncio.ensure_future(call) for call in calls]
+    await asyncio.sleep(HEAD_START_S)
+    sound = []
+    for number in range(1000, 1000 + count):
+        sent = send_one(context, number, "POST", target, TIMEOUT_MS)
+        sound.append(asyncio.ensure_future(sent))
+        await asyncio.sleep(OTHER_INTERVAL_S)
+    context.others = await asyncio.gather(*sound)
+    context.results = await asyncio.gather(*faulty)
+    peak.cancel()
+    await asyncio.wait((peak,))
+    peak_mb = max(context.peak_mb, await read_memory_mb(context))
+    context.growth_mb = peak_mb - memory_mb
+
+
+async def send_endless_head(context):
+    """Send header lines until the edge closes the connection."""
+    started_s = time.monotonic()
+    block = b"X-Filler: abcdef\r\n" * 1000
+    async with RawConnection(context.world.cluster.edges["edge-0"]) as connection:
+        connection.writer.write(b"GET /stock/1 HTTP/1.1\r\nHost: a.example\r\n")
+        try:
+            while True:
+                connection.writer.write(block)
+                await connection.writer.drain()
+        except OSError:
+            return RawResponse(), time.monotonic() - started_s
+
+
+@when(
+    "{count:d} callers send header lines without end, and {others:d} orders are sent "
+    "meanwhile"
+)
+def send_endless_heads(context, count, others):
+    calls = [send_endless_head(context) for _ in range(count)]
+    context.run(send_beside(context, calls, others, "/order/1"))
+
+
 @then("each of the {count:d} others is served within {bound:g} s")
 def check_others(context, count, bound):
     late = [
@@ -213,6 +242,52 @@
     assert context.budget.reserved_bytes == reserved, context.budget.reserved_bytes
 
 
+@when(
+    "{count:d} responses of {upstreams:d} upstreams wait for memory, and calls end at "
+    "random"
+)
+def end_calls_at_random(context, count, upstreams):
+    generator = random.Random(SEED)
+    context.memory = ResponseMemory(8 * BYTES_PER_MB)
+    context.served = 0
+
+    async def hold_memory(number):
+        hold = context.memory.open_hold(f"e{number % upstreams}")
+        try:
+            await hold.reserve(generator.randint(1, 4) * BYTES_PER_MB)
+            for _ in range(generator.randint(0, 3)):
+                await asyncio.sleep(0)
+            context.served += 1
+        finally:
+            hold.release()
+
+    async def run():
+        tasks = [asyncio.ensure_future(hold_memory(number)) for number in range(count)]
+        await asyncio.sleep(0)
+        for _ in range(count // 2):
+            task = generator.choice(tasks)
+            task.cancel()
+            if generator.random() < 1 / 2:
+                await asyncio.sleep(0)
+        ends = await asyncio.gather(*tasks, return_exceptions=True)
+        context.ends = [
+            end
+            for end in ends
+            if end is not None and not isinstance(end, asyncio.CancelledError)
+        ]
+        context.cancelled = sum(isinstance(end, asyncio.CancelledError) for end in ends)
+
+    context.run(run())
+
+
+@then("all memory is free, and each other response had its part")
+def check_all_free(context):
+    assert not context.ends, context.ends
+    assert context.memory.reserved_bytes == 0
+    assert context.cancelled, "no call ended early"
+    assert context.served >= 200 - context.cancelled, context.served
+
+
 def make_content(text):
     """Return the bytes that an engine sends after event 1, in blocks."""
     if text == "a comment each second for 10 minutes":
--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -5,6 +5,7 @@
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_server import Server
+from loguru import logger
 
 # Time to read and discard the rest of a request that was answered before its end.
 LINGERING_TIME_S = 1.0
@@ -14,6 +15,8 @@
 # Largest header that any open connection can receive, since its parser keeps its limit
 # when a later configuration allows larger ones.
 LARGEST_HEADER_BYTES = 64 << 10
+# Largest head of a request, which the parser does not limit.
+LARGEST_HEAD_BYTES = 2 * LARGEST_HEADER_BYTES
 
 
 class CallerConnection(RequestHandler):
@@ -28,7 +31,7 @@
         Returns the current `CallerLimits`.
     """
 
-    __slots__ = ("_first_limits", "_head_timer", "_read_limits")
+    __slots__ = ("_first_limits", "_head_bytes", "_head_timer", "_read_limits")
 
     def __init__(self, manager, read_limits, **kwargs):
         limits = read_limits()
@@ -42,6 +45,7 @@
         )
         self._first_limits = limits
         self._read_limits = read_limits
+        self._head_bytes = 0
         self._head_timer = None
 
     def connection_made(self, transport):
@@ -51,11 +55,17 @@
             self.force_close()
 
     def data_received(self, data):
-        """Process bytes; time a request's head from its first bytes until its end."""
+        """Process bytes; limit the time and size of a request's head until its end."""
         super().data_received(data)
         is_waiting = self._waiter is not None and not self._waiter.done()
         if not is_waiting or self._messages:
+            self._head_bytes = 0
             self._stop_head_timer()
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > LARGEST_HEAD_BYTES:
+            logger.bind(size=self._head_bytes).info("head of request too large")
+            self.force_close()
         elif self._head_timer is None:
             self._head_timer = asyncio.get_running_loop().call_later(
                 max(
--- a/src/sapphirerock/connection/responsememory.py
+++ b/src/sapphirerock/connection/responsememory.py
@@ -48,11 +48,10 @@
         try:
             await granted
         except asyncio.CancelledError:
-            if granted.cancelled():
-                del self._granted[request]
-                self._notify(self._budget.cancel(request))
-            else:
+            if not granted.cancelled():
                 self.release(request)
+            elif self._granted.pop(request, None) is not None:
+                self._notify(self._budget.cancel(request))
             raise
 
     def release(self, request):
@@ -61,7 +60,12 @@
 
     def _notify(self, requests):
         for request in requests:
-            self._granted.pop(request).set_result(None)
+            granted = self._granted.pop(request)
+            if granted.cancelled():
+                # Its task has not run since it was cancelled.
+                self.release(request)
+            else:
+                granted.set_result(None)
 
 
 class ResponseHold:
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -48,7 +48,7 @@
 # on the deployments known. `ResponseMemory` limits how many of them a host holds.
 RESPONSE_LIMIT_BYTES = 4 << 20
 # A report lists the runs of an engine, at about 60 bytes each.
-REPORT_LIMIT_BYTES = FREE_RESPONSE_BYTES
+REPORT_LIMIT_BYTES = 64 << 10
 # Bytes that may arrive without adding to a body: heads, chunk lines, trailers. Chunks
 # of small events may add as much as the events themselves.
 OVERHEAD_LIMIT_BYTES = 64 << 10
--- a/src/sapphirerock/decisions/responsememory.py
+++ b/src/sapphirerock/decisions/responsememory.py
@@ -12,7 +12,7 @@
 
 # Of a body, this much is read before memory is asked for. Most responses have a few
 # kilobytes.
-FREE_RESPONSE_BYTES = 64 << 10
+FREE_RESPONSE_BYTES = 32 << 10
 # Share of the process's memory for large responses.
 RESPONSE_MEMORY_SHARE = 1 / 32
 # Upstreams that can use up the memory together.
--- a/src/sapphirerock/decisions/streamprogress.py
+++ b/src/sapphirerock/decisions/streamprogress.py
@@ -8,7 +8,7 @@
 # Longer than the longest event, and than all comments of a sound stream that waits.
 WASTE_LIMIT_BYTES = 64 << 10
 # An event or a comment costs as much processor time as this many bytes.
-EVENT_COST_BYTES = 32
+EVENT_COST_BYTES = 96
 
 
 class ProgressCheck:
