Relays: a paused parser goes on with the rest of its block

Cause: aiohttp resumes a paused parser by data_received(b""). RelayedProtocol fed that to its unpacker, so the rest of a block of 16 KiB waited for the next one, which never comes at the end. The read buffer of 4 KiB made the pause frequent.

The race itself has no test of its own yet; the scenario that showed it stays.

--- a/src/sapphirerock/connection/relay.py
+++ b/src/sapphirerock/connection/relay.py
@@ -87,6 +87,10 @@
 
     def data_received(self, data):
         """Unpack the peer's reply and the bytes of the engine."""
+        if not data:
+            # aiohttp resumes its parser, which was paused within a block.
+            super().data_received(data)
+            return
         try:
             self._unpacker.feed(data)
             for item in self._unpacker:
