Tests: a relayed block that pauses the parser; the bound of a start beside former entries

relays: a chunked response of 12,000 bytes in one block.

replicas: the step did not set the time from which the 2 s count, so a first answer other than 200 raised an AttributeError in place of another try.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -10,6 +10,7 @@
       | response                                     | body    | result                |
       | a response with a length                     | 9       | the whole response    |
       | a chunked response of 3,000,000 bytes        | 9       | the whole response    |
+      | a chunked response of 12,000 bytes in one block | 9    | the whole response    |
       | a response that ends with its connection     | 9       | the whole response    |
       | a response with a length                     | 3000000 | the whole response    |
       | a response that is shorter than its length   | 9       | a broken connection   |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -64,6 +64,7 @@
 LOOPBACK = "127.0.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNK = b"c350\r\n" + b"x" * 50_000 + b"\r\n"
+WHOLE_BODIES = (b"whole", b"x" * 12_000, b"x" * 3_000_000)
 REPORT = b'{"born":%d}' % BORN_MS
 RESPONSES, REASONS, EVENTS, EFFECTS, PEERS = {}, {}, {}, {}, {}
 
@@ -142,6 +143,13 @@
     await engine.send(writer, b"0\r\n\r\n")
 
 
+@register_in(RESPONSES, "a chunked response of 12,000 bytes in one block")
+async def send_one_chunk(engine, writer):
+    chunk = b"%x\r\n%b\r\n" % (12_000, b"x" * 12_000)
+    head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    await engine.send(writer, head + chunk + b"0\r\n\r\n")
+
+
 @register_in(RESPONSES, "a response that ends with its connection")
 async def send_unframed(engine, writer):
     await engine.send(writer, HEAD + b"Connection: close\r\n\r\nwhole")
@@ -296,7 +304,7 @@
 @then("the host gets the whole response")
 def check_whole(context):
     assert context.result.is_ok(), context.result
-    assert context.result.ok in (b"whole", b"x" * 3_000_000), len(context.result.ok)
+    assert context.result.ok in WHOLE_BODIES, len(context.result.ok)
 
 
 @then("the host gets a broken connection")
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -567,6 +567,7 @@
             context.former_ids.append(former_id)
         cluster.start_edge("edge-0")
         await cluster.wait_edges_ready("edge-0")
+        context.changed_at_s = time.monotonic()
 
     context.run(run())
 
