--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -12,6 +12,7 @@
     parse_known_fault,
     read_results,
     run_on_unchanged_sources,
+    runs_alone,
 )
 
 FEATURE, NAME = "features/some.feature", "some scenario"
@@ -105,3 +106,16 @@
         assert not verdict.report_lines
     else:
         assert any(note in line for line in verdict.report_lines), verdict.report_lines
+
+
+@given("a feature whose first line is {line}")
+def write_feature(context, line):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "some.feature")
+        path.write_text(f"{line}\nFeature: some feature\n")
+        context.runs_alone = runs_alone(path)
+
+
+@then("it runs {manner}")
+def check_manner(context, manner):
+    assert context.runs_alone is (manner == "alone"), manner
--- a/features/verdict.feature
+++ b/features/verdict.feature
@@ -53,3 +53,13 @@
       | a module is edited        | 1      | the sources changed |
       | a module is added         | 1      | the sources changed |
       | a feature is renamed      | 1      | the sources changed |
+
+  Scenario Outline: A feature whose first line is <line> runs <manner>
+    Given a feature whose first line is <line>
+    Then it runs <manner>
+
+    Examples:
+      | line              | manner      |
+      | @alone            | alone       |
+      | @slow             | beside others |
+      | Feature: A crowd  | beside others |
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -32,6 +32,8 @@
 FREQUENCY = re.compile(r"failed (\d+) of (\d+) runs")
 # Scenarios mostly wait for timeouts: four concurrent features use half the cores.
 CONCURRENT_FEATURES = 4
+# First line of a feature that runs while no other one does.
+ALONE_TAG = "@alone"
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,14 +138,24 @@
 def run_features(names):
     """Run features concurrently, all if none is named.
 
-    Returns the results of their scenarios in the order of the features.
+    Features with `ALONE_TAG` run one at a time after the others. Returns the results
+    of the scenarios in the order in which the features were started.
     """
     RESULTS.mkdir(parents=True, exist_ok=True)
     paths = [ROOT / name for name in names]
     paths = paths or sorted((ROOT / "features").glob("*.feature"))
+    lone = [path for path in paths if runs_alone(path)]
+    concurrent = [path for path in paths if path not in lone]
     with ThreadPoolExecutor(CONCURRENT_FEATURES) as pool:
-        runs = pool.map(run_feature, range(len(paths)), paths)
-        return [result for results in runs for result in results]
+        runs = list(pool.map(run_feature, range(len(concurrent)), concurrent))
+    runs += [run_feature(number, path) for number, path in enumerate(lone)]
+    return [result for results in runs for result in results]
+
+
+def runs_alone(path):
+    """Return whether a feature has to run while no other one does."""
+    with path.open() as lines:
+        return lines.readline().strip() == ALONE_TAG
 
 
 def run_on_unchanged_sources(run_all, root=ROOT):
