--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -20,8 +20,10 @@
 
 from features.steps.edge_steps import start_cluster
 from features.steps.replica_steps import send_lookup
+from sapphirerock.connection.callerload import CallerLoad
 from sapphirerock.connection.ingress import CallerServer
 from sapphirerock.process.clock import ManualClock, SystemClock
+from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.process.telemetry.logs import LineSink
 from sapphirerock.version.routing import CallerLimits
 
@@ -497,6 +499,7 @@
         return web.Response(text="whole")
 
     context.handle = handle
+    context.closes = EdgeMetrics().caller_closes
 
 
 @when(
@@ -505,9 +508,9 @@
 )
 def send_before_close(context, steps):
     async def run():
-        loop = asyncio.get_running_loop()
-        server = CallerServer(context.handle, CallerLimits)
-        listener = await loop.create_server(server, "127.0.0.1", 0)
+        load = CallerLoad(None, None, CallerLimits, SystemClock(), context.closes)
+        server = CallerServer(context.handle, CallerLimits, load)
+        listener = await server.listen("127.0.0.1", 0)
         address = listener.sockets[0].getsockname()
         with socket.create_connection(address) as connection:
             connection.sendall(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -1,12 +1,23 @@
 """Callers' connections: timeouts of headers and idle time, limit of body size."""
 
 import asyncio
+import socket
+from enum import Enum
 
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_server import Server
+from expression import Error, Ok
 from loguru import logger
 
+from sapphirerock.connection.upstream import limit_read_size
+from sapphirerock.decisions.callerload import (
+    ABANDONED_RESPONSE_S,
+    CONNECTION_BYTES,
+    QUEUED_REQUEST_BYTES,
+    ConnectionPhase,
+)
+
 # Time to read and discard the rest of a request that was answered before its end.
 LINGERING_TIME_S = 1.0
 DRAIN_POLL_S = 0.05
@@ -17,6 +28,22 @@
 LARGEST_HEADER_BYTES = 64 << 10
 # Largest head of a request, which the parser does not limit.
 LARGEST_HEAD_BYTES = 2 * LARGEST_HEADER_BYTES
+# Connections of callers are read in small blocks, so that those which send many small
+# chunks don't hold up others.
+READ_BLOCK_BYTES = 4 << 10
+# Received content of a body that waits to be read, per connection.
+READ_BUFFER_BYTES = 16 << 10
+# Connections that wait to be accepted, and that are accepted before others are served.
+BACKLOG = 1024
+ACCEPTS_PER_TURN = 16
+
+
+class BodyFailure(Enum):
+    """Why the body of a request was not read to its end."""
+
+    TOO_LARGE = "too large"
+    TIMED_OUT = "timed out"
+    NO_ROOM = "no room"
 
 
 class CallerConnection(RequestHandler):
@@ -29,11 +56,24 @@
     ----------
     read_limits : callable
         Returns the current `CallerLimits`.
+    load : CallerLoad
+        Is charged for what the connection holds.
     """
 
-    __slots__ = ("_first_limits", "_head_bytes", "_head_timer", "_read_limits")
+    __slots__ = (
+        "_body_timeout",
+        "_first_limits",
+        "_head_bytes",
+        "_head_timer",
+        "_is_serving",
+        "_load",
+        "_read_limits",
+        "_unread_bytes",
+        "_unread_timer",
+        "_use",
+    )
 
-    def __init__(self, manager, read_limits, **kwargs):
+    def __init__(self, manager, read_limits, load, **kwargs):
         limits = read_limits()
         header_bytes = max(limits.header_bytes, LARGEST_HEADER_BYTES)
         super().__init__(
@@ -41,22 +81,108 @@
             keepalive_timeout=limits.idle_timeout_s,
             max_line_size=header_bytes,
             max_field_size=header_bytes,
+            read_bufsize=READ_BUFFER_BYTES,
             **kwargs,
         )
         self._first_limits = limits
         self._read_limits = read_limits
         self._head_bytes = 0
         self._head_timer = None
+        self._load = load
+        self._use = None
+        self._is_serving = False
+        # Timeout of the body that is being read; None at other times.
+        self._body_timeout = None
+        self._unread_bytes = 0
+        self._unread_timer = None
 
     def connection_made(self, transport):
-        """Begin to read requests, unless the server has closed."""
+        """Begin to read requests, unless the server has closed or has no room."""
         super().connection_made(transport)
-        if self._manager.is_closed:
-            self.force_close()
+        limit_read_size(transport, READ_BLOCK_BYTES)
+        self._use = self._load.open(self)
+        if self._use is None or self._manager.is_closed:
+            self.abort()
+
+    def abort(self):
+        """Close the connection at once, without waiting for unsent bytes."""
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    def refuse(self):
+        """Refuse the request whose body is being read, or close the connection."""
+        if self._body_timeout is None:
+            self.abort()
+        else:
+            self._body_timeout.reschedule(self._loop.time())
+
+    def begin_request(self):
+        """Note that a request is being served."""
+        self._is_serving = True
+
+    def begin_stream(self):
+        """Return whether there is room for a streamed response, and take it."""
+        return self._load.begin_stream(self._use)
+
+    def end_request(self):
+        """Return the memory of a request that was served."""
+        self._is_serving = False
+        use = self._use
+        self._load.end_stream(use)
+        held_bytes = CONNECTION_BYTES + len(self._messages) * QUEUED_REQUEST_BYTES
+        self._load.change(use, held_bytes + self._unread_bytes - use.held_bytes)
+        use.has_served = True
+        self._load.begin_phase(use, ConnectionPhase.IDLE)
+
+    async def read_body(self, content, limit_bytes, deadline_s):
+        """Read the body of a request; see `read_request_body`."""
+        parts, size = [], 0
+        try:
+            async with asyncio.timeout_at(deadline_s) as self._body_timeout:
+                while part := await content.readany():
+                    size += len(part)
+                    if size > limit_bytes:
+                        return Error(BodyFailure.TOO_LARGE)
+                    parts.append(part)
+        except TimeoutError:
+            is_late = self._loop.time() >= deadline_s
+            return Error(BodyFailure.TIMED_OUT if is_late else BodyFailure.NO_ROOM)
+        finally:
+            self._body_timeout = None
+        self._load.begin_phase(self._use, ConnectionPhase.RUNNING)
+        return Ok(b"".join(parts))
+
+    def pause_writing(self):
+        """Charge the connection for a response that its caller does not read."""
+        super().pause_writing()
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        if self._is_serving:
+            self._load.begin_phase(self._use, ConnectionPhase.UNREAD)
+        self._unread_timer = self._loop.call_later(ABANDONED_RESPONSE_S, self.abort)
+        self._load.change(self._use, self._unread_bytes)
+
+    def resume_writing(self):
+        """Return the memory of a response that was read."""
+        super().resume_writing()
+        self._stop_unread_timer()
+        self._load.change(self._use, -self._unread_bytes)
+        self._unread_bytes = 0
+        if self._is_serving:
+            self._load.begin_phase(self._use, ConnectionPhase.RUNNING)
+
+    def _stop_unread_timer(self):
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
 
     def data_received(self, data):
         """Process bytes; limit the time and size of a request's head until its end."""
         super().data_received(data)
+        # What follows a refused request is discarded.
+        if data and (self._is_serving or self._waiter is not None):
+            self._load.receive(self._use, len(data))
         is_waiting = self._waiter is not None and not self._waiter.done()
         if not is_waiting or self._messages:
             self._head_bytes = 0
@@ -76,8 +202,11 @@
             )
 
     def connection_lost(self, exc):
-        """Stop the timer of a closed connection."""
+        """Stop the timers of a closed connection, and return its memory."""
         self._stop_head_timer()
+        self._stop_unread_timer()
+        if self._use is not None:
+            self._load.close(self._use)
         super().connection_lost(exc)
 
     def _stop_head_timer(self):
@@ -117,6 +246,8 @@
         Takes a request and returns its response.
     read_limits : callable
         Returns the current `CallerLimits`.
+    load : CallerLoad
+        Memory and number of the connections.
 
     Attributes
     ----------
@@ -124,22 +255,43 @@
         Whether all connections have been closed; later ones are closed unread.
     """
 
-    def __init__(self, handler, read_limits):
-        super().__init__(handler, handler_cancellation=True)
+    def __init__(self, handler, read_limits, load):
+        super().__init__(self._serve, handler_cancellation=True)
         self.is_closed = False
+        self._handler = handler
         self._read_limits = read_limits
+        self._load = load
 
     def __call__(self):
         """Return the protocol of a new connection."""
         return CallerConnection(
             self,
             self._read_limits,
+            self._load,
             loop=self._loop,
             access_log=None,
             auto_decompress=False,
             lingering_time=LINGERING_TIME_S,
         )
 
+    async def _serve(self, request):
+        connection = request.protocol
+        connection.begin_request()
+        try:
+            return await self._handler(request)
+        finally:
+            connection.end_request()
+
+    async def listen(self, address, port):
+        """Accept connections, few at a time; return the `asyncio.Server`."""
+        listening = socket.create_server((address, port), backlog=BACKLOG)
+        listener = await asyncio.get_running_loop().create_server(
+            self, sock=listening, backlog=ACCEPTS_PER_TURN
+        )
+        # asyncio accepts as many connections at once as may wait.
+        listening.listen(BACKLOG)
+        return listener
+
     async def drain(self, listener, deadline_s, clock):
         """Stop accepting connections and serve the open ones until they have closed.
 
@@ -191,20 +343,16 @@
     )
 
 
-async def read_request_body(request: BaseRequest, limit_bytes):
+async def read_request_body(request: BaseRequest, limit_bytes, deadline_s):
     """Read a request's body up to a size limit.
 
+    Parameters
+    ----------
+    deadline_s : float
+        Time of the event loop by which the body must be whole.
+
     Returns
     -------
-    bytes or None
-        None when the body exceeds the limit.
+    expression.Result of bytes or BodyFailure
     """
-    parts, size = [], 0
-    while True:
-        part = await request.content.readany()
-        if not part:
-            return b"".join(parts)
-        parts.append(part)
-        size += len(part)
-        if size > limit_bytes:
-            return None
+    return await request.protocol.read_body(request.content, limit_bytes, deadline_s)
--- a/src/sapphirerock/platform/settingsfile.py
+++ b/src/sapphirerock/platform/settingsfile.py
@@ -67,6 +67,7 @@
         bounds=_decode_bounds(document.get("bounds") or {}),
         regions=dict(document.get("zones") or {}),
         capacity=_decode_capacity(document.get("limits") or {}),
+        max_files=_decode_max_files(document.get("limits") or {}),
     )
 
 
@@ -99,6 +100,10 @@
     )
 
 
+def _decode_max_files(entry):
+    return int(entry["max_fds"]) if entry.get("max_fds") else None
+
+
 def _decode_bounds(entry):
     default = ServiceBounds()
     return ServiceBounds(
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -15,6 +15,7 @@
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from sapphirerock.connection.callerload import CallerLoad
 from sapphirerock.connection.dialects import DIALECTS
 from sapphirerock.connection.ingress import CallerServer
 from sapphirerock.connection.responsememory import ResponseMemory
@@ -86,7 +87,6 @@
 
 METRICS_PATH = "/metrics"
 PLACEMENT_POLICY = "rivals"
-BACKLOG = 1024
 # Part of the grace period before SIGKILL that is reserved for closing connections.
 CLOSE_RESERVE_S = 0.6
 SETTINGS_CHECK_INTERVAL_S = 1.0
@@ -149,10 +149,12 @@
             ),
         ):
             await self.add_runtime_dependency(service)
-        self._server = CallerServer(self.call_handler.handle, self._get_caller_limits)
+        self._server = CallerServer(
+            self.call_handler.handle, self._get_caller_limits, self._make_caller_load()
+        )
         caller_endpoint = profile.caller_endpoint
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._server, caller_endpoint.address, caller_endpoint.port, backlog=BACKLOG
+        self._listener = await self._server.listen(
+            caller_endpoint.address, caller_endpoint.port
         )
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGHUP, self._reload_settings
@@ -344,6 +346,19 @@
         )
         self.call_handler = CallHandler(runtime, self.routing)
 
+    def _make_caller_load(self):
+        capacity = self.profile.capacity
+        load = CallerLoad(
+            capacity.memory_mb if capacity else None,
+            self.profile.max_files,
+            self._get_caller_limits,
+            self.clock,
+            self.metrics.caller_closes,
+        )
+        self.metrics.caller_memory.set_function(lambda: load.held_bytes)
+        self.metrics.caller_connections.set_function(lambda: len(load))
+        return load
+
     def _count_hosts(self):
         """Return the number of live hosts, this one included."""
         return 1 + len(self.hosts.list_live())
--- a/src/sapphirerock/process/settings/hostprofile.py
+++ b/src/sapphirerock/process/settings/hostprofile.py
@@ -105,6 +105,8 @@
         Region of each availability zone.
     capacity : HostCapacity or None
         What the process may use of the host; None if the platform does not tell.
+    max_files : int or None
+        Descriptors that the process may open; None if the platform does not tell.
     """
 
     host: str
@@ -119,3 +121,4 @@
     bounds: ServiceBounds
     regions: dict
     capacity: HostCapacity | None = None
+    max_files: int | None = None
--- a/src/sapphirerock/process/telemetry/edgemetrics.py
+++ b/src/sapphirerock/process/telemetry/edgemetrics.py
@@ -35,6 +35,9 @@
         "relayed_attempts",
         "relayed_engines",
         "response_memory",
+        "caller_memory",
+        "caller_connections",
+        "caller_closes",
     )
 
     def __init__(self):
@@ -96,6 +99,15 @@
         self.response_memory = gauge(
             "response_memory_bytes", "Memory reserved for large responses"
         )
+        self.caller_memory = gauge(
+            "caller_memory_bytes", "Memory that callers' connections are charged for"
+        )
+        self.caller_connections = gauge(
+            "caller_connections", "Open connections of callers"
+        )
+        self.caller_closes = counter(
+            "caller_closes", "Connections of callers closed to make room", "cause"
+        )
 
     def observe_call(self, kind, responder, seconds):
         """Record an answer; status 0 means that the caller disconnected before it."""
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -7,9 +7,14 @@
 from loguru import logger
 from opentelemetry.trace import SpanKind
 
-from sapphirerock.connection.ingress import has_large_header, read_request_body
+from sapphirerock.connection.ingress import (
+    BodyFailure,
+    has_large_header,
+    read_request_body,
+)
 from sapphirerock.connection.responder import Responder
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
+from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.decisions.streamversions import StreamOrigin, choose_origin
 from sapphirerock.platform.ingress import decode_call_metadata, select_request_headers
 from sapphirerock.process.engines.crashwatch import fingerprint_call
@@ -17,9 +22,11 @@
 from sapphirerock.request.call import RoutedCall
 from sapphirerock.request.plaincall import PlainCall
 from sapphirerock.request.problem import (
+    BODY_TIMED_OUT,
     CRASHES_ENGINES,
     GENERATION_LOST,
     HEADER_TOO_LARGE,
+    HOST_FULL,
     NO_CONFIGURATION,
     NOT_FOUND,
     TOO_LARGE,
@@ -36,6 +43,11 @@
 TAKE_UP_RETRY_AFTER_S = 0.5
 # A host that has just started loads the records of streams within this time.
 ORIGINS_WAIT_S = 0.5
+BODY_PROBLEMS = {
+    BodyFailure.TOO_LARGE: TOO_LARGE,
+    BodyFailure.TIMED_OUT: BODY_TIMED_OUT,
+    BodyFailure.NO_ROOM: HOST_FULL,
+}
 
 
 class EarlyEnd(Enum):
@@ -169,12 +181,18 @@
         caller = version.callers.get(metadata.key)
         if version.needs_keys and not route.is_public and caller is None:
             return self._refuse(metadata, version, Problem(UNAUTHORISED, "unknown key"))
-        body = await read_request_body(request, version.limits.body_bytes)
-        if body is None:
-            return self._refuse(metadata, version, Problem(TOO_LARGE, "body too large"))
+        body = await read_request_body(
+            request, version.limits.body_bytes, response_deadline_s
+        )
+        if body.is_error():
+            problem = self._make_body_problem(body.error)
+            return self._refuse(metadata, version, problem)
         # The shutdown may have begun, or be near its end, once the body has arrived.
         if not shutdown.can_take(route, response_deadline_s):
             return self._refuse(metadata, version, make_shutdown_problem())
+        if route.is_streaming and not request.protocol.begin_stream():
+            problem = self._make_body_problem(BodyFailure.NO_ROOM)
+            return self._refuse(metadata, version, problem)
         priority = caller.priority if caller else None
         origin = None
         if route.is_streaming and metadata.takes_up_stream:
@@ -190,7 +208,7 @@
                 method=request.method,
                 target=request.raw_path,
                 headers=select_request_headers(request.headers, version.needs_keys),
-                body=body,
+                body=body.ok,
                 metadata=metadata,
                 route=route,
                 service=origin.service if origin else self._choose_service(route),
@@ -240,6 +258,13 @@
             for version in self._runtime.fleet.engines.list_versions(share.service)
         }
 
+    def _make_body_problem(self, failure):
+        """Return the problem of a request whose body was not read to its end."""
+        retry_after_s = None
+        if failure is BodyFailure.NO_ROOM:
+            retry_after_s = choose_retry_after(None, self._runtime.generator)
+        return Problem(BODY_PROBLEMS[failure], f"body {failure.value}", retry_after_s)
+
     def _refuse(self, metadata, version, problem):
         """Log a refusal and return the problem as an error result."""
         logger.bind(
--- a/src/sapphirerock/request/problem.py
+++ b/src/sapphirerock/request/problem.py
@@ -93,6 +93,7 @@
 OUTCOME_UNKNOWN = ProblemKind(
     "order-outcome-unknown", 409, "The order may have run", outcome=UNKNOWN
 )
+BODY_TIMED_OUT = ProblemKind("body-timed-out", 408, "The body did not end in time")
 TOO_LARGE = ProblemKind("body-too-large", 413, "The body is too large")
 HEADER_TOO_LARGE = ProblemKind("header-too-large", 431, "A header is too large")
 KEY_REUSED = ProblemKind("key-reused", 422, "The key belongs to another request")
@@ -120,6 +121,7 @@
 # Other hosts accept the call at once. The delay keeps callers from retrying all at the
 # same time.
 SHUTDOWN_RETRY_AFTER_S = 0.1
+HOST_FULL = ProblemKind("host-full", 503, "This host has no room for the request")
 NO_CONFIGURATION = ProblemKind(
     "no-configuration", 503, "This host knows no configuration yet"
 )
