Streams: any host goes on from the KV copy of a run whose host has died

Cause: records of streams named the engine, not the engine with the KV copy, so a host that took a stream up read its prompt again although the copy lives for handle_s after the run has ended.

Records carry the copy's engine, the attempt id of its run, the number of their changes (the newest wins, so that two hubs can't replace each other's) and a digest of the request, by which it is found: callers need not state the attempt that they resume, and a run goes on only from the memory of the same request.

--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -166,10 +166,30 @@
     And every host knows where each stream began, until the caller's deadline
     And no record was sent more than 12 times
 
-  Scenario: Hosts of an earlier build exchange records without engines
-    Given a host that exchanges origins with one of an earlier build
+  Scenario Outline: Hosts of an earlier build that lacks <views> exchange records
+    Given a host that exchanges origins with one of an earlier build without <views>
     When a stream begins on each of the two
-    Then each host knows these engines of the streams: engine-0, none, none, engine-1
+    Then each host knows these engines of the streams: <engines>
+    And each host knows these KV copies of the streams: <copies>
+
+    Examples:
+      | views                                         | engines                                | copies                   |
+      | nothing                                       | engine-0, engine-1, engine-0, engine-1 | copy-0, copy-1, copy-0, copy-1 |
+      | stream-origin-copies                          | engine-0, engine-1, engine-0, engine-1 | copy-0, none, none, copy-1 |
+      | stream-origin-copies and stream-origin-engines | engine-0, none, none, engine-1        | copy-0, none, none, copy-1 |
+
+  # Guards against two hubs that replace each other's record of a stream in turn.
+  Scenario Outline: Records of a stream that overtake each other: <records>
+    Given two hosts of a zone and one of another zone that exchange origins
+    When records of one stream reach a hub in this order: <records>
+    Then every host has the record <newest> of the stream
+    And no record was sent more than <count> times
+
+    Examples:
+      | records       | newest | count |
+      | 0, 1, 2       | 2      | 12    |
+      | 2, 0, 1       | 2      | 12    |
+      | 1, 1, 0       | 1      | 12    |
 
   Scenario: A host with too many records of streams drops the oldest, and logs how many
     Given a host that exchanges origins
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -31,6 +31,7 @@
     mark_cached_prompt,
 )
 from sapphirerock.decisions.streamversions import (
+    KvBackup,
     OriginChoice,
     StreamOrigin,
     choose_origin,
@@ -48,9 +49,11 @@
     choose_write_interval_s,
 )
 from sapphirerock.process.peers.streamorigins import (
-    ENGINES_VIEW,
+    CONTENT_BYTES,
     MAX_RECORDS,
+    OriginRecord,
     StreamOriginTable,
+    make_key,
 )
 from sapphirerock.process.replicas.feed import ObjectFeed
 from sapphirerock.process.replicas.feedstate import ReplicatedKind
@@ -1090,11 +1093,11 @@
         context.clock.advance(30.0)
 
 
-@given("a host that exchanges origins with one of an earlier build")
-def make_mixed_hosts(context):
+@given("a host that exchanges origins with one of an earlier build without {views}")
+def make_mixed_hosts(context, views):
     context.sent = Counter()
     context.clock = ManualClock()
-    earlier = OriginHost("a-2", "a", context.clock, (ENGINES_VIEW,))
+    earlier = OriginHost("a-2", "a", context.clock, views.split(" and "))
     context.hosts = [OriginHost("a-1", "a", context.clock), earlier]
     connect_hosts(context, *context.hosts)
 
@@ -1102,11 +1105,51 @@
 @when("a stream begins on each of the two")
 def begin_on_both(context):
     for number, host in enumerate(context.hosts):
-        origin = StreamOrigin("chat", "v1", f"engine-{number}")
+        backup = KvBackup(f"copy-{number}", f"attempt-{number}", make_content(number))
+        origin = StreamOrigin("chat", "v1", f"engine-{number}", backup)
         host.table.record(f"attempt-{number}", origin, 20.0)
     context.hosts[0].table.send_pending()
 
 
+def make_content(number):
+    return bytes([number]) * CONTENT_BYTES
+
+
+@then("each host knows these KV copies of the streams: {copies}")
+def check_copies_known(context, copies):
+    backups = [
+        host.table.find_backup(make_content(number))
+        for host in context.hosts
+        for number in range(2)
+    ]
+    found = [backup.engine if backup else "none" for backup in backups]
+    assert found == copies.split(", "), found
+
+
+@when("records of one stream reach a hub in this order: {records}")
+def receive_records(context, records):
+    hub = context.hosts[0].table
+    for changes in map(int, records.split(", ")):
+        backup = KvBackup(f"copy-{changes}", "attempt-0", make_content(0))
+        origin = StreamOrigin("chat", "v1", "engine-0", backup)
+        record = OriginRecord(origin, context.clock.monotonic() + 20.0, changes)
+        if record.is_newer(hub._records.get(make_key("attempt-0"))):
+            hub._store(make_key("attempt-0"), record)
+            hub._add_pending(
+                context.hosts[0].hosts.own_address.host, make_key("attempt-0")
+            )
+        for _ in range(3):
+            for host in context.hosts:
+                host.table.send_pending()
+
+
+@then("every host has the record {newest:d} of the stream")
+def check_newest_record(context, newest):
+    backups = [host.table.find_backup(make_content(0)) for host in context.hosts]
+    found = [backup.engine for backup in backups]
+    assert found == [f"copy-{newest}"] * len(context.hosts), found
+
+
 @then("each host knows these engines of the streams: {engines}")
 def check_engines_known(context, engines):
     found = [
--- a/features/steps/silentrace_steps.py
+++ b/features/steps/silentrace_steps.py
@@ -20,6 +20,7 @@
 from sapphirerock.process.engines.crashwatch import SILENT
 from sapphirerock.process.engines.prober import ProbeOutcome, ProbeResult
 from sapphirerock.request.backupkeeper import BackupKeeper
+from sapphirerock.request.call import CallMetadata, Prompt
 from sapphirerock.request.plaincall import AttemptResult, PlainCall, PlainCallOutcome
 from sapphirerock.request.streamcall import StreamCall
 from sapphirerock.request.upstreamattempt import UpstreamAttempt
@@ -30,6 +31,13 @@
 SILENT_PROBE = ProbeResult(ProbeOutcome.NO_ANSWER, "silent")
 
 
+class IdleAttempt:
+    """Attempt on an engine that sends nothing by itself."""
+
+    def __init__(self, state):
+        self.state = state
+
+
 class IdleResponder:
     """Stands for the connection of a caller.
 
@@ -113,8 +121,9 @@
     route = SimpleNamespace(
         name="review", kind=kind, may_retry=True, max_attempts=3, target_latency_s=4.5
     )
-    call = SimpleNamespace(
-        **vars(make_call()),
+    call = SimpleNamespace(**vars(make_call()))
+    call.metadata = CallMetadata(call.metadata.attempt_id, None, None, None, Prompt())
+    vars(call).update(
         route=route,
         service="model",
         revision=1,
@@ -123,7 +132,6 @@
         response_deadline_s=host.clock.monotonic() + DEADLINE_S,
         deadline_s=host.clock.monotonic() + DEADLINE_S,
     )
-    call.metadata.last_event_id = None
     return call
 
 
@@ -457,7 +465,7 @@
         context.stream = StreamCall(
             make_runtime(host), call, IdleResponder(has_begun=True)
         )
-        context.attempt = SimpleNamespace(state=host.add_engine("e2"))
+        context.attempt = IdleAttempt(host.add_engine("e2"))
 
     context.run(run())
 
--- a/src/sapphirerock/connection/messages.py
+++ b/src/sapphirerock/connection/messages.py
@@ -566,6 +566,25 @@
     engines: list
 
 
+@register_message(72)
+@dataclass(slots=True)
+class StreamOriginCopies(Message):
+    """Records of where streams began, with their engines and KV copies.
+
+    Parameters
+    ----------
+    groups : list of [str, str, int, bytes, bytes, bytes, list of str]
+        As in `StreamOriginEngines`, and for each stream the number of the engine that
+        keeps a KV copy, 2 bytes, how often the record has changed, 1 byte, and a digest
+        of the request, 8 bytes; then the attempt ids of the copied runs.
+    engines : list of str
+        As in `StreamOriginEngines`.
+    """
+
+    groups: list
+    engines: list
+
+
 @register_message(56)
 @dataclass(slots=True)
 class SoundParts(Message):
--- a/src/sapphirerock/connection/response.py
+++ b/src/sapphirerock/connection/response.py
@@ -133,8 +133,11 @@
     handle : str
         Id that the source gave the copy; empty for a backup, which the source keeps
         up to date without further requests.
+    attempt_id : str
+        Attempt id of the run that a backup was made of; empty if it is the call's own.
     """
 
     holder: object
     source: object
     handle: str = ""
+    attempt_id: str = ""
--- a/src/sapphirerock/decisions/streamversions.py
+++ b/src/sapphirerock/decisions/streamversions.py
@@ -12,6 +12,25 @@
 MIN_ENGINES_PER_VERSION = 2
 
 
+@dataclass(slots=True, frozen=True)
+class KvBackup:
+    """KV copy of a run, from which any host can go on with the run's request.
+
+    Parameters
+    ----------
+    engine : str
+        Id of the engine that keeps it.
+    attempt_id : str
+        Attempt id of the run, which is the name of the copy.
+    content : bytes
+        Digest of the request, which alone may go on from the run's memory.
+    """
+
+    engine: str
+    attempt_id: str
+    content: bytes
+
+
 @dataclass(slots=True, frozen=True)
 class StreamOrigin:
     """Where a stream began.
@@ -26,11 +45,14 @@
         Id of the engine, which may have the prompt in its cache; empty if unknown. The
         stream may go on at any engine of the version, so that origins are compared
         without it.
+    kv_backup : KvBackup or None
+        KV copy of the run; None if none is known.
     """
 
     service: str
     version: str
     engine: str = field(default="", compare=False)
+    kv_backup: KvBackup | None = field(default=None, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/platform/dialect.py
+++ b/src/sapphirerock/platform/dialect.py
@@ -67,7 +67,7 @@
         if copy is not None:
             # A backup is identified by its holder and the run's attempt id, a requested
             # copy by the engine that made it and the handle that this engine chose.
-            name = copy.handle or call.metadata.attempt_id
+            name = copy.handle or copy.attempt_id or call.metadata.attempt_id
             source = copy.source.address if copy.handle else copy.holder.address
             headers.append((KV_SOURCE, f"{source}/{name}"))
         return headers
--- a/src/sapphirerock/process/peers/storedorigins.py
+++ b/src/sapphirerock/process/peers/storedorigins.py
@@ -13,7 +13,7 @@
 from loguru import logger
 from mode import Service
 
-from sapphirerock.connection.messages import StreamOriginEngines
+from sapphirerock.connection.messages import StreamOriginCopies
 from sapphirerock.connection.storeobjects import ObjectMissing, StoreConflict
 from sapphirerock.platform.names import STREAM_ORIGINS_KIND
 from sapphirerock.process.peers.owners import find_owner
@@ -38,6 +38,8 @@
 # Engines beside the groups, which hosts of earlier builds read without them.
 ENGINES = "engines"
 ENGINE_NUMBERS = "engine_numbers"
+COPIES = "copies"
+COPIED_ATTEMPTS = "copied_attempts"
 
 
 class StoredOrigins(Service):
@@ -187,14 +189,19 @@
     """Return the content of an object with the records of a message."""
     encoded = [
         [service, version, ttl_s, base64.b64encode(keys).decode()]
-        for service, version, ttl_s, keys, _ in message.groups
+        for service, version, ttl_s, keys, *_ in message.groups
     ]
-    numbers = [base64.b64encode(group[-1]).decode() for group in message.groups]
+    numbers, copies = (
+        [base64.b64encode(group[column]).decode() for group in message.groups]
+        for column in (-3, -2)
+    )
     return {
         WRITTEN_AT: written_at,
         GROUPS: encoded,
         ENGINES: message.engines,
         ENGINE_NUMBERS: numbers,
+        COPIES: copies,
+        COPIED_ATTEMPTS: [group[-1] for group in message.groups],
     }
 
 
@@ -206,10 +213,14 @@
             for service, version, ttl_s, keys in spec[GROUPS]
         ]
         if ENGINES not in spec:
-            return StreamOriginEngines(groups, [])
+            return StreamOriginCopies(groups, [])
         for group, numbers in zip(groups, spec[ENGINE_NUMBERS], strict=True):
             group.append(base64.b64decode(numbers))
-        message = StreamOriginEngines(groups, [str(name) for name in spec[ENGINES]])
+        if COPIES in spec:
+            columns = zip(groups, spec[COPIES], spec[COPIED_ATTEMPTS], strict=True)
+            for group, copies, attempt_ids in columns:
+                group += [base64.b64decode(copies), [str(item) for item in attempt_ids]]
+        message = StreamOriginCopies(groups, [str(name) for name in spec[ENGINES]])
         # Numbers may be missing or exceed those of the engines.
         list(list_records(message.groups, message.engines))
         return message
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -14,8 +14,12 @@
 from loguru import logger
 from mode import Service
 
-from sapphirerock.connection.messages import StreamOriginEngines, StreamOrigins
-from sapphirerock.decisions.streamversions import StreamOrigin
+from sapphirerock.connection.messages import (
+    StreamOriginCopies,
+    StreamOriginEngines,
+    StreamOrigins,
+)
+from sapphirerock.decisions.streamversions import KvBackup, StreamOrigin
 
 BATCH_INTERVAL_S = 0.1
 # With the streams of the largest deployments known, records live for tens of seconds.
@@ -23,9 +27,15 @@
 KEY_BYTES = 8
 ENGINE_NUMBER_BYTES = 2
 MAX_ENGINE_NUMBER = (1 << 8 * ENGINE_NUMBER_BYTES) - 1
+CHANGES_BYTES = 1
+MAX_CHANGES = (1 << 8 * CHANGES_BYTES) - 1
+CONTENT_BYTES = 8
+COPY_BYTES = ENGINE_NUMBER_BYTES + CHANGES_BYTES + CONTENT_BYTES
+NO_BACKUP = KvBackup("", "", bytes(CONTENT_BYTES))
 VIEW = "stream-origins"
-# Hosts of earlier builds know records without the engine only.
+# Hosts of earlier builds know records without the engine, or without the KV copy.
 ENGINES_VIEW = "stream-origin-engines"
+COPIES_VIEW = "stream-origin-copies"
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,10 +48,19 @@
         Service, software version and engine.
     expires_s : float
         Monotonic time after which the caller no longer takes the stream up.
+    changes : int
+        How often the record has changed; the one with the most is the newest.
     """
 
     origin: StreamOrigin
     expires_s: float
+    changes: int = 0
+
+    def is_newer(self, known):
+        """Return whether the record replaces a known one of the same stream."""
+        if known is None or self.changes != known.changes:
+            return known is None or self.changes > known.changes
+        return self.origin != known.origin
 
 
 class StreamOriginTable(Service):
@@ -66,6 +85,8 @@
         self._clock = clock
         self.stored_count = 0
         self._records = OrderedDict()
+        # Key of the latest record of each request with a KV copy.
+        self._keys_by_content = {}
         # Records dropped before they expired, since the last log line.
         self._dropped = 0
         # Keys to send on at the next batch, by the host that sent them; this host's
@@ -74,7 +95,9 @@
         self._has_pending = asyncio.Event()
         peers.register_handler(StreamOrigins, self._handle_origins)
         peers.register_handler(StreamOriginEngines, self._handle_origins)
-        peers.announce_support(ENGINES_VIEW, self._send_all)
+        peers.register_handler(StreamOriginCopies, self._handle_origins)
+        peers.announce_support(COPIES_VIEW, self._send_all)
+        peers.announce_support(ENGINES_VIEW, self._send_all_without_copies)
         peers.announce_support(VIEW, self._send_all_without_engines)
 
     @property
@@ -88,20 +111,38 @@
             return None
         return record.origin
 
+    def find_backup(self, content):
+        """Return the KV copy of the latest known run of a request, or None.
+
+        Parameters
+        ----------
+        content : bytes
+            Digest of the request.
+        """
+        record = self._records.get(self._keys_by_content.get(content))
+        if record is None or record.expires_s < self._clock.monotonic():
+            return None
+        return record.origin.kv_backup
+
     def record(self, attempt_id, origin, ttl_s):
-        """Record the origin of a stream that this host begins, and tell others.
+        """Record the origin of a stream that this host runs, and tell others.
+
+        A later record of the same stream replaces an earlier one.
 
         Parameters
         ----------
         attempt_id : str
             Attempt that brings the first event.
         origin : StreamOrigin
-            Service, software version and id of its engine.
+            Service, software version and id of its engine, and its KV copy.
         ttl_s : float
             Time until the caller's deadline, in seconds.
         """
         key = make_key(attempt_id)
-        self._store(key, OriginRecord(origin, self._clock.monotonic() + ttl_s))
+        known = self._records.get(key)
+        changes = 0 if known is None else min(MAX_CHANGES, known.changes + 1)
+        expires_s = self._clock.monotonic() + ttl_s
+        self._store(key, OriginRecord(origin, expires_s, changes))
         message = self.export([key])
         own_host = self._own_address.host
         hubs = [host for host in self._peers.zone_hubs if host != own_host]
@@ -135,27 +176,26 @@
         return keys[-limit:]
 
     def export(self, keys):
-        """Return the records of some keys as a `StreamOriginEngines` message."""
+        """Return the records of some keys as a `StreamOriginCopies` message."""
         now_s = self._clock.monotonic()
         numbers = {"": 0}
-        groups = defaultdict(lambda: [bytearray(), bytearray()])
+        groups = defaultdict(lambda: [bytearray(), bytearray(), bytearray(), []])
         for key in keys:
             record = self._records.get(key)
             if record is None or record.expires_s <= now_s:
                 continue
-            origin = record.origin
-            number = numbers.get(origin.engine)
-            if number is None:
-                number = len(numbers) if len(numbers) <= MAX_ENGINE_NUMBER else 0
-                numbers.setdefault(origin.engine, number)
+            origin, backup = record.origin, record.origin.kv_backup or NO_BACKUP
             ttl_s = math.ceil(record.expires_s - now_s)
-            group_keys, group_numbers = groups[origin.service, origin.version, ttl_s]
-            group_keys += key
-            group_numbers += number.to_bytes(ENGINE_NUMBER_BYTES)
-        return StreamOriginEngines(
+            group = groups[origin.service, origin.version, ttl_s]
+            group[0] += key
+            group[1] += assign_number(numbers, origin.engine)
+            group[2] += assign_number(numbers, backup.engine)
+            group[2] += record.changes.to_bytes(CHANGES_BYTES) + backup.content
+            group[3].append(backup.attempt_id)
+        return StreamOriginCopies(
             [
-                [*group, bytes(group_keys), bytes(group_numbers)]
-                for group, (group_keys, group_numbers) in groups.items()
+                [*group, *(bytes(column) for column in columns), attempt_ids]
+                for group, (*columns, attempt_ids) in groups.items()
             ],
             list(numbers)[1:],
         )
@@ -164,45 +204,65 @@
         """Store the records in groups without sending them on; return their number."""
         now_s = self._clock.monotonic()
         count = 0
-        for key, origin, ttl_s in list_records(groups, engines):
+        for key, origin, ttl_s, changes in list_records(groups, engines):
             if key not in self._records:
-                self._store(key, OriginRecord(origin, now_s + ttl_s))
+                self._store(key, OriginRecord(origin, now_s + ttl_s, changes))
                 count += 1
         return count
 
     def _store(self, key, record):
         self.stored_count += 1
         self._records[key] = record
+        if record.origin.kv_backup is not None:
+            self._keys_by_content[record.origin.kv_backup.content] = key
         if len(self._records) > MAX_RECORDS:
-            _, oldest = self._records.popitem(last=False)
+            oldest = self._drop(next(iter(self._records)))
             self._dropped += oldest.expires_s >= self._clock.monotonic()
 
+    def _drop(self, key):
+        """Remove a record and return it."""
+        record = self._records.pop(key)
+        backup = record.origin.kv_backup
+        if backup is not None and self._keys_by_content.get(backup.content) == key:
+            del self._keys_by_content[backup.content]
+        return record
+
     def _send(self, stream, message):
         """Send records, in the newest form that the peer knows."""
         if stream is None or not message.groups:
             return
-        if ENGINES_VIEW not in stream.known_views:
-            if VIEW not in stream.known_views:
-                return
-            message = StreamOrigins([group[:-1] for group in message.groups])
+        if COPIES_VIEW in stream.known_views:
+            pass
+        elif ENGINES_VIEW in stream.known_views:
+            groups = [group[:-2] for group in message.groups]
+            message = StreamOriginEngines(groups, message.engines)
+        elif VIEW in stream.known_views:
+            message = StreamOrigins([group[:-3] for group in message.groups])
+        else:
+            return
         self._peers.count_bytes(stream, "stream-origin", stream.send(message))
 
     def _send_all(self, stream):
         """Send all records to a host that has just connected."""
         self._send(stream, self.export(list(self._records)))
 
-    def _send_all_without_engines(self, stream):
+    def _send_all_without_copies(self, stream):
         """Send all records to a host of an earlier build that has just connected."""
-        if ENGINES_VIEW not in stream.known_views:
+        if COPIES_VIEW not in stream.known_views:
+            self._send_all(stream)
+
+    def _send_all_without_engines(self, stream):
+        """Send all records to a host of the earliest build that has just connected."""
+        if not {COPIES_VIEW, ENGINES_VIEW} & set(stream.known_views):
             self._send_all(stream)
 
     def _handle_origins(self, stream, message):
         now_s = self._clock.monotonic()
         engines = getattr(message, "engines", ())
-        for key, origin, ttl_s in list_records(message.groups, engines):
-            known = self._records.get(key)
-            if known is None or known.origin != origin:
-                self._store(key, OriginRecord(origin, now_s + ttl_s))
+        for key, origin, ttl_s, changes in list_records(message.groups, engines):
+            record = OriginRecord(origin, now_s + ttl_s, changes)
+            if record.is_newer(self._records.get(key)):
+                self._store(key, record)
                 self._add_pending(stream.host, key)
 
     @Service.task
@@ -274,10 +334,10 @@
         """Send records on several streams, in the newest form that each peer knows."""
         if not message.groups:
             return
-        newest = [item for item in streams if ENGINES_VIEW in item.known_views]
+        newest = [item for item in streams if COPIES_VIEW in item.known_views]
         self._peers.send_to(newest, message, "stream-origin")
         for stream in streams:
-            if ENGINES_VIEW not in stream.known_views:
+            if COPIES_VIEW not in stream.known_views:
                 self._send(stream, message)
 
     def _drop_expired(self):
@@ -287,29 +347,75 @@
             key, record = next(iter(self._records.items()))
             if record.expires_s >= now_s:
                 return
-            del self._records[key]
+            self._drop(key)
+
+
+def assign_number(numbers, engine):
+    """Return the number of an engine in a message, encoded; 0 if there are too many."""
+    number = numbers.get(engine)
+    if number is None:
+        number = len(numbers)
+        if number > MAX_ENGINE_NUMBER:
+            return bytes(ENGINE_NUMBER_BYTES)
+        numbers[engine] = number
+    return number.to_bytes(ENGINE_NUMBER_BYTES)
 
 
 def list_records(groups, engines):
-    """Yield the key, the origin and the seconds until expiry of each record.
+    """Yield key, origin, seconds until expiry and number of changes of each record.
 
     Parameters
     ----------
     groups, engines : list
-        As in `StreamOriginEngines`; groups may lack the numbers of engines.
+        As in `StreamOriginCopies`; groups may lack what concerns copies, or the
+        numbers of engines as well.
     """
     names = ["", *engines]
-    for service, version, ttl_s, keys, *numbers in groups:
+    for service, version, ttl_s, keys, *columns in groups:
+        numbers, copies, attempt_ids = [*columns, b"", b"", ()][:3]
         for index in range(len(keys) // KEY_BYTES):
-            engine = ""
+            engine, backup, changes = "", None, 0
             if numbers:
-                start = index * ENGINE_NUMBER_BYTES
-                number = numbers[0][start : start + ENGINE_NUMBER_BYTES]
+                number = cut_record(numbers, index, ENGINE_NUMBER_BYTES)
                 engine = names[int.from_bytes(number)]
-            key = keys[index * KEY_BYTES : (index + 1) * KEY_BYTES]
-            yield key, StreamOrigin(service, version, engine), ttl_s
+            if copies:
+                copy = cut_record(copies, index, COPY_BYTES)
+                holder = names[int.from_bytes(copy[:ENGINE_NUMBER_BYTES])]
+                changes = int.from_bytes(copy[ENGINE_NUMBER_BYTES:-CONTENT_BYTES])
+                if holder:
+                    content = copy[-CONTENT_BYTES:]
+                    backup = KvBackup(holder, attempt_ids[index], content)
+            key = cut_record(keys, index, KEY_BYTES)
+            yield key, StreamOrigin(service, version, engine, backup), ttl_s, changes
+
+
+def cut_record(column, index, size):
+    """Return the part of a column that belongs to one record."""
+    return column[index * size : (index + 1) * size]
 
 
 def make_key(attempt_id):
     """Return the key of an attempt's record, of `KEY_BYTES`."""
     return xxhash.xxh64_digest(attempt_id.encode())
+
+
+def digest_content(call):
+    """Return the digest by which a request is found to be the one of a KV copy.
+
+    Parameters
+    ----------
+    call : RoutedCall
+        The request.
+    """
+    prompt = call.metadata.prompt
+    digest = xxhash.xxh64(call.body)
+    for part in (
+        call.target,
+        call.organisation,
+        prompt.model,
+        prompt.tokens,
+        prompt.output_tokens,
+        prompt.parts,
+    ):
+        digest.update(repr(part).encode("utf-8", "surrogateescape"))
+    return digest.digest()
--- a/src/sapphirerock/request/backupkeeper.py
+++ b/src/sapphirerock/request/backupkeeper.py
@@ -52,6 +52,16 @@
             return self._kv_copy
         return None
 
+    def get_backup_name(self):
+        """Return the engine that any host can resume the stream from; may be empty.
+
+        A copy made on request has a name that only this host knows.
+        """
+        copy = self._kv_copy
+        if copy is None or copy.handle or not self._call.route.may_retry:
+            return ""
+        return copy.holder.name
+
     def drop_copy(self, copy):
         """Keep a KV copy no longer that is being used, which can be done once.
 
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -17,6 +17,7 @@
     UpstreamUnreachable,
 )
 from sapphirerock.connection.eventsplitter import EventMalformed, EventSplitter
+from sapphirerock.connection.response import KvCopy
 from sapphirerock.decisions.continuation import (
     RecoveryStep,
     StreamOutcome,
@@ -28,10 +29,11 @@
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.decisions.silence import choose_silence_wait
 from sapphirerock.decisions.streamprogress import ProgressCheck
-from sapphirerock.decisions.streamversions import StreamOrigin
+from sapphirerock.decisions.streamversions import KvBackup, StreamOrigin
 from sapphirerock.decisions.turns import RESUMPTION_MAX_WAIT_S, choose_max_wait
 from sapphirerock.process.engines.prober import ProbeOutcome
 from sapphirerock.process.engines.table import EngineLoadCell
+from sapphirerock.process.peers.streamorigins import digest_content
 from sapphirerock.request.attemptrace import AttemptRace
 from sapphirerock.request.backupkeeper import BackupKeeper
 from sapphirerock.request.problem import (
@@ -172,7 +174,11 @@
     async def run(self):
         """Relay the stream to the caller, over several attempts if engines are lost."""
         self._runtime.retry_budget.add_call(self._call.service)
-        self._race.start(self._run_next_attempt(RecoveryStep.RETRY_ON_OTHER_ENGINE))
+        copy = self._find_recorded_copy()
+        step = RecoveryStep.RESUME_FROM_COPY
+        if copy is None:
+            step = RecoveryStep.RETRY_ON_OTHER_ENGINE
+        self._race.start(self._run_next_attempt(step, copy))
         try:
             await self._run_attempts()
         finally:
@@ -275,6 +281,22 @@
                 return copy
         return None
 
+    def _find_recorded_copy(self):
+        """Return the KV copy of a stream that its caller takes up, or None.
+
+        The host that ran the stream recorded it; it can be used once.
+        """
+        call, fleet = self._call, self._runtime.fleet
+        if call.origin is None or not call.metadata.last_event_id:
+            return None
+        backup = self._runtime.stream_origins.find_backup(digest_content(call))
+        if backup is None:
+            return None
+        holder = fleet.engines.get(backup.engine)
+        if not fleet.is_usable(holder):
+            return None
+        return KvCopy(holder.entry, None, attempt_id=backup.attempt_id)
+
     def _log_stream_end(self):
         progress, started_s = self._progress, self._started_s
         first_s = None
@@ -566,7 +588,9 @@
             "revision": self._call.revision,
         }
         if copy is not None:
-            fields["copy_of"] = copy.source.name
+            fields["copy_of"] = (
+                self._origin.engine if copy.source is None else copy.source.name
+            )
         if self._progress.last_id is not None:
             fields["after"] = self._progress.last_id
         if placement is not None:
@@ -654,17 +678,34 @@
         The engine may have been started again under its id after it was chosen. Its
         registration shows this a little later, while the attempt still runs.
         """
-        if self._origin is not None and attempt is not self._first_attempt:
-            return
+        is_first = self._origin is None or attempt is self._first_attempt
         engines = self._runtime.fleet.engines
         state = engines.get(attempt.state.name) or attempt.state
-        origin = StreamOrigin(self._call.service, state.entry.version, state.name)
-        if origin == self._origin:
+        version = state.entry.version if is_first else self._origin.version
+        backup_keeper = self._running.get(attempt)
+        holder = backup_keeper.get_backup_name() if backup_keeper else ""
+        if self._is_recorded(version, state.name, holder):
             return
-        self._origin, self._first_attempt = origin, attempt
-        metadata = self._call.metadata
+        if is_first:
+            self._first_attempt = attempt
+        attempt_id = self._call.metadata.attempt_id
+        backup = None
+        if holder:
+            backup = KvBackup(holder, attempt_id, digest_content(self._call))
+        self._origin = StreamOrigin(self._call.service, version, state.name, backup)
         ttl_s = self._call.deadline_s - self._runtime.clock.monotonic()
-        self._runtime.stream_origins.record(metadata.attempt_id, origin, ttl_s)
+        self._runtime.stream_origins.record(attempt_id, self._origin, ttl_s)
+
+    def _is_recorded(self, version, engine, holder):
+        """Return whether what other hosts know of the stream is up to date.
+
+        A stream that was taken up is known by its first attempt, but for its KV copy.
+        """
+        origin = self._origin
+        if origin is None or origin.version != version:
+            return False
+        known = origin.kv_backup.engine if origin.kv_backup else ""
+        return known == holder and (origin.engine == engine or not holder)
 
     def _classify_stream_end(self, attempt, splitter):
         """Return the outcome of a stream whose connection ended without an error."""
