Placement: engines' pace, known to all hosts, counts

Cause: placement took all engines as equally fast, and a load header of four figures was dropped whole as malformed.

Each host measures the pauses between the events of its streams, for engines that state a pace, and announces them by gossip; the cost of an engine is its queued and own work times how long it takes against the median. Services whose engines state no pace are as before.

--- a/src/sapphirerock/connection/response.py
+++ b/src/sapphirerock/connection/response.py
@@ -13,11 +13,15 @@
         Number of runs that the engine works on, and of runs in its queue.
     slots : int
         Number of runs that it can work on at once.
+    pace : float or None
+        How many times as long as usual work takes on the engine's machine at this
+        moment; None if it does not say.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/decisions/placement.py
+++ b/src/sapphirerock/decisions/placement.py
@@ -18,12 +18,16 @@
 # Cost saved by each cached token of a call's prompt, in queued prompt tokens. One that
 # is prefilled again delays the call itself and the prompts behind it.
 CACHED_TOKEN_GAIN = 2
+# Time to generate a token, as the number of prompt tokens that are read meanwhile.
+OUTPUT_COST = 5
 # Upper limit of the random cost added to each engine, as a share of the prompt tokens
 # of the call. Hosts see each other's load with a delay and would otherwise all choose
 # the same engine.
 COST_JITTER_SHARE = 0.75
 # Share of an engine's memory that KV copies must leave free for its own runs.
 RUN_RESERVE_SHARE = 0.35
+# An engine that takes this many times as long keeps a copy only if no other does.
+SLOW_BACKUP = 1.5
 # Engines compared by the policy "two-choices", and at least by "rivals".
 RANDOM_CHOICES = 2
 # Age of what a host knows of the calls that other hosts place: up to two intervals at
@@ -85,6 +89,8 @@
         one of its slots, for which ``turn_wait_s`` holds as for a turn.
     cached_tokens : int
         Prompt tokens of the call that the engine has probably cached.
+    slowness : float
+        How many times as long as usual the engine takes for its work.
     """
 
     name: str
@@ -102,6 +108,7 @@
     is_relayed: bool = False
     is_brittle: bool = False
     cached_tokens: int = 0
+    slowness: float = 1.0
 
     @property
     def is_limited(self):
@@ -200,14 +207,17 @@
     def measure_cost(self, view, prompt):
         """Return the cost of the engine's load, plus the tokens that exceed its memory.
 
-        The unit is a prompt token queued for prefill. Tokens of the call's prompt that
-        are cached at the engine reduce the cost.
+        The unit is a prompt token queued for prefill at an engine of the usual pace.
+        Tokens of the call's prompt that are cached at the engine reduce the cost. An
+        engine that takes longer than usual does so for the call's own work, too.
         """
         shortfall_tokens = max(0, prompt.memory_tokens - view.free_tokens)
         memory_cost = MEMORY_COST_SHARE * (view.memory_tokens + view.copy_tokens)
+        queued_cost = view.prompt_tokens + view.runs * RUN_COST_TOKENS
+        own_tokens = prompt.tokens + prompt.output_tokens * OUTPUT_COST
         return (
-            view.prompt_tokens
-            + view.runs * RUN_COST_TOKENS
+            queued_cost * view.slowness
+            + own_tokens * (view.slowness - 1.0)
             + memory_cost
             + shortfall_tokens
             - CACHED_TOKEN_GAIN * view.cached_tokens
@@ -362,6 +372,7 @@
         fitting,
         key=lambda view: (
             view.availability_zone == availability_zone,
+            view.slowness > SLOW_BACKUP,
             view.memory_tokens + view.copy_tokens,
             view.prompt_tokens,
         ),
--- a/src/sapphirerock/load/replay/engines.py
+++ b/src/sapphirerock/load/replay/engines.py
@@ -140,8 +140,8 @@
             self.preemptions += 1
             return
 
-    def make_view(self, now_s):
-        """Return the state of the engine as hosts see it."""
+    def make_view(self, now_s, shows_pace=True):
+        """Return the state of the engine as hosts see it, with or without its pace."""
         expected_memory_tokens = [run.stream.prompt.memory_tokens for run in self.runs]
         pending_prefill_tokens = sum(run.pending_prefill_tokens for run in self.runs)
         return EngineView(
@@ -154,4 +154,5 @@
             copy_tokens=int(sum(self.kv_copies.values())),
             capacity_tokens=self.model.capacity_tokens,
             failure_share=self.health.measure(now_s),
+            slowness=self.slowdown if shows_pace else 1.0,
         )
--- a/src/sapphirerock/load/replay/patterns.py
+++ b/src/sapphirerock/load/replay/patterns.py
@@ -264,6 +264,30 @@
     return make_large_fleet(random, 195, [])
 
 
+def make_uneven_fleet(random, hosts):
+    """Return the usual load of a fleet of which a quarter work at half the pace."""
+    fault = EngineFault(0.0, 100.0, affected_share=1 / 4, slowdown=2.2)
+    return make_large_fleet(random, hosts, [fault])
+
+
+@register_pattern("24-hosts-uneven-engines")
+def make_uneven_fleet_of_24(random):
+    """Usual load of 24 hosts before 15 engines that share their machines."""
+    return make_uneven_fleet(random, 24)
+
+
+@register_pattern("82-hosts-uneven-engines")
+def make_uneven_fleet_of_82(random):
+    """Usual load of 82 hosts before 48 engines that share their machines."""
+    return make_uneven_fleet(random, 82)
+
+
+@register_pattern("195-hosts-uneven-engines")
+def make_uneven_fleet_of_195(random):
+    """Usual load of 195 hosts before 117 engines that share their machines."""
+    return make_uneven_fleet(random, 195)
+
+
 @register_pattern("195-hosts-zone-lost")
 def make_fleet_with_lost_zones(random):
     """Usual load of 195 hosts; zones of engines crash one after another."""
--- a/src/sapphirerock/load/replay/policies.py
+++ b/src/sapphirerock/load/replay/policies.py
@@ -7,4 +7,5 @@
 POLICIES["no copies"] = ReplayPolicy(uses_kv_copies=False)
 POLICIES["no health"] = ReplayPolicy(excludes_outliers=False)
 POLICIES["no first engine"] = ReplayPolicy(prefers_first_engine=False)
+POLICIES["no pace"] = ReplayPolicy("rivals", uses_pace=False)
 POLICIES["no admission"] = ReplayPolicy(uses_admission=False)
--- a/src/sapphirerock/load/replay/simulation.py
+++ b/src/sapphirerock/load/replay/simulation.py
@@ -71,6 +71,8 @@
         Whether engines that fail more calls than their peers get no new runs.
     prefers_first_engine : bool
         Whether a stream that is taken up prefers the engine that began it.
+    uses_pace : bool
+        Whether hosts know how fast each engine works.
     """
 
     placement: str = "least-prompt-tokens"
@@ -78,6 +80,7 @@
     uses_admission: bool = True
     excludes_outliers: bool = True
     prefers_first_engine: bool = True
+    uses_pace: bool = True
 
     def __str__(self):
         parts = [self.placement]
@@ -85,6 +88,7 @@
         parts += [] if self.uses_admission else ["no admission"]
         parts += [] if self.excludes_outliers else ["no health"]
         parts += [] if self.prefers_first_engine else ["no first engine"]
+        parts += [] if self.uses_pace else ["no pace"]
         return ", ".join(parts)
 
 
@@ -439,7 +443,10 @@
         now_s = self._clock.monotonic()
         if now_s - self._views_taken_s >= self._pattern.max_view_age_s:
             self._views_taken_s = now_s
-            self._views = {item.name: item.make_view(now_s) for item in self._engines}
+            self._views = {
+                item.name: item.make_view(now_s, self._policy.uses_pace)
+                for item in self._engines
+            }
         return [
             self._views[item.name] for item in self._engines if not item.is_known_down
         ]
@@ -493,7 +500,7 @@
         # The simulated hosts share one set of views. Only the host that placed the run
         # sees it at once, hence an update with the probability of one host.
         if self._random.random() < 1 / self._pattern.hosts:
-            self._views[engine_name] = engine.make_view(now_s)
+            self._views[engine_name] = engine.make_view(now_s, self._policy.uses_pace)
         self._place_backup(stream, engine)
 
     def _place_backup(self, stream, engine):
--- a/src/sapphirerock/platform/dialect.py
+++ b/src/sapphirerock/platform/dialect.py
@@ -34,6 +34,9 @@
 MIN_LIMIT_PER_S = 0.01
 MAX_LIMIT_PER_S = 1e6
 MAX_TOLERANCE = 1e6
+# Figures of an engine's load, and the last one's value on a machine as usual.
+LOAD_LENGTHS = (3, 4)
+USUAL_PACE = 100.0
 # Statuses with which an engine turns a request away and may ask for rest.
 REFUSAL_STATUSES = (429, 503)
 # Rest after a Retry-After that is no number, such as a date.
@@ -175,8 +178,15 @@
 
 
 def _decode_load(text):
-    """Decode ``running,waiting,slots``; None if the header is missing or malformed."""
+    """Decode ``running,waiting,slots`` and, if stated, the pace in hundredths.
+
+    Returns
+    -------
+    EngineLoad or None
+        None if the header is missing or malformed.
+    """
     numbers = [parse_number(part) for part in (text or "").split(",")]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) not in LOAD_LENGTHS or None in numbers:
         return None
-    return EngineLoad(*numbers)
+    *load, pace = numbers if len(numbers) == max(LOAD_LENGTHS) else [*numbers, None]
+    return EngineLoad(*load, pace=None if pace is None else pace / USUAL_PACE)
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -54,6 +54,7 @@
 from sapphirerock.process.engines.fleet import Fleet
 from sapphirerock.process.engines.limits import EngineLimitTable
 from sapphirerock.process.engines.monitor import EngineMonitor
+from sapphirerock.process.engines.paces import EnginePaceTable
 from sapphirerock.process.engines.paths import EnginePaths
 from sapphirerock.process.engines.rests import EngineRestTable
 from sapphirerock.process.engines.slots import EngineSlotTable
@@ -295,8 +296,14 @@
         self.retry_budget = RetryBudget(
             retry_limits, self.hosts.count_possibly_running, clock
         )
+        engine_paces = EnginePaceTable(self.engines, self.gossip, clock)
         fleet = Fleet(
-            self.engines, self.routing, policy, profile.availability_zone, clock
+            self.engines,
+            self.routing,
+            policy,
+            profile.availability_zone,
+            clock,
+            engine_paces,
         )
         fleet.on_unreachable.append(self.paths.check)
         stream_durations = StreamDurations()
@@ -333,6 +340,7 @@
             engine_slots=EngineSlotTable(self.engines, self.peers, crash_watch, clock),
             engine_rests=EngineRestTable(self.engines, self.peers, clock),
             engine_statements=engine_statements,
+            engine_paces=engine_paces,
             stream_origins=self.stream_origins,
             stored_origins=self.stored_origins,
             version_history=self.version_history,
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -29,6 +29,8 @@
         Rests that engines ask for.
     engine_statements : EngineStatementTable
         What engines state of themselves in responses.
+    engine_paces : EnginePaceTable
+        Paces of engines.
     stream_origins : StreamOriginTable
         Where streams of all hosts began.
     stored_origins : StoredOrigins
@@ -61,6 +63,7 @@
     engine_slots: object
     engine_rests: object
     engine_statements: object
+    engine_paces: object
     stream_origins: object
     stored_origins: object
     version_history: object
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -70,6 +70,8 @@
         Zone of this host.
     clock : Clock
         Source of time.
+    paces : EnginePaceTable or None
+        Paces of engines; None if all count as equal.
 
     Attributes
     ----------
@@ -84,15 +86,17 @@
         "_policy",
         "_zone",
         "_clock",
+        "_paces",
     )
 
-    def __init__(self, engines, routing, policy, availability_zone, clock):
+    def __init__(self, engines, routing, policy, availability_zone, clock, paces=None):
         self.engines = engines
         self.on_unreachable = []
         self._routing = routing
         self._policy = policy
         self._zone = availability_zone
         self._clock = clock
+        self._paces = paces
 
     def place(self, call, excluded, isolate=None, origin=None):
         """Choose an engine for a generation.
@@ -231,6 +235,7 @@
                 now_s,
                 state.refusal_tolerance is not None
                 or (is_service_brittle and not state.has_answered),
+                self._paces.measure_slowness(state) if self._paces else 1.0,
             )
             for state in engines.list_usable(service)
             if state.name not in excluded and version in (None, state.entry.version)
@@ -249,7 +254,7 @@
             notify(state)
 
 
-def make_view(state, capacity_tokens, now_s, is_brittle=False):
+def make_view(state, capacity_tokens, now_s, is_brittle=False, slowness=1.0):
     """Return an engine's load and health as input for placement decisions."""
     local, remote = state.local_load, state.remote_load
     turn_wait_s = None
@@ -272,4 +277,5 @@
         is_brittle=is_brittle,
         is_relayed=state.is_relayed,
         needs_trial=now_s - state.answered_s > LIMIT_TRIAL_INTERVAL_S,
+        slowness=slowness,
     )
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -141,6 +141,9 @@
         Monotonic time before which the limit leaves no turn, as far as known.
     turn_asked_s : float or None
         Monotonic time of the oldest request for a turn without a reply.
+    pause_s, announced_pause_s : float or None
+        Usual pause between the events of its streams in seconds, as measured by all
+        hosts and as last announced to them; None if not known.
     """
 
     entry: object
@@ -173,6 +176,8 @@
     answered_s: float = -math.inf
     next_turn_s: float = 0.0
     turn_asked_s: float | None = None
+    pause_s: float | None = None
+    announced_pause_s: float | None = None
 
     @property
     def name(self):
--- a/src/sapphirerock/process/peers/gossip.py
+++ b/src/sapphirerock/process/peers/gossip.py
@@ -160,6 +160,26 @@
     value: float
 
 
+@register_topic("engine-pace")
+@dataclass(slots=True, frozen=True)
+class EnginePaceUpdate:
+    """A host measured the usual pause between the events of an engine's streams.
+
+    Parameters
+    ----------
+    engine : str
+        The engine's id.
+    born_ms : int
+        Start time in Unix milliseconds; a later start may be on another machine.
+    pause_us : int
+        The pause, in microseconds.
+    """
+
+    engine: str
+    born_ms: int
+    pause_us: int
+
+
 @register_topic("sound-prompt-parts")
 @dataclass(slots=True, frozen=True)
 class SoundPartsUpdate:
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -24,6 +24,7 @@
     StreamView,
     choose_recovery_step,
 )
+from sapphirerock.decisions.enginepace import MIN_PAUSES, PauseSample
 from sapphirerock.decisions.poisonrequests import SUSPECT_LOSSES
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
 from sapphirerock.decisions.retryafter import choose_retry_after
@@ -614,6 +615,7 @@
         if not opened.ok.is_success or not opened.ok.is_stream:
             return await self._handle_buffered_response(attempt)
         splitter, progress_check = EventSplitter(), ProgressCheck()
+        pauses = PauseSample()
         while True:
             read = await attempt.read_chunk()
             if read.is_error():
@@ -635,8 +637,19 @@
                     attempt.has_output = True
                     self._runtime.crash_watch.record_output(self._call)
                 attempt.mark_prefilled()
+                self._measure_pace(attempt, pauses, len(events))
                 await self._forward_events(attempt, events)
 
+    def _measure_pace(self, attempt, pauses, count):
+        """Add events to the pauses of an attempt; record these when they suffice."""
+        if pauses.is_complete:
+            return
+        pauses.add_events(count, self._runtime.clock.monotonic())
+        if pauses.count == MIN_PAUSES or pauses.is_complete:
+            self._runtime.engine_paces.record_stream(
+                attempt.state, attempt.head, pauses
+            )
+
     async def _forward_events(self, attempt, events):
         """Forward events that the caller has not received yet.
 
