Rank: engines are told how urgent each stream is

Cause: what an engine admits first and preempts follows from a header that was never sent, so that the newest run gave way, whatever its rank.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -15,6 +15,9 @@
       | 96-hosts           | rivals              | least-prompt-tokens | 0.1 |
       | 195-hosts-zone-lost | rivals             | least-prompt-tokens | 0.1 |
       | herd-returns       | rivals              | least-prompt-tokens | 0.05 |
+      | 24-hosts-uneven-engines  | rivals        | no pace        | 0.01  |
+      | 82-hosts-uneven-engines  | rivals        | no pace        | 0.01  |
+      | 195-hosts-uneven-engines | rivals        | no pace        | 0.01  |
 
   Scenario Outline: Little prefill work is wasted: <policy> under <pattern>
     When the load pattern <pattern> is replayed with <policy> and with <baseline>
--- a/features/steps/silentrace_steps.py
+++ b/features/steps/silentrace_steps.py
@@ -113,6 +113,7 @@
         response_memory=ResponseMemory(1 << 23),
         stream_durations=SimpleNamespace(record_stream=lambda elapsed_s: None),
         stream_origins=SimpleNamespace(record=lambda *origin: None),
+        engine_paces=SimpleNamespace(record_stream=lambda *sample: None),
         version_history=SimpleNamespace(knows_all=lambda: False),
     )
 
--- a/src/sapphirerock/connection/dialects.py
+++ b/src/sapphirerock/connection/dialects.py
@@ -30,7 +30,15 @@
     name = ""
     report_path = ""
 
-    def make_headers(self, call, engine, remaining_s, backup=None, continuation=None):
+    def make_headers(
+        self,
+        call,
+        engine,
+        remaining_s,
+        backup=None,
+        continuation=None,
+        urgency=None,
+    ):
         """Return the headers of a request.
 
         Parameters
@@ -46,6 +54,9 @@
             Engine to which the run's KV memory is copied continuously.
         continuation : ResumePoint or None
             Last event and KV copy that the run resumes from; None for a new run.
+        urgency : int or None
+            Level at which the engine admits the run, 0 being the most urgent; None to
+            leave it to the engine.
 
         Returns
         -------
--- a/src/sapphirerock/platform/dialect.py
+++ b/src/sapphirerock/platform/dialect.py
@@ -25,6 +25,7 @@
     REQUEST_LIMIT,
     RESPONSE_SEAL,
     RETRY_AFTER,
+    URGENCY,
 )
 
 MS_PER_S = 1000.0
@@ -52,7 +53,15 @@
     __slots__ = ()
     report_path = REPORT_PATH
 
-    def make_headers(self, call, engine, remaining_s, backup=None, continuation=None):
+    def make_headers(
+        self,
+        call,
+        engine,
+        remaining_s,
+        backup=None,
+        continuation=None,
+        urgency=None,
+    ):
         """Return the headers of a request to an engine."""
         headers = list(call.headers)
         headers.append((DEADLINE, str(max(1, int(remaining_s * MS_PER_S)))))
@@ -61,6 +70,8 @@
             headers.append((ORGANISATION, call.organisation))
         if backup is not None:
             headers.append((KV_BACKUP, backup.address))
+        if urgency is not None:
+            headers.append((URGENCY, str(urgency)))
         if continuation is None:
             return headers
         headers = [item for item in headers if item[0].lower() != LAST_EVENT_ID.lower()]
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -45,6 +45,8 @@
 KV_BACKUP = "Sapphirerock-Kv-Backup"
 KV_SOURCE = "Kv-From"
 LAST_EVENT_ID = "Last-Event-Id"
+# From 0, which engines admit first, to 9; 5 without the header.
+URGENCY = "Sapphirerock-Request-Urgency"
 # Attempt that brought the first event of a stream which its caller takes up.
 RESUMED_ATTEMPT_ID = "Resumes"
 
@@ -68,7 +70,7 @@
         KV_BACKUP,
         KV_SOURCE,
         "Kv-Fetch",
-        "Sapphirerock-Request-Urgency",
+        URGENCY,
         "Sapphirerock-Expect-Version",
         "Sapphirerock-Pin-Ms",
         "Sapphirerock-Hold",
--- a/src/sapphirerock/request/call.py
+++ b/src/sapphirerock/request/call.py
@@ -98,6 +98,8 @@
     origin : StreamOrigin or None
         Service and software version that began the stream which the caller takes up;
         None for a new call.
+    ranks : tuple of int
+        Priorities that streams of the service can have, in order.
     """
 
     method: str
@@ -113,3 +115,4 @@
     response_deadline_s: float
     revision: int
     origin: object = None
+    ranks: tuple = ()
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -203,6 +203,7 @@
                 problem = Problem(GENERATION_LOST, choice.reason, TAKE_UP_RETRY_AFTER_S)
                 return self._refuse(metadata, version, problem)
             origin = choice.origin
+        service = origin.service if origin else self._choose_service(route)
         return Ok(
             RoutedCall(
                 method=request.method,
@@ -211,13 +212,14 @@
                 body=body.ok,
                 metadata=metadata,
                 route=route,
-                service=origin.service if origin else self._choose_service(route),
+                service=service,
                 organisation=caller.organisation if caller else None,
                 priority=route.priority if priority is None else priority,
                 deadline_s=arrived_s + caller_timeout_s,
                 response_deadline_s=response_deadline_s,
                 revision=version.revision,
                 origin=origin,
+                ranks=version.list_ranks(service),
             )
         )
 
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -15,6 +15,7 @@
 from sapphirerock.connection.response import BufferedResponse
 from sapphirerock.connection.upstream import OutboundRequest, open_response, read_body
 from sapphirerock.decisions.silence import MAX_SILENCE_WAIT_S, choose_silence_wait
+from sapphirerock.decisions.urgency import choose_urgency
 from sapphirerock.process.engines.paths import MAX_SILENT_RELAYS
 
 
@@ -258,6 +259,7 @@
             call.response_deadline_s - runtime.clock.monotonic(),
             self.backup.entry if self.backup else None,
             continuation,
+            choose_urgency(call.priority, call.ranks, continuation is not None),
         )
         request = OutboundRequest(call.method, call.target, headers, call.body)
         self.relay = path.relay
--- a/src/sapphirerock/version/routing.py
+++ b/src/sapphirerock/version/routing.py
@@ -194,11 +194,26 @@
     callers: dict
     needs_keys: bool
     _routes_by_host: dict = field(default_factory=dict, repr=False)
+    _ranks_by_service: dict = field(default_factory=dict, repr=False)
 
     def __post_init__(self):
         for route in self.routes:
             prefixes = self._routes_by_host.setdefault(route.host, {})
             prefixes.setdefault(route.path_prefix, route)
+        own = {caller.priority for caller in self.callers.values()}
+        for route in self.routes:
+            if not route.is_streaming:
+                continue
+            uses_route = route.is_public or not self.needs_keys or None in own
+            priorities = own - {None} | ({route.priority} if uses_route else set())
+            for share in route.shares:
+                known = self._ranks_by_service.get(share.service, ())
+                ranks = tuple(sorted(priorities.union(known)))
+                self._ranks_by_service[share.service] = ranks
+
+    def list_ranks(self, service):
+        """Return the priorities that streams of a service can have, in order."""
+        return self._ranks_by_service.get(service, ())
 
     def find_route(self, host, path):
         """Return the route with the longest prefix of a path, or None.
