Callers' connections: a refused one closes, a buffered response is unread, not idle

Found by reading: a connection whose body was refused for want of room left the account and could go on unaccounted; one whose response was still buffered counted as idle and could be replaced at once, which cuts a ready answer. The memory is looked at beyond the part for large requests only.

--- a/features/callercrowds.feature
+++ b/features/callercrowds.feature
@@ -19,6 +19,7 @@
       | 150 of unfinished heads     |
       | 100 of pipelined requests   |
       | 400 of open connections     |
+      | 60 of repeated large bodies |
       | 100 of stopped readers      |
 
     Examples: Two kinds of callers
--- a/features/steps/callercrowd_steps.py
+++ b/features/steps/callercrowd_steps.py
@@ -31,6 +31,7 @@
 HEADERS_PER_HEAD = 7
 PIPELINED_REQUESTS = 3000
 STREAM_EVENTS = 5000
+REPEATED_BODIES = 5
 KB_PER_MB = 1024
 TRUE_REFUSALS = frozenset((408, 413, 421, 429, 431, 503))
 
@@ -67,6 +68,11 @@
     return encode_request("GET", "/stock/1", headers) * PIPELINED_REQUESTS
 
 
+def encode_repeated_bodies(number):
+    body = encode_chunked(number, CHUNK_BYTES, LARGE_BODY_BYTES) + b"0\r\n\r\n"
+    return body * REPEATED_BODIES
+
+
 def encode_stream(number):
     headers = make_headers(number, STREAM_EVENTS, timeout_ms=ROUTE_TIMEOUT_MS)
     return encode_request("POST", STREAM, headers, b"pattern")
@@ -81,10 +87,13 @@
     "unfinished heads": encode_unfinished_head,
     "pipelined requests": encode_pipeline,
     "open connections": lambda number: b"",
+    "repeated large bodies": encode_repeated_bodies,
     "stopped readers": encode_stream,
 }
 # Callers whose requests are whole, so that engines may run them.
-WHOLE_REQUESTS = frozenset(("pipelined requests", "stopped readers"))
+WHOLE_REQUESTS = frozenset(
+    ("pipelined requests", "stopped readers", "repeated large bodies")
+)
 SINGLE_BODIES = {
     "in large chunks": partial(encode_chunked, chunk_bytes=CHUNK_BYTES),
     "in one-byte chunks": partial(encode_chunked, chunk_bytes=1),
--- a/src/sapphirerock/connection/callerload.py
+++ b/src/sapphirerock/connection/callerload.py
@@ -11,6 +11,7 @@
     choose_connection_to_replace,
     choose_connections_to_close,
     choose_stream_limit,
+    measure_large_limit,
 )
 
 
@@ -127,16 +128,16 @@
 
     def _close_excess(self):
         capacity = self.capacity
-        if self.held_bytes <= capacity.memory_bytes // 2:
+        if self.held_bytes <= measure_large_limit(capacity):
             return
         chosen = choose_connections_to_close(
             self._connections, self.held_bytes, capacity, self._clock.monotonic()
         )
         for use in chosen:
             self._record(use, "memory")
-            connection = self._connections[use]
-            self.close(use)
-            connection.refuse()
+            self.begin_phase(use, ConnectionPhase.CLOSING)
+            self.change(use, CONNECTION_BYTES - use.held_bytes)
+            self._connections[use].refuse()
 
     def _record(self, use, cause):
         self._closed.labels(cause).inc()
--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -112,10 +112,12 @@
             transport.abort()
 
     def refuse(self):
-        """Refuse the request whose body is being read, or close the connection."""
+        """Refuse the request whose body is being read, and close the connection."""
         if self._body_timeout is None:
             self.abort()
         else:
+            # What still arrives is discarded.
+            self.close()
             self._body_timeout.reschedule(self._loop.time())
 
     def begin_request(self):
@@ -134,7 +136,7 @@
         held_bytes = CONNECTION_BYTES + len(self._messages) * QUEUED_REQUEST_BYTES
         self._load.change(use, held_bytes + self._unread_bytes - use.held_bytes)
         use.has_served = True
-        self._load.begin_phase(use, ConnectionPhase.IDLE)
+        self._begin_phase()
 
     async def read_body(self, content, limit_bytes, deadline_s):
         """Read the body of a request; see `read_request_body`."""
@@ -151,15 +153,22 @@
             return Error(BodyFailure.TIMED_OUT if is_late else BodyFailure.NO_ROOM)
         finally:
             self._body_timeout = None
-        self._load.begin_phase(self._use, ConnectionPhase.RUNNING)
+        self._begin_phase()
         return Ok(b"".join(parts))
 
+    def _begin_phase(self):
+        """Record what the connection does, after a request or response has changed."""
+        phase = ConnectionPhase.RUNNING if self._is_serving else ConnectionPhase.IDLE
+        if self.writing_paused:
+            phase = ConnectionPhase.UNREAD
+        if self._use.phase is not ConnectionPhase.CLOSING:
+            self._load.begin_phase(self._use, phase)
+
     def pause_writing(self):
         """Charge the connection for a response that its caller does not read."""
         super().pause_writing()
         self._unread_bytes = self.transport.get_write_buffer_size()
-        if self._is_serving:
-            self._load.begin_phase(self._use, ConnectionPhase.UNREAD)
+        self._begin_phase()
         self._unread_timer = self._loop.call_later(ABANDONED_RESPONSE_S, self.abort)
         self._load.change(self._use, self._unread_bytes)
 
@@ -169,8 +178,7 @@
         self._stop_unread_timer()
         self._load.change(self._use, -self._unread_bytes)
         self._unread_bytes = 0
-        if self._is_serving:
-            self._load.begin_phase(self._use, ConnectionPhase.RUNNING)
+        self._begin_phase()
 
     def _stop_unread_timer(self):
         if self._unread_timer is not None:
@@ -181,7 +189,8 @@
         """Process bytes; limit the time and size of a request's head until its end."""
         super().data_received(data)
         # What follows a refused request is discarded.
-        if data and (self._is_serving or self._waiter is not None):
+        is_kept = self._is_serving or self._waiter is not None
+        if data and is_kept and not self._close and self._use is not None:
             self._load.receive(self._use, len(data))
         is_waiting = self._waiter is not None and not self._waiter.done()
         if not is_waiting or self._messages:
--- a/src/sapphirerock/connection/responder.py
+++ b/src/sapphirerock/connection/responder.py
@@ -61,6 +61,10 @@
         """The aiohttp response for the handler to return; None before it begins."""
         return self._response
 
+    def close_after_response(self):
+        """Close the connection after the response."""
+        self._close_connection = True
+
     async def send_upstream_response(self, upstream_response):
         """Send a `BufferedResponse` of an upstream."""
         response = Response(
--- a/src/sapphirerock/decisions/callerload.py
+++ b/src/sapphirerock/decisions/callerload.py
@@ -50,6 +50,7 @@
     RECEIVING = "receiving"
     RUNNING = "running"
     UNREAD = "unread"
+    CLOSING = "closing"
 
 
 @dataclass(slots=True, eq=False)
@@ -60,7 +61,7 @@
     ----------
     phase : ConnectionPhase
         ``RUNNING`` once a request is whole, ``UNREAD`` while its response waits for
-        the caller to read.
+        the caller to read, ``CLOSING`` once its request was refused for others.
     held_bytes : int
         Memory that it is charged for, in bytes.
     progress_s : float
@@ -122,6 +123,11 @@
     return max(1, int(capacity.connections * STREAM_SHARE))
 
 
+def measure_large_limit(capacity):
+    """Return the memory that large requests may use up, in bytes."""
+    return int(capacity.memory_bytes * (1 - SMALL_RESERVE_SHARE))
+
+
 def choose_connections_to_close(uses, held_bytes, capacity, now_s):
     """Return the connections to close so that the rest fits the memory, in order.
 
@@ -143,7 +149,7 @@
     -------
     list of ConnectionUse
     """
-    large_limit_bytes = int(capacity.memory_bytes * (1 - SMALL_RESERVE_SHARE))
+    large_limit_bytes = measure_large_limit(capacity)
     chosen = []
     candidates = sorted(
         (use for use in uses if may_close(use, now_s)),
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -43,6 +43,8 @@
 TAKE_UP_RETRY_AFTER_S = 0.5
 # A host that has just started loads the records of streams within this time.
 ORIGINS_WAIT_S = 0.5
+# What was received of the request is not kept, and the rest of it not read.
+CLOSING_PROBLEMS = frozenset((BODY_TIMED_OUT, HOST_FULL))
 BODY_PROBLEMS = {
     BodyFailure.TOO_LARGE: TOO_LARGE,
     BodyFailure.TIMED_OUT: BODY_TIMED_OUT,
@@ -110,6 +112,8 @@
             ):
                 received = await self._read_call(request, arrived_s)
                 if received.is_error():
+                    if received.error.kind in CLOSING_PROBLEMS:
+                        responder.close_after_response()
                     await responder.send_problem(received.error)
                 else:
                     call = received.ok
