Streams: records of KV copies that were lost are forgotten

Cause: a record without a copy that replaced one with a copy left the request's content in the index for good.

--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -191,6 +191,17 @@
       | 2, 0, 1       | 2      | 12    |
       | 1, 1, 0       | 1      | 12    |
 
+  Scenario Outline: A host forgets the KV copies of streams that are over: <ending>
+    Given a host that exchanges origins
+    When 50 streams with KV copies begin on it, and <ending>
+    Then it finds no KV copy and remembers the content of none
+
+    Examples:
+      | ending                    |
+      | their copies are lost     |
+      | their callers' time ends  |
+      | their copies are lost, and their callers' time ends |
+
   Scenario: A host with too many records of streams drops the oldest, and logs how many
     Given a host that exchanges origins
     When one stream more begins on it than it can record
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -1172,6 +1172,28 @@
     assert max(context.sent.values()) <= count, context.sent
 
 
+@when("{count:d} streams with KV copies begin on it, and {ending}")
+def begin_and_end(context, count, ending):
+    table = context.host.table
+    for number in range(count):
+        backup = KvBackup("copy", f"attempt-{number}", make_content(number))
+        origins = [StreamOrigin("chat", "v1", "engine", backup)]
+        if "copies are lost" in ending:
+            origins.append(StreamOrigin("chat", "v1", "engine"))
+        for origin in origins:
+            table.record(f"attempt-{number}", origin, 20.0)
+    if "time ends" in ending:
+        context.clock.advance(21.0)
+        table._drop_expired()
+
+
+@then("it finds no KV copy and remembers the content of none")
+def check_forgotten(context):
+    table = context.host.table
+    assert table.find_backup(make_content(0)) is None
+    assert not table._keys_by_content, table._keys_by_content
+
+
 @given("a host that exchanges origins")
 def make_origin_host(context):
     context.clock = ManualClock()
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -212,6 +212,8 @@
 
     def _store(self, key, record):
         self.stored_count += 1
+        if key in self._records:
+            self._forget_backup(key)
         self._records[key] = record
         if record.origin.kv_backup is not None:
             self._keys_by_content[record.origin.kv_backup.content] = key
@@ -221,11 +223,14 @@
 
     def _drop(self, key):
         """Remove a record and return it."""
-        record = self._records.pop(key)
-        backup = record.origin.kv_backup
+        self._forget_backup(key)
+        return self._records.pop(key)
+
+    def _forget_backup(self, key):
+        """Let a request's content lead to a record no longer."""
+        backup = self._records[key].origin.kv_backup
         if backup is not None and self._keys_by_content.get(backup.content) == key:
             del self._keys_by_content[backup.content]
-        return record
 
     def _send(self, stream, message):
         """Send records, in the newest form that the peer knows."""
