Callers' connections: a body whose time is up may be refused as well

Cause: the timeout of a body that has just expired can't be moved; the error would have closed the connection whose bytes led to the refusal. Found by reading, not reproduced.

--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -118,7 +118,8 @@
         else:
             # What still arrives is discarded.
             self.close()
-            self._body_timeout.reschedule(self._loop.time())
+            if not self._body_timeout.expired():
+                self._body_timeout.reschedule(self._loop.time())
 
     def begin_request(self):
         """Note that a request is being served."""
