--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -943,6 +943,7 @@
     host = context.host
     call = make_call()
     call.method, call.response_deadline_s = "POST", time.monotonic() + deadline
+    call.priority, call.ranks = 1, ()
     dialect = Mock()
     dialect.make_headers.return_value = []
     runtime = Mock(clock=host.clock, paths=host.paths, dialect=dialect)
