--- a/features/enginepaces.feature
+++ b/features/enginepaces.feature
@@ -12,6 +12,8 @@
       | 8 times 26 ms, 40 times 65 ms         | 26 ms  |
       | 40 times 58 ms                        | 58 ms  |
       | 3 times 1 ms, 40 times 26 ms          | 26 ms  |
+      | 4 times 1 ms, 40 times 26 ms          | 26 ms  |
+      | 15 times 26 ms, 20 times 200 ms       | 26 ms  |
 
   Scenario Outline: How slow an engine counts among others: <pause> ms beside <others>
     When an engine has a usual pause of <pause> ms, and others have <others> ms
