Wording: levels of urgency, problems of requests that were not received

The detail of two refusals says what happened ("no room for the request", "body did not end in time").

--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -41,9 +41,9 @@
 class BodyFailure(Enum):
     """Why the body of a request was not read to its end."""
 
-    TOO_LARGE = "too large"
-    TIMED_OUT = "timed out"
-    NO_ROOM = "no room"
+    TOO_LARGE = "body too large"
+    TIMED_OUT = "body did not end in time"
+    NO_ROOM = "no room for the request"
 
 
 class CallerConnection(RequestHandler):
--- a/src/sapphirerock/decisions/urgency.py
+++ b/src/sapphirerock/decisions/urgency.py
@@ -6,7 +6,7 @@
 pause. A service whose streams have one rank leaves the choice to its engines.
 """
 
-# Levels that engines know, 0 being the most urgent; the first is left for operators.
+# Levels of new streams. Engines know 0, the most urgent, to 9.
 FIRST_LEVEL = 2
 LAST_LEVEL = 8
 LEVELS_PER_RANK = 2
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -227,7 +227,7 @@
         return self._records.pop(key)
 
     def _forget_backup(self, key):
-        """Let a request's content lead to a record no longer."""
+        """Remove the entry of a record's KV copy from the index by content."""
         backup = self._records[key].origin.kv_backup
         if backup is not None and self._keys_by_content.get(backup.content) == key:
             del self._keys_by_content[backup.content]
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -265,11 +265,11 @@
         }
 
     def _make_body_problem(self, failure):
-        """Return the problem of a request whose body was not read to its end."""
+        """Return the problem of a request that was not received, or has no room."""
         retry_after_s = None
         if failure is BodyFailure.NO_ROOM:
             retry_after_s = choose_retry_after(None, self._runtime.generator)
-        return Problem(BODY_PROBLEMS[failure], f"body {failure.value}", retry_after_s)
+        return Problem(BODY_PROBLEMS[failure], failure.value, retry_after_s)
 
     def _refuse(self, metadata, version, problem):
         """Log a refusal and return the problem as an error result."""
