Callers' connections: one that pipelines requests ends when a place is needed

Now such a connection closes after the response that it is waiting for; a sixteenth more may be open while others end. Crowd and bounds are as they were.

--- a/features/callerload.feature
+++ b/features/callerload.feature
@@ -33,6 +33,19 @@
       | a: 1 running 8 kB for 9 s, still for 9 s; b: 1 unread 80 kB for 3 s, still for 3 s          | b      |
       | a: 1 running 8 kB for 9 s, still for 9 s; b: 1 unread 80 kB for 1 s, still for 1 s          | none   |
 
+  # Guards against callers that pipeline requests without end and so stay busy.
+  Scenario Outline: A connection arrives when all others are busy: <connections>
+    Given callers' connections: <connections>
+    When one more connects
+    Then none is closed for it
+    And otherwise <ended> would be closed after its response
+
+    Examples:
+      | connections                                                                                | ended |
+      | a: 9 running 8 kB for 9 s, still for 9 s                                                    | none  |
+      | a: 9 running 8 kB for 9 s, still for 9 s; b: 1 pipelining 8 kB for 0 s, still for 0 s       | b     |
+      | a: 1 pipelining 8 kB for 1 s, still for 0 s; b: 1 pipelining 8 kB for 2 s, still for 0 s    | b     |
+
   Scenario Outline: The capacity for callers of a host of <memory> MB and <files> descriptors
     Given requests of up to <request> kB
     Then callers of a host of <memory> MB and <files> descriptors may hold <held> MB on <connections> connections
--- a/features/steps/callerload_steps.py
+++ b/features/steps/callerload_steps.py
@@ -12,12 +12,15 @@
     ConnectionPhase,
     ConnectionUse,
     choose_caller_capacity,
+    choose_connection_to_end,
     choose_connection_to_replace,
     choose_connections_to_close,
 )
 
 BYTES_PER_KB, BYTES_PER_MB = 1 << 10, 1 << 20
 NOW_S = 100.0
+# Kinds of connections beside those named as their phase.
+PHASES = {"served": ConnectionPhase.IDLE, "pipelining": ConnectionPhase.RUNNING}
 GROUP = re.compile(
     r"(\w): (\d+) (\w+) (\d+) kB for ([\d.]+) s, still for ([\d.]+) s(?:; )?"
 )
@@ -28,7 +31,7 @@
     context.groups = {}
     for group, count, kind, size, age_s, still_s in GROUP.findall(connections):
         has_served = kind == "served"
-        phase = ConnectionPhase.IDLE if has_served else ConnectionPhase(kind)
+        phase = PHASES.get(kind) or ConnectionPhase(kind)
         for _ in range(int(count)):
             use = ConnectionUse(
                 phase,
@@ -36,6 +39,7 @@
                 NOW_S - float(still_s),
                 NOW_S - float(age_s),
                 has_served,
+                has_queue=kind == "pipelining",
             )
             context.groups[use] = group
 
@@ -75,6 +79,8 @@
 def replace(context):
     replaced = choose_connection_to_replace(context.groups, NOW_S)
     context.replaced = "none" if replaced is None else context.groups[replaced]
+    ended = choose_connection_to_end(context.groups)
+    context.ended = "none" if ended is None else context.groups[ended]
 
 
 @then("{group} is closed for it")
@@ -82,6 +88,11 @@
     assert context.replaced == group, context.replaced
 
 
+@then("otherwise {group} would be closed after its response")
+def check_ended(context, group):
+    assert context.ended == group, context.ended
+
+
 @given("requests of up to {size:d} kB")
 def set_request_size(context, size):
     context.request_bytes = size * BYTES_PER_KB
--- a/src/sapphirerock/connection/callerload.py
+++ b/src/sapphirerock/connection/callerload.py
@@ -8,6 +8,7 @@
     ConnectionPhase,
     ConnectionUse,
     choose_caller_capacity,
+    choose_connection_to_end,
     choose_connection_to_replace,
     choose_connections_to_close,
     choose_stream_limit,
@@ -46,6 +47,7 @@
         "_closed",
         "_connections",
         "_streams",
+        "_ending",
     )
 
     def __init__(self, memory_mb, max_files, read_limits, clock, closed):
@@ -57,6 +59,7 @@
         self._closed = closed
         self._connections = {}
         self._streams = 0
+        self._ending = 0
 
     def __len__(self):
         return len(self._connections)
@@ -72,24 +75,40 @@
     def open(self, connection):
         """Add a connection; return its use, or None if all others are busy."""
         now_s = self._clock.monotonic()
-        if len(self._connections) >= self.capacity.connections:
-            replaced = choose_connection_to_replace(self._connections, now_s)
-            if replaced is None:
-                self._record(None, "new connection")
-                return None
-            self._record(replaced, "too many connections")
-            other = self._connections[replaced]
-            self.close(replaced)
-            other.abort()
+        lasting = len(self._connections) - self._ending
+        if lasting >= self.capacity.connections and not self._make_place(now_s):
+            self._record(None, "new connection")
+            return None
         use = ConnectionUse(ConnectionPhase.IDLE, 0, now_s, now_s)
         self._connections[use] = connection
         self.change(use, CONNECTION_BYTES)
         return use
 
+    def _make_place(self, now_s):
+        """Close a connection, now or after its response; return whether one closes."""
+        replaced = choose_connection_to_replace(self._connections, now_s)
+        if replaced is not None:
+            self._record(replaced, "too many connections")
+            other = self._connections[replaced]
+            self.close(replaced)
+            other.abort()
+            return True
+        if self._ending >= self.capacity.ending_connections:
+            return False
+        ended = choose_connection_to_end(self._connections)
+        if ended is None:
+            return False
+        self._record(ended, "pipelined requests")
+        ended.is_ending = True
+        self._ending += 1
+        self._connections[ended].close()
+        return True
+
     def close(self, use):
         """Remove a connection."""
         if self._connections.pop(use, None) is not None:
             self.held_bytes -= use.held_bytes
+            self._ending -= use.is_ending
             self.end_stream(use)
 
     def begin_stream(self, use):
--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -124,6 +124,7 @@
     def begin_request(self):
         """Note that a request is being served."""
         self._is_serving = True
+        self._use.has_queue = bool(self._messages)
 
     def begin_stream(self):
         """Return whether there is room for a streamed response, and take it."""
@@ -193,6 +194,7 @@
         is_kept = self._is_serving or self._waiter is not None
         if data and is_kept and not self._close and self._use is not None:
             self._load.receive(self._use, len(data))
+            self._use.has_queue = self._is_serving and bool(self._messages)
         is_waiting = self._waiter is not None and not self._waiter.done()
         if not is_waiting or self._messages:
             self._head_bytes = 0
--- a/src/sapphirerock/decisions/callerload.py
+++ b/src/sapphirerock/decisions/callerload.py
@@ -8,6 +8,7 @@
 running is never cut off; its memory is returned when it ends.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -29,6 +30,9 @@
 # Share of callers' connections that may have a streamed response, so that plain calls
 # find one: they end soon, streams last.
 STREAM_SHARE = 3 / 4
+# Connections beyond these, as a share of them, which are open while as many others end
+# after the response that they wait for.
+ENDING_SHARE = 1 / 16
 # Descriptors of a host that states none.
 DEFAULT_FILES = 1024
 # A connection that has received nothing for this time makes no progress.
@@ -72,6 +76,10 @@
         Whether a request on the connection was answered.
     is_streaming : bool
         Whether it has a streamed response.
+    has_queue : bool
+        Whether further requests wait for the one that is being served.
+    is_ending : bool
+        Whether it closes after the response to the request that is being served.
     """
 
     phase: ConnectionPhase
@@ -80,6 +88,8 @@
     began_s: float
     has_served: bool = False
     is_streaming: bool = False
+    has_queue: bool = False
+    is_ending: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -97,6 +107,11 @@
     memory_bytes: int
     connections: int
 
+    @property
+    def ending_connections(self):
+        """Number of connections that may be open beyond these while they end."""
+        return math.ceil(self.connections * ENDING_SHARE)
+
 
 def choose_caller_capacity(memory_mb, max_files, largest_request_bytes):
     """Return the capacity for callers, enough for two requests of the largest size.
@@ -189,6 +204,24 @@
     )
 
 
+def choose_connection_to_end(uses):
+    """Return the connection to close after its response, or None if there is none.
+
+    A caller that sends requests without waiting for their responses would otherwise
+    keep its place for as long as it likes.
+
+    Parameters
+    ----------
+    uses : iterable of ConnectionUse
+        All open connections, without the new one.
+    """
+    return min(
+        (use for use in uses if use.has_queue and not use.is_ending),
+        key=lambda use: (use.is_streaming, use.began_s),
+        default=None,
+    )
+
+
 def _may_replace(use, now_s):
     if use.phase is ConnectionPhase.RECEIVING:
         return now_s - use.began_s > USUAL_RECEPTION_S
