Starts: callers' connections wait while a host starts, and requests for its data

Load: all hosts come back at once after a loss of power. Callers return at once, most with a single try left, and found a closed port during the imports (about 0.2 of 0.3 s of processor time, twice that on half a core) or 503 (no configuration, no engine) until the first data had come.

Now the callers' port is open before the router's modules are imported; a request that arrives before the configuration and the engines are known waits for them, until 1.5 s after the start and for a third of its time at most. After that it is refused at once.

Test first: the scenario with paused imports fails before (connection refused).

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -66,3 +66,30 @@
     Given a shared platform with 9 edges in 3 zones
     When all edges are killed and restarted
     Then each edge but the seeds has made at most 4 calls to the store once all are ready
+
+  # Guards against refusals of callers that come back after a loss of power, while their
+  # hosts import modules and load their data.
+  Scenario: A caller that connects while a host starts is answered
+    Given a shared platform with 1 edge and 2 engines of each service
+    When the edge is killed, and started so that its imports pause
+    And a caller sends an order once the edge listens
+    And the imports go on
+    Then the order is answered with success
+
+  # Replays the return of a host: times in seconds since its start. Data that comes too
+  # late stands for data that never comes.
+  Scenario Outline: A request arrives at <arrival> s with <left> s left, data at <data> s
+    When a request arrives <arrival> s after a start with <left> s left, and data at <data> s
+    Then it is <result> after <wait> s
+
+    Examples:
+      | arrival | left | data | result  | wait |
+      | 0.0     | 25.0 | 0.3  | served  | 0.3  |
+      | 0.0     | 25.0 | 1.2  | served  | 1.2  |
+      | 0.9     | 25.0 | 1.2  | served  | 0.3  |
+      | 0.0     | 25.0 | 60.0 | refused | 1.5  |
+      | 1.0     | 25.0 | 60.0 | refused | 0.5  |
+      | 9.0     | 25.0 | 60.0 | refused | 0.0  |
+      | 0.0     | 1.5  | 0.3  | served  | 0.3  |
+      | 0.0     | 1.5  | 1.2  | refused | 0.5  |
+      | 9.0     | 1.5  | 0.3  | served  | 0.0  |
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -1,6 +1,7 @@
-"""Steps on what a start of a host costs."""
+"""Steps on what a start of a host costs, and on callers that arrive meanwhile."""
 
 import json
+import math
 import os
 import re
 import shutil
@@ -10,7 +11,11 @@
 
 from behave import given, then, when
 from tools.localcluster import BIN, ROOT, RUN_FOLDER, LocalProcess
-from tools.sharedcluster import SharedCluster, make_configuration
+from tools.rawclient import RawConnection
+from tools.sharedcaller import make_headers
+from tools.sharedcluster import ORDER_PREFIX, SharedCluster, make_configuration
+
+from sapphirerock.decisions.startup import choose_start_wait
 
 HOST_IMPORTS = "import sapphirerock.commands.router, sapphirerock.process.edge"
 ROUTER_MODULE = "sapphirerock.commands.router"
@@ -215,3 +220,81 @@
     loaded_before, loaded_after, seconds = context.use
     assert not loaded_before and loaded_after, context.use
     assert 0 <= seconds <= 60, seconds
+
+
+# Pauses the import of a module until a pipe is opened for writing.
+PAUSE_IMPORT = """
+import sys
+
+class PausedModule:
+    @staticmethod
+    def find_spec(name, path=None, target=None):
+        if name == "sapphirerock.process.edge":
+            open({pipe!r}).close()
+
+sys.meta_path.insert(0, PausedModule)
+"""
+CALLER_NUMBER = 1
+CALLER_TIMEOUT_MS = 60_000
+
+
+@when("the edge is killed, and started so that its imports pause")
+def restart_edge_with_paused_imports(context):
+    cluster = context.world.cluster
+    cluster.processes[EDGE].kill()
+    folder = cluster.folder / "paused"
+    folder.mkdir()
+    context.pipe = folder / "pipe"
+    os.mkfifo(context.pipe)
+    customisation = PAUSE_IMPORT.format(pipe=str(context.pipe))
+    (folder / "sitecustomize.py").write_text(customisation)
+    start_edge(cluster, "env", f"PYTHONPATH={folder}", sys.executable)
+
+
+@when("a caller sends an order once the edge listens")
+def send_order_to_starting_edge(context):
+    async def run():
+        edge = context.world.cluster.edges[EDGE]
+
+        async def can_connect():
+            try:
+                connection = await RawConnection(edge).__aenter__()
+            except OSError:
+                return False
+            context.caller = connection
+            return True
+
+        await context.world.wait_until(can_connect, "the edge listens")
+        headers = make_headers(CALLER_NUMBER, 0, timeout_ms=CALLER_TIMEOUT_MS)
+        context.caller.send("POST", f"{ORDER_PREFIX}1", headers, b"wool")
+
+    context.run(run())
+
+
+@when("the imports go on")
+def release_imports(context):
+    context.pipe.write_text("")
+
+
+@then("the order is answered with success")
+def check_order(context):
+    response = context.run(context.caller.read_response(CALLER_TIMEOUT_MS / 1000))
+    context.caller.writer.close()
+    assert response.status == 200, response
+
+
+@when(
+    "a request arrives {arrival:g} s after a start with {left:g} s left, and data at "
+    "{data:g} s"
+)
+def decide_wait(context, arrival, left, data):
+    allowed_s = choose_start_wait(arrival, left)
+    needed_s = max(0.0, data - arrival)
+    context.result = "served" if needed_s <= allowed_s else "refused"
+    context.waited_s = min(needed_s, allowed_s)
+
+
+@then("it is {result} after {wait:g} s")
+def check_wait(context, result, wait):
+    assert context.result == result, context.waited_s
+    assert math.isclose(context.waited_s, wait, abs_tol=1e-6), context.waited_s
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -22,7 +22,9 @@
 from features.steps.replica_steps import send_lookup
 from sapphirerock.connection.callerload import CallerLoad
 from sapphirerock.connection.ingress import CallerServer
+from sapphirerock.connection.listener import open_listener
 from sapphirerock.process.clock import ManualClock, SystemClock
+from sapphirerock.process.settings.hostprofile import Endpoint
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.process.telemetry.logs import LineSink
 from sapphirerock.version.routing import CallerLimits
@@ -510,7 +512,7 @@
     async def run():
         load = CallerLoad(None, None, CallerLimits, SystemClock(), context.closes)
         server = CallerServer(context.handle, CallerLimits, load)
-        listener = await server.listen("127.0.0.1", 0)
+        listener = await server.listen(open_listener(Endpoint("127.0.0.1", 0)))
         address = listener.sockets[0].getsockname()
         with socket.create_connection(address) as connection:
             connection.sendall(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
--- a/src/sapphirerock/commands/router.py
+++ b/src/sapphirerock/commands/router.py
@@ -14,7 +14,7 @@
 from sapphirerock.process.telemetry.logs import configure_logs
 
 
-def prepare_router(settings_file, metrics_port):
+def prepare_router(settings_file, metrics_port, check):
     """Return the router that the host's own settings describe.
 
     Returns
@@ -33,19 +33,31 @@
     return read_host_settings(settings_file).map(prepare)
 
 
-def prepare_edge(settings_file, metrics_port):
+def prepare_edge(settings_file, metrics_port, check):
     """Return the router that the shared platform's settings describe.
 
+    Unless the settings are only checked, it listens for callers from now on.
+
     Returns
     -------
     expression.Result of Edge or SettingsError
     """
+    from sapphirerock.connection.listener import open_listener
     from sapphirerock.platform.settingsfile import read_profile
-    from sapphirerock.process.edge import Edge
 
     def prepare(profile):
         configure_logs("json", "INFO")
-        return Edge(profile, settings_file, metrics_port)
+        endpoint = profile.caller_endpoint
+        try:
+            listening = None if check else open_listener(endpoint)
+        except OSError as error:
+            cause = error.strerror.lower()
+            click.echo(f"callers' address {endpoint}: {cause}", err=True)
+            sys.exit(1)
+        # Connections wait while most modules are imported.
+        from sapphirerock.process.edge import Edge
+
+        return Edge(profile, settings_file, metrics_port, listening)
 
     return read_profile(settings_file).map(prepare)
 
@@ -70,7 +82,7 @@
         # Like most modules of the router, imported while no garbage is collected.
         from sapphirerock.commands.worker import run_service
 
-        prepared = prepare(settings_file, metrics_port)
+        prepared = prepare(settings_file, metrics_port, check)
     if prepared.is_error():
         for fault in prepared.error.faults:
             click.echo(f"{settings_file}: {fault}", err=True)
--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -1,7 +1,6 @@
 """Callers' connections: timeouts of headers and idle time, limit of body size."""
 
 import asyncio
-import socket
 from enum import Enum
 
 from aiohttp.web_protocol import RequestHandler
@@ -10,6 +9,7 @@
 from expression import Error, Ok
 from loguru import logger
 
+from sapphirerock.connection.listener import BACKLOG
 from sapphirerock.connection.upstream import limit_read_size
 from sapphirerock.decisions.callerload import (
     ABANDONED_RESPONSE_S,
@@ -33,8 +33,7 @@
 READ_BLOCK_BYTES = 4 << 10
 # Received content of a body that waits to be read, per connection.
 READ_BUFFER_BYTES = 16 << 10
-# Connections that wait to be accepted, and that are accepted before others are served.
-BACKLOG = 1024
+# Connections that are accepted before others are served.
 ACCEPTS_PER_TURN = 16
 
 
@@ -294,9 +293,14 @@
         finally:
             connection.end_request()
 
-    async def listen(self, address, port):
-        """Accept connections, few at a time; return the `asyncio.Server`."""
-        listening = socket.create_server((address, port), backlog=BACKLOG)
+    async def listen(self, listening):
+        """Accept connections, few at a time; return the `asyncio.Server`.
+
+        Parameters
+        ----------
+        listening : socket.socket
+            Listens for connections; see `open_listener`.
+        """
         listener = await asyncio.get_running_loop().create_server(
             self, sock=listening, backlog=ACCEPTS_PER_TURN
         )
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -81,6 +81,7 @@
 from sapphirerock.process.replicas.replica import Replica
 from sapphirerock.process.settings.hostsettings import HostAddress, TracingSettings
 from sapphirerock.process.settings.routing import RoutingStore
+from sapphirerock.process.startdata import StartData
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.process.telemetry.tracing import make_tracer
 from sapphirerock.request.callhandler import CallHandler
@@ -104,13 +105,18 @@
         Path of the file from which the profile was read.
     metrics_port : int
         TCP port of the metrics, at the host's address.
+    listening : socket.socket or None
+        Listens for callers; None if the router is not going to be started.
     clock : Clock or None
         Source of time; the system's when None.
     """
 
-    def __init__(self, profile, settings_file, metrics_port, clock=None, **kwargs):
+    def __init__(
+        self, profile, settings_file, metrics_port, listening, clock=None, **kwargs
+    ):
         super().__init__(**kwargs)
         self.profile = profile
+        self._listening = listening
         self._settings_file = settings_file
         self._metrics_port = metrics_port
         self.clock = clock or SystemClock()
@@ -129,6 +135,7 @@
         for service in (
             self.peers,
             self.feed,
+            self.start_data,
             self.membership,
             self.load_sharing,
             self.stream_origins,
@@ -153,17 +160,14 @@
         self._server = CallerServer(
             self.call_handler.handle, self._get_caller_limits, self._make_caller_load()
         )
-        caller_endpoint = profile.caller_endpoint
-        self._listener = await self._server.listen(
-            caller_endpoint.address, caller_endpoint.port
-        )
+        self._listener = await self._server.listen(self._listening)
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGHUP, self._reload_settings
         )
         logger.bind(
             host=profile.host,
             zone=profile.availability_zone,
-            callers=str(caller_endpoint),
+            callers=str(profile.caller_endpoint),
             capacity_class=self.hosts.own_class,
         ).info("edge started")
 
@@ -244,6 +248,7 @@
             clock,
             reads_store_first=is_seed(profile),
         )
+        self.start_data = StartData(self._has_start_data, clock)
         self.load_sharing = LoadSharing(self.engines, self.peers, clock)
         self.stream_origins = StreamOriginTable(self.peers, clock)
         self.stored_origins = StoredOrigins(
@@ -341,6 +346,7 @@
             engine_rests=EngineRestTable(self.engines, self.peers, clock),
             engine_statements=engine_statements,
             engine_paces=engine_paces,
+            start_data=self.start_data,
             stream_origins=self.stream_origins,
             stored_origins=self.stored_origins,
             version_history=self.version_history,
@@ -367,6 +373,11 @@
         self.metrics.caller_connections.set_function(lambda: len(load))
         return load
 
+    def _has_start_data(self):
+        """Return whether this host knows the configuration and the engines."""
+        is_complete = self.feed.is_synchronised(ENGINES_KIND)
+        return is_complete and self.routing.current is not None
+
     def _count_hosts(self):
         """Return the number of live hosts, this one included."""
         return 1 + len(self.hosts.list_live())
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -31,6 +31,8 @@
         What engines state of themselves in responses.
     engine_paces : EnginePaceTable
         Paces of engines.
+    start_data : StartData
+        Data that this host loads when it starts.
     stream_origins : StreamOriginTable
         Where streams of all hosts began.
     stored_origins : StoredOrigins
@@ -64,6 +66,7 @@
     engine_rests: object
     engine_statements: object
     engine_paces: object
+    start_data: object
     stream_origins: object
     stored_origins: object
     version_history: object
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -39,6 +39,8 @@
 # A host that starts gets a configuration within this time if the store or a peer is
 # reachable.
 START_RETRY_AFTER_S = 1.0
+# Time that a caller allows for a response if it states none.
+DEFAULT_TIMEOUT_S = 1.0
 # Another host may know where the stream began.
 TAKE_UP_RETRY_AFTER_S = 0.5
 # A host that has just started loads the records of streams within this time.
@@ -154,7 +156,8 @@
     async def _read_call(self, request, arrived_s):
         """Match a request to a route and read its body.
 
-        The request is refused if there is no configuration or route, if it could be cut
+        The request waits until a host that starts has its data. It is refused if there
+        is no configuration or route, if it could be cut
         off by the shutdown, if its key is unknown or if a header or its body is too
         large.
 
@@ -162,12 +165,17 @@
         -------
         expression.Result of RoutedCall or Problem
         """
+        metadata = decode_call_metadata(request.headers)
+        await self._runtime.start_data.wait(
+            DEFAULT_TIMEOUT_S
+            if metadata.caller_timeout_s is None
+            else metadata.caller_timeout_s
+        )
         version = self._routing.current
         if version is None:
             return Error(Problem(NO_CONFIGURATION, "starting", START_RETRY_AFTER_S))
         path = request.raw_path.partition("?")[0]
         route = version.find_route(request.headers.get("Host", ""), path)
-        metadata = decode_call_metadata(request.headers)
         if has_large_header(request, version.limits.header_bytes):
             problem = Problem(HEADER_TOO_LARGE, "header too large")
             return self._refuse(metadata, version, problem)
