--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -759,7 +759,7 @@
         replica.subscribe(self.engines.apply_changes)
         store = AnsweringStore(store_manner)
         kinds = [ReplicatedKind(replica)]
-        self.feed = ObjectFeed(store, kinds, self.peers, self.clock)
+        self.feed = ObjectFeed(store, kinds, self.peers, self.clock, Random(0))
         replica.apply(0, 7, [ReplicaChange("e1", 5, {"version": "v1"})], ["e1"])
         self.history = VersionHistory(self.engines, self.feed, hosts, store, self.clock)
 
--- a/features/steps/replicaview_steps.py
+++ b/features/steps/replicaview_steps.py
@@ -1,6 +1,7 @@
 """Steps on replicas that differ although their newest change is the same."""
 
 import random
+from random import Random
 from types import SimpleNamespace
 
 import msgpack
@@ -94,7 +95,7 @@
         replica.apply(0, HORIZON, ENGINES, names)
         store = SimpleNamespace(observe_era=lambda era: True)
         kinds = [ReplicatedKind(replica)]
-        return ObjectFeed(store, kinds, host.peers, self.fleet.clock)
+        return ObjectFeed(store, kinds, host.peers, self.fleet.clock, Random(0))
 
     def _get_replica(self, host):
         return self.feeds[host.name]._replicas[KIND]
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -4,6 +4,7 @@
 import hashlib
 import re
 import zlib
+from random import Random
 from types import SimpleNamespace
 
 import msgpack
@@ -151,7 +152,7 @@
         )
         store = SimpleNamespace(observe_era=lambda era: True)
         kinds = [ReplicatedKind(Replica("config"), batch_s=batch_s)]
-        self.feed = ObjectFeed(store, kinds, self.peers, ManualClock(1.0))
+        self.feed = ObjectFeed(store, kinds, self.peers, ManualClock(1.0), Random(0))
 
     def receive_heartbeat(self, host, views):
         """Deliver a heartbeat of a peer."""
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -246,6 +246,7 @@
             ],
             self.peers,
             clock,
+            random.Random(profile.host),
             reads_store_first=is_seed(profile),
         )
         self.start_data = StartData(self._has_start_data, clock)
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -18,6 +18,7 @@
 from sapphirerock.connection.packing import unpack_message
 from sapphirerock.connection.storeobjects import (
     HistoryGone,
+    ObjectEvents,
     StoreUnavailable,
     get_era,
 )
@@ -28,6 +29,7 @@
     ReplicaView,
     choose_pull,
 )
+from sapphirerock.decisions.watches import choose_watch_pause
 from sapphirerock.process.replicas.deltas import (
     DeltaSender,
     collapse_events,
@@ -92,13 +94,18 @@
         Streams to peers.
     clock : Clock
         Source of time.
+    generator : random.Random
+        Spreads the calls of the watchers of different zones.
     reads_store_first : bool
         Whether this host reads the store when it starts, even if peers may have the
         objects.
     """
 
-    def __init__(self, store, kinds, peers, clock, reads_store_first=True, **kwargs):
+    def __init__(
+        self, store, kinds, peers, clock, generator, reads_store_first=True, **kwargs
+    ):
         super().__init__(**kwargs)
+        self._generator = generator
         self._store = store
         self._reads_store_first = reads_store_first
         self._started_s = clock.monotonic()
@@ -254,8 +261,10 @@
                 self._record_failure(replica.kind, state, read.error)
                 await self._clock.sleep(pause_s)
                 pause_s = min(MAX_RETRY_PAUSE_S, pause_s * RETRY_GROWTH)
-            else:
-                pause_s = RETRY_PAUSE_S
+                continue
+            pause_s = RETRY_PAUSE_S
+            if read.is_ok() and has_events(read.ok):
+                await self._clock.sleep(choose_watch_pause(self._generator))
 
     async def _start_from_peers(self, replica):
         """Wait for peers to send all objects; return whether they have.
@@ -505,3 +514,8 @@
                         kind=kind, peer=stream.host, newest=newest, after=after
                     ).info("replica differs from peer's")
                 stream.send(ObjectPull(kind, after))
+
+
+def has_events(result):
+    """Return whether a result of the store is of a watch that returned changes."""
+    return isinstance(result, ObjectEvents) and bool(result.events)
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -157,6 +157,7 @@
             ],
             self.peers,
             clock,
+            random.Random(settings.address.host),
         )
         self.membership = Membership(
             self.platform, router_replica, self.peers, (), incarnation, clock
