--- a/features/steps/silentrace_steps.py
+++ b/features/steps/silentrace_steps.py
@@ -114,6 +114,7 @@
         stream_durations=SimpleNamespace(record_stream=lambda elapsed_s: None),
         stream_origins=SimpleNamespace(record=lambda *origin: None),
         engine_paces=SimpleNamespace(record_stream=lambda *sample: None),
+        rollouts=None,
         version_history=SimpleNamespace(knows_all=lambda: False),
     )
 
--- a/src/sapphirerock/connection/store.py
+++ b/src/sapphirerock/connection/store.py
@@ -183,6 +183,19 @@
         body = storewire.encode_object(name, spec, revision)
         return await self._write("PUT", storewire.make_path(kind, name), body)
 
+    async def replace_status(self, kind, name, status, revision):
+        """Replace the status of an object that must still have the given revision.
+
+        Returns
+        -------
+        expression.Result of StoredObject or StoreFailure
+        """
+        if self._is_of_other_era(revision):
+            return Error(StoreConflict(None))
+        path = storewire.make_status_path(kind, name)
+        body = storewire.encode_status(name, status, revision)
+        return await self._write("PUT", path, body)
+
     async def delete(self, kind, name, revision):
         """Delete an object that must still have the given revision.
 
--- a/src/sapphirerock/connection/storeobjects.py
+++ b/src/sapphirerock/connection/storeobjects.py
@@ -7,6 +7,8 @@
 # Revisions of the store stay far below this power of two.
 REVISION_BITS = 40
 REVISION_MASK = (1 << REVISION_BITS) - 1
+# Field of an object's content in replicas that holds its status.
+STATUS_FIELD = "status"
 
 
 def qualify_revision(era, revision):
@@ -42,11 +44,21 @@
         counter.
     spec : object
         Content, decoded from JSON.
+    status : object
+        What the system has written about it; None if nothing.
     """
 
     name: str
     revision: int
     spec: object
+    status: object = None
+
+    @property
+    def content(self):
+        """The spec, with the status as a further field if there is one."""
+        if self.status is None or not isinstance(self.spec, dict):
+            return self.spec
+        return {**self.spec, STATUS_FIELD: self.status}
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/platform/names.py
+++ b/src/sapphirerock/platform/names.py
@@ -13,6 +13,7 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 ENGINES_KIND = "servers"
+ROLLOUTS_KIND = "rollouts"
 # Kinds that routers define: addresses of the routers, settings of operators, claims on
 # orders, leases, requests that are blocked because they crash engines, software
 # versions of engines, and origins of streams.
--- a/src/sapphirerock/platform/settingsfile.py
+++ b/src/sapphirerock/platform/settingsfile.py
@@ -104,6 +104,10 @@
     return int(entry["max_fds"]) if entry.get("max_fds") else None
 
 
+def _decode_share(value):
+    return None if value is None else float(value)
+
+
 def _decode_bounds(entry):
     default = ServiceBounds()
     return ServiceBounds(
@@ -115,4 +119,5 @@
         retry_ratio=float(entry.get("budget_ratio", default.retry_ratio)),
         retry_slack=float(entry.get("budget_slack", default.retry_slack)),
         retry_window_s=float(entry.get("budget_window_s", default.retry_window_s)),
+        exposed_share=_decode_share(entry.get("expose_share")),
     )
--- a/src/sapphirerock/platform/storewire.py
+++ b/src/sapphirerock/platform/storewire.py
@@ -18,6 +18,7 @@
 from sapphirerock.platform.names import OBJECTS_PATH, STORE_ERA
 
 MS_PER_S = 1000
+STATUS_SUFFIX = "/status"
 
 
 def make_path(kind, name=None):
@@ -68,6 +69,17 @@
     return orjson.dumps({"metadata": metadata, "spec": spec})
 
 
+def make_status_path(kind, name):
+    """Return the path of an object's status."""
+    return f"{make_path(kind, name)}{STATUS_SUFFIX}"
+
+
+def encode_status(name, status, revision):
+    """Return the body that replaces an object's status at a revision."""
+    metadata = {"name": name, "revision": strip_era(revision)}
+    return orjson.dumps({"metadata": metadata, "spec": None, "status": status})
+
+
 @dataclass(slots=True, frozen=True)
 class ListQuery:
     """Parameters of a list or a watch.
@@ -110,7 +122,10 @@
     document = orjson.loads(body)
     metadata = document["metadata"]
     return StoredObject(
-        metadata["name"], int(metadata.get("revision", 0)), document.get("spec")
+        metadata["name"],
+        int(metadata.get("revision", 0)),
+        document.get("spec"),
+        document.get("status"),
     )
 
 
@@ -125,7 +140,7 @@
             "deleting": False,
         },
         "spec": item.spec,
-        "status": None,
+        "status": item.status,
     }
 
 
@@ -177,7 +192,10 @@
     if not isinstance(name, str) or type(revision) is not int or revision < 0:
         raise ValueError(f"odd name {name!r:.80} or revision {revision!r:.80}")
     return StoredObject(
-        name, qualify_revision(era, revision), limit_depth(document.get("spec"))
+        name,
+        qualify_revision(era, revision),
+        limit_depth(document.get("spec")),
+        limit_depth(document.get("status")),
     )
 
 
--- a/src/sapphirerock/process/edge.py
+++ b/src/sapphirerock/process/edge.py
@@ -42,6 +42,7 @@
     CONFIGURATION_NAME,
     ENGINES_KIND,
     READINESS_PATH,
+    ROLLOUTS_KIND,
     ROUTERS_KIND,
 )
 from sapphirerock.platform.registrations import decode_registration
@@ -79,6 +80,7 @@
 from sapphirerock.process.replicas.feed import ObjectFeed
 from sapphirerock.process.replicas.feedstate import ReplicatedKind
 from sapphirerock.process.replicas.replica import Replica
+from sapphirerock.process.rollouts import RolloutTable
 from sapphirerock.process.settings.hostsettings import HostAddress, TracingSettings
 from sapphirerock.process.settings.routing import RoutingStore
 from sapphirerock.process.startdata import StartData
@@ -136,6 +138,7 @@
             self.peers,
             self.feed,
             self.start_data,
+            *((self.rollouts,) if self.rollouts else ()),
             self.membership,
             self.load_sharing,
             self.stream_origins,
@@ -169,6 +172,7 @@
             zone=profile.availability_zone,
             callers=str(profile.caller_endpoint),
             capacity_class=self.hosts.own_class,
+            takes_rollouts=self.rollouts is not None,
         ).info("edge started")
 
     @Service.task
@@ -235,15 +239,25 @@
         router_replica = Replica(ROUTERS_KIND)
         configuration_replica.subscribe(self.routing.apply_changes)
         engine_replica.subscribe(self.engines.apply_changes)
+        kinds = [
+            ReplicatedKind(configuration_replica),
+            ReplicatedKind(engine_replica),
+            ReplicatedKind(
+                router_replica, MEMBERSHIP_WATCH_TIMEOUT_S, MEMBERSHIP_BATCH_S
+            ),
+        ]
+        self.rollouts = None
+        exposed_share = profile.bounds.exposed_share
+        if exposed_share is not None:
+            self.rollouts = RolloutTable(
+                self.hosts, self.gossip, self.store, exposed_share, clock, self.metrics
+            )
+            rollout_replica = Replica(ROLLOUTS_KIND)
+            rollout_replica.subscribe(self.rollouts.apply_changes)
+            kinds.append(ReplicatedKind(rollout_replica, MEMBERSHIP_WATCH_TIMEOUT_S))
         self.feed = ObjectFeed(
             self.store,
-            [
-                ReplicatedKind(configuration_replica),
-                ReplicatedKind(engine_replica),
-                ReplicatedKind(
-                    router_replica, MEMBERSHIP_WATCH_TIMEOUT_S, MEMBERSHIP_BATCH_S
-                ),
-            ],
+            kinds,
             self.peers,
             clock,
             random.Random(profile.host),
@@ -310,6 +324,7 @@
             profile.availability_zone,
             clock,
             engine_paces,
+            self.rollouts,
         )
         fleet.on_unreachable.append(self.paths.check)
         stream_durations = StreamDurations()
@@ -347,6 +362,7 @@
             engine_rests=EngineRestTable(self.engines, self.peers, clock),
             engine_statements=engine_statements,
             engine_paces=engine_paces,
+            rollouts=self.rollouts,
             start_data=self.start_data,
             stream_origins=self.stream_origins,
             stored_origins=self.stored_origins,
--- a/src/sapphirerock/process/edgeruntime.py
+++ b/src/sapphirerock/process/edgeruntime.py
@@ -31,6 +31,8 @@
         What engines state of themselves in responses.
     engine_paces : EnginePaceTable
         Paces of engines.
+    rollouts : RolloutTable or None
+        Rollouts of services; None if operators order none.
     start_data : StartData
         Data that this host loads when it starts.
     stream_origins : StreamOriginTable
@@ -66,6 +68,7 @@
     engine_rests: object
     engine_statements: object
     engine_paces: object
+    rollouts: object
     start_data: object
     stream_origins: object
     stored_origins: object
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -72,6 +72,8 @@
         Source of time.
     paces : EnginePaceTable or None
         Paces of engines; None if all count as equal.
+    rollouts : RolloutTable or None
+        Rollouts of services; None if operators order none.
 
     Attributes
     ----------
@@ -87,9 +89,19 @@
         "_zone",
         "_clock",
         "_paces",
+        "_rollouts",
     )
 
-    def __init__(self, engines, routing, policy, availability_zone, clock, paces=None):
+    def __init__(
+        self,
+        engines,
+        routing,
+        policy,
+        availability_zone,
+        clock,
+        paces=None,
+        rollouts=None,
+    ):
         self.engines = engines
         self.on_unreachable = []
         self._routing = routing
@@ -97,6 +109,7 @@
         self._zone = availability_zone
         self._clock = clock
         self._paces = paces
+        self._rollouts = rollouts
 
     def place(self, call, excluded, isolate=None, origin=None):
         """Choose an engine for a generation.
@@ -120,6 +133,8 @@
         """
         version = origin.version if origin else None
         views = self._list_views(call.service, excluded, version)
+        if origin is None:
+            views = self._select_versions(call, views)
         view = isolate(call, views) if isolate else None
         if view is None:
             prompt = call.metadata.prompt
@@ -168,9 +183,16 @@
         """Return how long an engine keeps a KV copy of a run, in seconds."""
         return self._get_engine_settings(service).backup_ttl_s
 
-    def choose_plain_call_engine(self, service, excluded):
+    def _select_versions(self, call, views):
+        """Return the engines that a call may go to, by the rollout of its service."""
+        if self._rollouts is None:
+            return views
+        return self._rollouts.select_engines(call.service, views, call.draw)
+
+    def choose_plain_call_engine(self, call, excluded):
         """Return the engine for a call with an unstreamed response, or None."""
-        views = exclude_outliers(self._list_views(service, excluded))
+        views = self._list_views(call.service, excluded)
+        views = exclude_outliers(self._select_versions(call, views))
         views = prefer_direct_engines(views)
         view = choose_plain_call_engine(views, self._zone)
         return self.engines.get(view.name) if view else None
--- a/src/sapphirerock/process/peers/gossip.py
+++ b/src/sapphirerock/process/peers/gossip.py
@@ -180,6 +180,31 @@
     pause_us: int
 
 
+@register_topic("rollout-evidence")
+@dataclass(slots=True, frozen=True)
+class RolloutEvidenceUpdate:
+    """Responses of the versions of a service that a host has seen in a rollout.
+
+    Parameters
+    ----------
+    host : str
+        The host.
+    service, target : str
+        The service, and the version to which its traffic moves.
+    age_ms : int
+        Time since the order, as the host knows it, in milliseconds.
+    rows : list of [str, int, int, int, int]
+        For each route, numbers of responses and of bad ones, first of the new version,
+        then of the old one, since the host knows the order.
+    """
+
+    host: str
+    service: str
+    target: str
+    age_ms: int
+    rows: list
+
+
 @register_topic("sound-prompt-parts")
 @dataclass(slots=True, frozen=True)
 class SoundPartsUpdate:
--- a/src/sapphirerock/process/replicas/deltas.py
+++ b/src/sapphirerock/process/replicas/deltas.py
@@ -123,6 +123,8 @@
     return [
         ReplicaChange(event.object.name, read.revision, None)
         if event.is_deleted
-        else ReplicaChange(event.object.name, event.object.revision, event.object.spec)
+        else ReplicaChange(
+            event.object.name, event.object.revision, event.object.content
+        )
         for event in last.values()
     ]
--- a/src/sapphirerock/process/replicas/feed.py
+++ b/src/sapphirerock/process/replicas/feed.py
@@ -326,7 +326,7 @@
         read = await self._store.list_all(replica.kind)
         if read.is_ok():
             changes = [
-                ReplicaChange(item.name, item.revision, item.spec)
+                ReplicaChange(item.name, item.revision, item.content)
                 for item in read.ok.objects
             ]
             names = [change.name for change in changes]
--- a/src/sapphirerock/process/settings/hostprofile.py
+++ b/src/sapphirerock/process/settings/hostprofile.py
@@ -47,6 +47,9 @@
         `retry_ratio` times its requests plus `retry_slack` as retries.
     retry_window_s : float
         Length of the retry budget's window, in seconds.
+    exposed_share : float or None
+        Share of a service's calls that a bad version may get during a rollout; None if
+        operators order no rollouts.
     """
 
     grace_s: float = 8.0
@@ -55,6 +58,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 20.0
     retry_window_s: float = 10.0
+    exposed_share: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sapphirerock/process/telemetry/edgemetrics.py
+++ b/src/sapphirerock/process/telemetry/edgemetrics.py
@@ -38,6 +38,7 @@
         "caller_memory",
         "caller_connections",
         "caller_closes",
+        "rollout_responses",
     )
 
     def __init__(self):
@@ -108,6 +109,12 @@
         self.caller_closes = counter(
             "caller_closes", "Connections of callers closed to make room", "cause"
         )
+        self.rollout_responses = counter(
+            "rollout_responses",
+            "Responses of engines during rollouts",
+            "version",
+            "result",
+        )
 
     def observe_call(self, kind, responder, seconds):
         """Record an answer; status 0 means that the caller disconnected before it."""
--- a/src/sapphirerock/request/call.py
+++ b/src/sapphirerock/request/call.py
@@ -100,6 +100,8 @@
         None for a new call.
     ranks : tuple of int
         Priorities that streams of the service can have, in order.
+    draw : float
+        Random number from 0 to 1, by which the call may go to a new version.
     """
 
     method: str
@@ -116,3 +118,4 @@
     revision: int
     origin: object = None
     ranks: tuple = ()
+    draw: float = 1.0
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -232,6 +232,7 @@
                 revision=version.revision,
                 origin=origin,
                 ranks=version.list_ranks(service),
+                draw=self._runtime.generator.random(),
             )
         )
 
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -276,10 +276,12 @@
         fleet, service = self._runtime.fleet, self._call.service
         if self._running:
             excluded = excluded.union(fleet.engines.list_suspects(service))
-        state = fleet.choose_plain_call_engine(service, self._tried_engines | excluded)
+        state = fleet.choose_plain_call_engine(
+            self._call, self._tried_engines | excluded
+        )
         if state is None:
             tried = self._tried_engines - self._engines_with_server_error
-            state = fleet.choose_plain_call_engine(service, tried | excluded)
+            state = fleet.choose_plain_call_engine(self._call, tried | excluded)
         return state
 
     def _choose_max_wait(self):
@@ -377,6 +379,7 @@
                 "engine did not execute call"
             )
             return AttemptResult(PlainCallOutcome.NOT_RUN, state)
+        attempt.record_response(response.head.status >= MIN_SERVER_ERROR_STATUS)
         if (
             response.head.status >= MIN_SERVER_ERROR_STATUS
             and self._call.route.may_retry
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -635,6 +635,8 @@
             if events:
                 if not attempt.has_output:
                     attempt.has_output = True
+                    if continuation is None:
+                        attempt.record_response(has_failed=False)
                     self._runtime.crash_watch.record_output(self._call)
                 attempt.mark_prefilled()
                 self._measure_pace(attempt, pauses, len(events))
@@ -759,6 +761,7 @@
             self._runtime.crash_watch.report_replaced(attempt.state)
         if head.was_not_executed:
             return StreamOutcome.NOT_RUN
+        attempt.record_response(head.status >= MIN_SERVER_ERROR_STATUS)
         if self._responder.has_begun:
             return StreamOutcome.FAILED
         if head.status >= MIN_SERVER_ERROR_STATUS and self._call.route.may_retry:
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -76,6 +76,7 @@
         "_response",
         "_timeout",
         "_interrupt_cause",
+        "_opened_s",
     )
 
     def __init__(
@@ -106,6 +107,7 @@
         self._response = None
         self._timeout = None
         self._interrupt_cause = None
+        self._opened_s = runtime.clock.monotonic()
 
     def __enter__(self):
         state = self.state
@@ -152,6 +154,13 @@
         self.state.local_load.prompt_tokens -= self._prompt_tokens
         self._prompt_tokens = 0
 
+    def record_response(self, has_failed):
+        """Count the response for the rollout of its service, if there is one."""
+        rollouts = self._runtime.rollouts
+        if rollouts is not None:
+            time_s = self._runtime.clock.monotonic() - self._opened_s
+            rollouts.record_response(self.call, self.state, has_failed, time_s)
+
     def interrupt(self, cause):
         """Make the current or next wait fail with ``AttemptInterrupted``.
 
--- a/src/sapphirerock/standin/platform.py
+++ b/src/sapphirerock/standin/platform.py
@@ -201,6 +201,8 @@
 
     async def _replace_object(self, request):
         kind, name = request.match_info["kind"], request.match_info["name"]
+        is_status = name.endswith(storewire.STATUS_SUFFIX)
+        name = name.removesuffix(storewire.STATUS_SUFFIX)
         body = await request.read()
         if len(body) > VALUE_LIMIT_BYTES:
             raise web.HTTPRequestEntityTooLarge(VALUE_LIMIT_BYTES, len(body))
@@ -210,7 +212,11 @@
             return web.Response(status=404)
         if item.revision and item.revision != current.revision:
             return make_object_response(current, 409)
-        if item.spec == current.spec:
+        if is_status:
+            item = replace(current, status=item.status)
+        else:
+            item = replace(current, spec=item.spec)
+        if item == current:
             return make_object_response(current)
         return self._store_and_respond(request, kind, item)
 
