--- a/features/callercrowds.feature
+++ b/features/callercrowds.feature
@@ -40,3 +40,21 @@
       | in large chunks    |
       | in one-byte chunks |
       | with a length      |
+
+  # The router with settings of its own reads bodies of up to 8 MiB for its API.
+  Scenario Outline: A crowd of callers of a router with its own settings: <crowd>
+    Given a router with its own settings on a host of 128 MB and 200 descriptors
+    When a crowd sends requests and stays: <crowd>
+    Then the edge is still running
+    And the edge never used more than 128 MB and 200 descriptors
+    And a completion is answered beside the crowd
+    And refusals of the crowd are true
+
+    Examples:
+      | crowd                                        |
+      | 100 of large chunks                          |
+      | 100 of one-byte chunks                       |
+      | 100 of bodies with a length                  |
+      | 150 of unfinished heads                      |
+      | 400 of open connections                      |
+      | 80 of large chunks, 80 of one-byte chunks    |
--- a/features/steps/callercrowd_steps.py
+++ b/features/steps/callercrowd_steps.py
@@ -4,15 +4,23 @@
 import math
 from functools import partial
 from pathlib import Path
+from types import SimpleNamespace
 
 from behave import given, then, when
+from tools.localcluster import ORGANISATION_KEY
 from tools.rawclient import RawConnection, encode_request
+from tools.scenario import MODEL
 from tools.sharedcaller import make_headers
-from tools.sharedcluster import ORDER_PREFIX, STREAM_PREFIX, make_configuration
+from tools.sharedcluster import (
+    CALLER_KEY,
+    ORDER_PREFIX,
+    STREAM_PREFIX,
+    make_configuration,
+)
 
 from features.steps.edge_steps import start_cluster
 
-EDGE = "edge-0"
+EDGE, ROUTER = "edge-0", "r1"
 ORDER, STREAM = f"{ORDER_PREFIX}1", f"{STREAM_PREFIX}1"
 BODY_LIMIT_BYTES = 1 << 20
 ROUTE_TIMEOUT_MS = 60_000
@@ -119,14 +127,52 @@
         }
         cluster.start_edge(EDGE, limits=limits)
         await cluster.wait_edges_ready()
-        context.most_files = 0
-        context.crowd, context.unfinished = [], []
+        prepare_crowd(context, EDGE, cluster.edges[EDGE])
+
+    context.run(run())
+
+
+def prepare_crowd(context, process, endpoint, adapt=bytes):
+    """Set the process and the address that a crowd calls.
+
+    Parameters
+    ----------
+    adapt : callable
+        Turns the bytes of a request of the shared platform into one of the API that
+        the process serves.
+    """
+    context.host_process = context.world.cluster.processes[process]
+    context.endpoint, context.adapt = endpoint, adapt
+    context.most_files = 0
+    context.crowd, context.unfinished = [], []
+
+
+def adapt_to_completions(data):
+    """Return the bytes of a request to the API of a router with its own settings."""
+    data = data.replace(f"POST {ORDER} ".encode(), b"POST /v1/completions ")
+    return data.replace(
+        f"Token {CALLER_KEY}".encode(), f"Bearer {ORGANISATION_KEY}".encode()
+    )
+
+
+@given(
+    "a router with its own settings on a host of {memory:d} MB and {files:d} "
+    "descriptors"
+)
+def start_router_with_own_settings(context, memory, files):
+    async def run():
+        world = context.world
+        await world.start(
+            [(ROUTER, "zone-a", "region-a")], [("e1", "zone-a", "region-a", {})]
+        )
+        entry = next(item for item in world.cluster.hosts if item["host"] == ROUTER)
+        prepare_crowd(context, ROUTER, SimpleNamespace(**entry), adapt_to_completions)
 
     context.run(run())
 
 
 def get_process_folder(context):
-    return Path("/proc") / str(context.world.cluster.processes[EDGE].popen.pid)
+    return Path("/proc") / str(context.host_process.popen.pid)
 
 
 def count_files(context):
@@ -160,7 +206,7 @@
 
 
 async def watch_files(context):
-    while context.world.cluster.processes[EDGE].is_running:
+    while context.host_process.is_running:
         context.most_files = max(context.most_files, count_files(context))
         await asyncio.sleep(FILES_INTERVAL_S)
 
@@ -168,7 +214,7 @@
 async def send_and_stay(context, data):
     """Connect and send data; the connection stays open, as far as the edge lets it."""
     try:
-        connection = await RawConnection(context.world.cluster.edges[EDGE]).__aenter__()
+        connection = await RawConnection(context.endpoint).__aenter__()
         context.crowd.append(connection)
         connection.writer.write(data)
         await connection.writer.drain()
@@ -188,13 +234,13 @@
                 number = next(numbers)
                 if kind not in WHOLE_REQUESTS:
                     context.unfinished.append(f"{number:016x}")
-                data = CROWDS[kind](number)
+                data = context.adapt(CROWDS[kind](number))
                 sends.append(asyncio.ensure_future(send_and_stay(context, data)))
         _, pending = await asyncio.wait(sends, timeout=SEND_TIMEOUT_S)
         for task in pending:
             task.cancel()
         await asyncio.wait(sends)
-        if context.world.cluster.processes[EDGE].is_running:
+        if context.host_process.is_running:
             await wait_until_idle(context)
         watch.cancel()
         await asyncio.wait((watch,))
@@ -226,7 +272,7 @@
 
 @then("the edge is still running")
 def check_running(context):
-    assert context.world.cluster.processes[EDGE].is_running
+    assert context.host_process.is_running
 
 
 @then("the edge never used more than {memory:d} MB and {files:d} descriptors")
@@ -249,6 +295,30 @@
     assert response.status == 200, response
 
 
+@then("a completion is answered beside the crowd")
+def check_completion(context):
+    body = {"model": MODEL, "prompt": "wool", "max_tokens": 3}
+
+    async def run():
+        async with context.world.session.post(
+            f"{context.world.cluster.urls[ROUTER]}/v1/completions",
+            json=body,
+            headers={"Authorization": f"Bearer {ORGANISATION_KEY}"},
+        ) as response:
+            return response.status, await response.text()
+
+    status, text = context.run(run())
+    assert status == 200, text
+
+
+@then("refusals of the crowd are true")
+def check_refusal_statuses(context):
+    statuses = {read_status(item) for item in context.crowd} - {None}
+    assert statuses <= TRUE_REFUSALS | {400}, statuses
+    for connection in context.crowd:
+        connection.writer.close()
+
+
 def read_status(connection):
     """Return the status of the response that a connection has received, or None."""
     # What the reader has received and nobody has read.
