Callers' connections: the router with its own settings keeps to the same account

Cause: its API read bodies of 8 MiB each with nothing that bounded all of them, the time that they may take, or the connections; asyncio accepted as many as waited. Now its server is the one of the shared platform, with the same decisions; memory_mb, max_files and max_body_bytes are settings, by default those of the machine and the process. Its handlers still go on when a caller disconnects.

--- a/features/steps/callercrowd_steps.py
+++ b/features/steps/callercrowd_steps.py
@@ -162,6 +162,11 @@
 def start_router_with_own_settings(context, memory, files):
     async def run():
         world = context.world
+        world.router_settings = {
+            "memory_mb": memory,
+            "max_files": files,
+            "max_body_bytes": BODY_LIMIT_BYTES,
+        }
         await world.start(
             [(ROUTER, "zone-a", "region-a")], [("e1", "zone-a", "region-a", {})]
         )
--- a/features/steps/error_steps.py
+++ b/features/steps/error_steps.py
@@ -8,7 +8,7 @@
 from tools.localcluster import BIN, hash_key, write_basic_settings
 
 from sapphirerock.platform.names import SETTINGS_KIND
-from sapphirerock.process.gateway import BODY_LIMIT_BYTES
+from sapphirerock.process.settings.hostsettings import DEFAULT_BODY_LIMIT_BYTES
 
 BODY = {"model": "quote", "prompt": "p", "max_tokens": 2}
 
@@ -23,7 +23,7 @@
     for row in context.table:
         body = row["body"].encode()
         if body == b"HUGE":
-            body = b"x" * (BODY_LIMIT_BYTES + 1)
+            body = b"x" * (DEFAULT_BODY_LIMIT_BYTES + 1)
         headers = {}
         if row["key"] == "unknown":
             headers["Authorization"] = "Bearer nobody"
--- a/src/sapphirerock/connection/ingress.py
+++ b/src/sapphirerock/connection/ingress.py
@@ -259,6 +259,10 @@
         Returns the current `CallerLimits`.
     load : CallerLoad
         Memory and number of the connections.
+    request_factory : callable or None
+        Makes the requests, for an application; None for plain ones.
+    cancels_handlers : bool
+        Whether a handler is cancelled when its caller disconnects.
 
     Attributes
     ----------
@@ -266,8 +270,14 @@
         Whether all connections have been closed; later ones are closed unread.
     """
 
-    def __init__(self, handler, read_limits, load):
-        super().__init__(self._serve, handler_cancellation=True)
+    def __init__(
+        self, handler, read_limits, load, request_factory=None, cancels_handlers=True
+    ):
+        super().__init__(
+            self._serve,
+            request_factory=request_factory,
+            handler_cancellation=cancels_handlers,
+        )
         self.is_closed = False
         self._handler = handler
         self._read_limits = read_limits
--- a/src/sapphirerock/process/admin.py
+++ b/src/sapphirerock/process/admin.py
@@ -80,7 +80,9 @@
 
     async def handle_put(self, request):
         """Create or replace a settings object."""
-        body = await read_body(request)
+        body = await read_body(
+            request, self._router.settings.max_body_bytes, self._router.runtime.random
+        )
         if body.is_error():
             return make_problem_response(body.error)
         try:
--- a/src/sapphirerock/process/gateway.py
+++ b/src/sapphirerock/process/gateway.py
@@ -1,5 +1,6 @@
 """HTTP API for callers."""
 
+import asyncio
 import uuid
 
 from aiohttp import web
@@ -12,6 +13,7 @@
     make_problem_response,
     stream_generation,
 )
+from sapphirerock.connection.ingress import read_request_body
 from sapphirerock.connection.plain import PlainRequest, select_forwarded_headers
 from sapphirerock.process.journals.generations import AttachRequest
 from sapphirerock.process.telemetry.tracing import extract_trace_context
@@ -19,17 +21,19 @@
 from sapphirerock.request.idempotentcall import IdempotentCall
 from sapphirerock.request.order import OrderCall, choose_outcome
 from sapphirerock.request.problem import (
+    CLOSING_PROBLEMS,
     KEY_REQUIRED,
     MALFORMED,
     NOT_FOUND,
     RATE_LIMITED,
     SHUTTING_DOWN,
-    TOO_LARGE,
     UNAUTHORISED,
     Problem,
+    make_body_problem,
 )
 
-BODY_LIMIT_BYTES = 8 << 20
+# Time in which a body must arrive, long enough for slow links.
+BODY_TIMEOUT_S = 60.0
 IDEMPOTENCY_KEY_LIMIT_CHARS = 256
 BEARER_PREFIX = "Bearer "
 MAX_REQUEST_TIMEOUT_S = 3600.0
@@ -46,6 +50,8 @@
         Generations that this host runs for callers.
     limits : LimitTable
         Rate limits of organisations.
+    body_limit_bytes : int
+        Largest body of a request, in bytes.
 
     Attributes
     ----------
@@ -61,14 +67,16 @@
         "_runtime",
         "_generations",
         "_limits",
+        "_body_limit_bytes",
     )
 
-    def __init__(self, runtime, generations, limits):
+    def __init__(self, runtime, generations, limits, body_limit_bytes):
         self.is_shutting_down = False
         self.active_calls = 0
         self._runtime = runtime
         self._generations = generations
         self._limits = limits
+        self._body_limit_bytes = body_limit_bytes
 
     def add_routes(self, application):
         """Add the callers' routes."""
@@ -109,9 +117,12 @@
         organisation = self._authenticate(request, snapshot)
         if organisation.is_error():
             return make_problem_response(organisation.error)
-        body = await read_body(request)
+        body = await read_body(request, self._body_limit_bytes, self._runtime.random)
         if body.is_error():
-            return make_problem_response(body.error)
+            response = make_problem_response(body.error)
+            if body.error.kind in CLOSING_PROBLEMS:
+                response.force_close()
+            return response
         return await handler(request, snapshot, organisation.ok, body.ok)
 
     def _authenticate(self, request, snapshot):
@@ -242,18 +253,25 @@
     )
 
 
-async def read_body(request):
-    """Read a request's body, of at most `BODY_LIMIT_BYTES`.
+async def read_body(request, limit_bytes, generator):
+    """Read a request's body.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Largest size of a body, in bytes.
+    generator : random.Random
+        Spreads the times at which refused callers retry.
 
     Returns
     -------
     expression.Result of bytes or Problem
     """
-    try:
-        return Ok(await request.read())
-    except web.HTTPRequestEntityTooLarge:
-        detail = f"a body may have {BODY_LIMIT_BYTES} bytes"
-        return Error(Problem(TOO_LARGE, detail))
+    deadline_s = asyncio.get_running_loop().time() + BODY_TIMEOUT_S
+    body = await read_request_body(request, limit_bytes, deadline_s)
+    if body.is_ok():
+        return body
+    return Error(make_body_problem(body.error, generator))
 
 
 def parse_timeout(request, default_s):
--- a/src/sapphirerock/process/rollouts.py
+++ b/src/sapphirerock/process/rollouts.py
@@ -29,6 +29,8 @@
 CHECK_INTERVAL_S = 0.25
 # Evidence is sent again after this time, for hosts that have started meanwhile.
 FULL_UPDATE_INTERVAL_S = 3.0
+# Routes whose usual response time is kept.
+MAX_ROUTES = 5_000
 MS_PER_S = 1000.0
 
 
@@ -201,7 +203,7 @@
             Time until the response or its first event, in seconds.
         """
         name = call.route.name
-        usual = self._usual_times.setdefault(name, UsualTime())
+        usual = self._find_usual_time(name)
         rollout = self._rollouts.get(call.service)
         is_running = rollout is not None and not rollout.order.has_ended
         is_new = is_running and state.entry.version == rollout.order.target
@@ -226,6 +228,13 @@
         # What only the old version has done shows nothing yet.
         rollout.has_news |= is_new
 
+    def _find_usual_time(self, route_name):
+        """Return the usual response time of a route, a new one at its first call."""
+        if len(self._usual_times) >= MAX_ROUTES:
+            # Most are of routes that later configurations dropped.
+            self._usual_times.clear()
+        return self._usual_times.setdefault(route_name, UsualTime())
+
     def _measure_age_s(self, rollout):
         return self._clock.monotonic() - rollout.started_s
 
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import os
 import random
+import resource
 import time
 
 from aiohttp import web
@@ -12,6 +14,7 @@
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from sapphirerock.connection.callerload import CallerLoad
 from sapphirerock.connection.messages import (
     JournalAppend,
     JournalBackfill,
@@ -40,7 +43,7 @@
 from sapphirerock.process.engines.dispatcher import Dispatcher
 from sapphirerock.process.engines.upstreams import UpstreamTable
 from sapphirerock.process.engines.watchers import UpstreamWatcher
-from sapphirerock.process.gateway import BODY_LIMIT_BYTES, Gateway
+from sapphirerock.process.gateway import Gateway
 from sapphirerock.process.journals.client import JournalClient
 from sapphirerock.process.journals.generations import GenerationTable
 from sapphirerock.process.journals.store import JournalStore
@@ -59,8 +62,10 @@
 from sapphirerock.process.settings.writer import SettingsWriter
 from sapphirerock.process.telemetry.metrics import Metrics
 from sapphirerock.process.telemetry.tracing import make_tracer
-from sapphirerock.process.web import WebService
+from sapphirerock.process.web import CallerWebService
+from sapphirerock.version.routing import CallerLimits
 
+BYTES_PER_MB = 1 << 20
 DRAIN_POLL_S = 0.05
 # Time for callers' load balancers to see that this host is not ready any more.
 DRAIN_GRACE_S = 0.2
@@ -105,11 +110,7 @@
             self.runtime.journal,
             self.limits,
             self.generations,
-            WebService(
-                self._make_application(),
-                self.settings.address.address,
-                self.settings.address.caller_port,
-            ),
+            self._make_caller_service(),
         ):
             await self.add_runtime_dependency(service)
         logger.info("router {} started", self.settings.address.host)
@@ -206,7 +207,12 @@
             ),
         )
         self.generations = GenerationTable(self.runtime)
-        self.gateway = Gateway(self.runtime, self.generations, self.limits)
+        self.gateway = Gateway(
+            self.runtime,
+            self.generations,
+            self.limits,
+            self.settings.max_body_bytes,
+        )
 
     def _register_handlers(self):
         """Subscribe the parts to peer messages, gossip updates and settings."""
@@ -257,8 +263,27 @@
             return JournalRecordMessage(False, "", b"", [], b"", "", "", "")
         return record.to_message(found=True)
 
+    def _make_caller_service(self):
+        """Return the service for callers, within what their connections may hold."""
+        settings = self.settings
+        limits = CallerLimits(body_bytes=settings.max_body_bytes)
+        load = CallerLoad(
+            settings.memory_mb or measure_memory_mb(),
+            settings.max_files or resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+            lambda: limits,
+            self.clock,
+            self.metrics.caller_closes,
+        )
+        return CallerWebService(
+            self._make_application(),
+            settings.address.address,
+            settings.address.caller_port,
+            lambda: limits,
+            load,
+        )
+
     def _make_application(self):
-        application = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        application = web.Application(client_max_size=self.settings.max_body_bytes)
         self.gateway.add_routes(application)
         writer = SettingsWriter(
             VersionedValues(self.platform, SETTINGS_KIND),
@@ -308,3 +333,8 @@
         for session in self._sessions:
             await session.close()
         await asyncio.sleep(0)
+
+
+def measure_memory_mb():
+    """Return the memory of the machine, in MB."""
+    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
--- a/src/sapphirerock/process/settings/hostsettings.py
+++ b/src/sapphirerock/process/settings/hostsettings.py
@@ -11,7 +11,15 @@
 PORT = {"type": "integer", "minimum": 1, "maximum": 65535}
 IP_ADDRESS = {"type": "string", "pattern": "^[0-9]{1,3}([.][0-9]{1,3}){3}$"}
 PEER_KEY_MIN_CHARS = 16
-OPTIONAL_FIELDS = ("peer_listen_port", "drain_bound_s", "journal")
+OPTIONAL_FIELDS = (
+    "peer_listen_port",
+    "drain_bound_s",
+    "journal",
+    "memory_mb",
+    "max_files",
+    "max_body_bytes",
+)
+DEFAULT_BODY_LIMIT_BYTES = 8 << 20
 
 PEER_SCHEMA = {
     "type": "object",
@@ -46,6 +54,9 @@
             "peer_listen_port": PORT,
             "drain_bound_s": SECONDS,
             "journal": {"type": "boolean"},
+            "memory_mb": {"type": "number", "exclusiveMinimum": 0},
+            "max_files": {"type": "integer", "minimum": 1},
+            "max_body_bytes": {"type": "integer", "minimum": 1},
             "logs": {
                 "type": "object",
                 "properties": {
@@ -124,6 +135,12 @@
         Longest wait for running calls at a graceful shutdown, in seconds.
     journal : bool
         Whether tokens are written ahead to a journal holder.
+    memory_mb : float or None
+        Memory of the host, in MB; None for that of the machine.
+    max_files : int or None
+        Descriptors that the process may open; None for the limit of the process.
+    max_body_bytes : int
+        Largest body of a request, in bytes.
     logs : LogSettings
         Style and level of the logs.
     tracing : TracingSettings
@@ -138,6 +155,9 @@
     peer_listen_port: int | None = None
     drain_bound_s: float = 600.0
     journal: bool = True
+    memory_mb: float | None = None
+    max_files: int | None = None
+    max_body_bytes: int = DEFAULT_BODY_LIMIT_BYTES
     logs: LogSettings = LogSettings()
     tracing: TracingSettings = TracingSettings()
 
--- a/src/sapphirerock/process/telemetry/metrics.py
+++ b/src/sapphirerock/process/telemetry/metrics.py
@@ -37,6 +37,7 @@
         "peer_links",
         "settings_horizon",
         "generations",
+        "caller_closes",
         "quarantined",
     )
 
@@ -88,4 +89,7 @@
         self.peer_links = gauge("peer_links", "Open peer streams")
         self.settings_horizon = gauge("settings_horizon", "Settings version in force")
         self.generations = gauge("generations", "Generations under way")
+        self.caller_closes = counter(
+            "caller_closes", "Connections of callers closed to make room", "cause"
+        )
         self.quarantined = gauge("quarantined", "Requests convicted of crashes")
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -14,7 +14,6 @@
 )
 from sapphirerock.connection.responder import Responder
 from sapphirerock.decisions.quarantine import EVIDENCE_TTL_S
-from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.decisions.streamversions import StreamOrigin, choose_origin
 from sapphirerock.platform.ingress import decode_call_metadata, select_request_headers
 from sapphirerock.process.engines.crashwatch import fingerprint_call
@@ -22,16 +21,15 @@
 from sapphirerock.request.call import RoutedCall
 from sapphirerock.request.plaincall import PlainCall
 from sapphirerock.request.problem import (
-    BODY_TIMED_OUT,
+    CLOSING_PROBLEMS,
     CRASHES_ENGINES,
     GENERATION_LOST,
     HEADER_TOO_LARGE,
-    HOST_FULL,
     NO_CONFIGURATION,
     NOT_FOUND,
-    TOO_LARGE,
     UNAUTHORISED,
     Problem,
+    make_body_problem,
     make_shutdown_problem,
 )
 from sapphirerock.request.streamcall import StreamCall
@@ -45,13 +43,6 @@
 TAKE_UP_RETRY_AFTER_S = 0.5
 # A host that has just started loads the records of streams within this time.
 ORIGINS_WAIT_S = 0.5
-# What was received of the request is not kept, and the rest of it not read.
-CLOSING_PROBLEMS = frozenset((BODY_TIMED_OUT, HOST_FULL))
-BODY_PROBLEMS = {
-    BodyFailure.TOO_LARGE: TOO_LARGE,
-    BodyFailure.TIMED_OUT: BODY_TIMED_OUT,
-    BodyFailure.NO_ROOM: HOST_FULL,
-}
 
 
 class EarlyEnd(Enum):
@@ -197,13 +188,13 @@
             request, version.limits.body_bytes, response_deadline_s
         )
         if body.is_error():
-            problem = self._make_body_problem(body.error)
+            problem = make_body_problem(body.error, self._runtime.generator)
             return self._refuse(metadata, version, problem)
         # The shutdown may have begun, or be near its end, once the body has arrived.
         if not shutdown.can_take(route, response_deadline_s):
             return self._refuse(metadata, version, make_shutdown_problem())
         if route.is_streaming and not request.protocol.begin_stream():
-            problem = self._make_body_problem(BodyFailure.NO_ROOM)
+            problem = make_body_problem(BodyFailure.NO_ROOM, self._runtime.generator)
             return self._refuse(metadata, version, problem)
         priority = caller.priority if caller else None
         origin = None
@@ -273,13 +264,6 @@
             for version in self._runtime.fleet.engines.list_versions(share.service)
         }
 
-    def _make_body_problem(self, failure):
-        """Return the problem of a request that was not received, or has no room."""
-        retry_after_s = None
-        if failure is BodyFailure.NO_ROOM:
-            retry_after_s = choose_retry_after(None, self._runtime.generator)
-        return Problem(BODY_PROBLEMS[failure], failure.value, retry_after_s)
-
     def _refuse(self, metadata, version, problem):
         """Log a refusal and return the problem as an error result."""
         logger.bind(
--- a/src/sapphirerock/request/problem.py
+++ b/src/sapphirerock/request/problem.py
@@ -4,6 +4,9 @@
 
 import orjson
 
+from sapphirerock.connection.ingress import BodyFailure
+from sapphirerock.decisions.retryafter import choose_retry_after
+
 CONTENT_TYPE = "application/problem+json"
 TYPE_PREFIX = "urn:sapphirerock:problem:"
 # Outcomes: whether the upstream executed the call.
@@ -131,6 +134,31 @@
 )
 
 
+# What was received of the request is not kept, and the rest of it not read.
+CLOSING_PROBLEMS = frozenset((BODY_TIMED_OUT, HOST_FULL))
+BODY_PROBLEMS = {
+    BodyFailure.TOO_LARGE: TOO_LARGE,
+    BodyFailure.TIMED_OUT: BODY_TIMED_OUT,
+    BodyFailure.NO_ROOM: HOST_FULL,
+}
+
+
+def make_body_problem(failure, generator):
+    """Return the problem of a request that was not received, or has no room.
+
+    Parameters
+    ----------
+    failure : BodyFailure
+        Why its body was not read.
+    generator : random.Random
+        Spreads the times at which refused callers retry.
+    """
+    retry_after_s = None
+    if failure is BodyFailure.NO_ROOM:
+        retry_after_s = choose_retry_after(None, generator)
+    return Problem(BODY_PROBLEMS[failure], failure.value, retry_after_s)
+
+
 def make_shutdown_problem():
     """Return the refusal of a call that this host's shutdown could cut off."""
     detail = "another host takes the call"
