--- a/features/callerload.feature
+++ b/features/callerload.feature
@@ -63,3 +63,13 @@
     Given 36 requests a second of 55 kB, each received for 0.2 s and run for 5 s
     When they may hold 32 MB
     Then these are closed for memory: none
+
+  # Guards against taking "no limit", which the system states as -1, for no descriptors.
+  Scenario Outline: The descriptors of a process with a limit of <limit>
+    Given a process whose limit on descriptors is <limit>
+    Then a router with its own settings takes its limit as <files>
+
+    Examples:
+      | limit | files   |
+      | 4096  | 4096    |
+      | none  | 1048576 |
--- a/features/steps/callerload_steps.py
+++ b/features/steps/callerload_steps.py
@@ -1,7 +1,9 @@
 """Steps on the decision which callers' connections a host closes."""
 
 import re
+import resource
 from collections import Counter
+from unittest.mock import patch
 
 from behave import given, then, when
 
@@ -16,6 +18,7 @@
     choose_connection_to_replace,
     choose_connections_to_close,
 )
+from sapphirerock.process.router import measure_max_files
 
 BYTES_PER_KB, BYTES_PER_MB = 1 << 10, 1 << 20
 NOW_S = 100.0
@@ -106,3 +109,14 @@
     capacity = choose_caller_capacity(memory, files, context.request_bytes)
     assert capacity.memory_bytes // BYTES_PER_MB == held, capacity
     assert capacity.connections == connections, capacity
+
+
+@given("a process whose limit on descriptors is {limit}")
+def set_files_limit(context, limit):
+    context.limit = resource.RLIM_INFINITY if limit == "none" else int(limit)
+
+
+@then("a router with its own settings takes its limit as {files:d}")
+def check_files_limit(context, files):
+    with patch.object(resource, "getrlimit", lambda which: (context.limit,) * 2):
+        assert measure_max_files() == files
--- a/src/sapphirerock/process/router.py
+++ b/src/sapphirerock/process/router.py
@@ -66,6 +66,8 @@
 from sapphirerock.version.routing import CallerLimits
 
 BYTES_PER_MB = 1 << 20
+# Stands for no limit on the descriptors of a process.
+UNLIMITED_FILES = 1 << 20
 DRAIN_POLL_S = 0.05
 # Time for callers' load balancers to see that this host is not ready any more.
 DRAIN_GRACE_S = 0.2
@@ -269,7 +271,7 @@
         limits = CallerLimits(body_bytes=settings.max_body_bytes)
         load = CallerLoad(
             settings.memory_mb or measure_memory_mb(),
-            settings.max_files or resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+            settings.max_files or measure_max_files(),
             lambda: limits,
             self.clock,
             self.metrics.caller_closes,
@@ -335,6 +337,12 @@
         await asyncio.sleep(0)
 
 
+def measure_max_files():
+    """Return the number of descriptors that the process may open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return UNLIMITED_FILES if limit == resource.RLIM_INFINITY else limit
+
+
 def measure_memory_mb():
     """Return the memory of the machine, in MB."""
     return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
