--- a/src/sapphirerock/connection/callerload.py
+++ b/src/sapphirerock/connection/callerload.py
@@ -76,7 +76,7 @@
         """Add a connection; return its use, or None if all others are busy."""
         now_s = self._clock.monotonic()
         lasting = len(self._connections) - self._ending
-        if lasting >= self.capacity.connections and not self._make_place(now_s):
+        if lasting >= self.capacity.connections and not self._close_one_for_new(now_s):
             self._record(None, "new connection")
             return None
         use = ConnectionUse(ConnectionPhase.IDLE, 0, now_s, now_s)
@@ -84,7 +84,7 @@
         self.change(use, CONNECTION_BYTES)
         return use
 
-    def _make_place(self, now_s):
+    def _close_one_for_new(self, now_s):
         """Close a connection, now or after its response; return whether one closes."""
         replaced = choose_connection_to_replace(self._connections, now_s)
         if replaced is not None:
--- a/src/sapphirerock/decisions/callerload.py
+++ b/src/sapphirerock/decisions/callerload.py
@@ -30,8 +30,8 @@
 # Share of callers' connections that may have a streamed response, so that plain calls
 # find one: they end soon, streams last.
 STREAM_SHARE = 3 / 4
-# Connections beyond these, as a share of them, which are open while as many others end
-# after the response that they wait for.
+# Share of the connections that may be open beyond their number, while as many others
+# close after their last response.
 ENDING_SHARE = 1 / 16
 # Descriptors of a host that states none.
 DEFAULT_FILES = 1024
--- a/src/sapphirerock/decisions/rollout.py
+++ b/src/sapphirerock/decisions/rollout.py
@@ -24,9 +24,10 @@
 DEVIATIONS = 3.0
 # A response that takes this many times as long as usual on its route counts as bad.
 SLOW_FACTOR = 2.5
-# Weight of a new response time in the usual one, and responses that it needs.
-TIME_WEIGHT = 0.1
-MIN_TIMES = 5
+# Weight of a new response time in the usual one, and the number of response times
+# without which none is usual.
+RESPONSE_TIME_WEIGHT = 0.1
+MIN_RESPONSE_TIMES = 5
 # New engines are slow for a moment after their start.
 WARM_UP_S = 3.0
 
@@ -119,12 +120,14 @@
         """Record a response time, in seconds."""
         log_s = math.log(max(time_s, 1e-6))
         self._count += 1
-        weight = max(TIME_WEIGHT, 1 / self._count)
+        weight = max(RESPONSE_TIME_WEIGHT, 1 / self._count)
         self._log_s += weight * (log_s - self._log_s)
 
     def is_slow(self, time_s):
         """Return whether a response took several times as long as usual."""
-        return self._count >= MIN_TIMES and time_s > SLOW_FACTOR * math.exp(self._log_s)
+        return self._count >= MIN_RESPONSE_TIMES and time_s > SLOW_FACTOR * math.exp(
+            self._log_s
+        )
 
 
 # Time after the end of a rollout in which engines of the version that lost may still be
@@ -137,7 +140,7 @@
     return ended_s_ago > SETTLE_TIMES_S[state]
 
 
-def choose_exposed_share(order, elapsed_s, allowed_share, is_condemned):
+def choose_exposed_share(order, elapsed_s, allowed_share, is_rejected):
     """Return the share of a service's calls that go to the new version.
 
     Parameters
@@ -148,13 +151,13 @@
         Time since the order, in seconds.
     allowed_share : float
         Share of calls that a bad version may get.
-    is_condemned : bool
+    is_rejected : bool
         Whether this host has enough evidence against the new version.
     """
     if order.state is RolloutState.COMPLETED:
         return 1.0
     has_passed = elapsed_s > order.duration_s
-    if order.state is RolloutState.ROLLED_BACK or is_condemned or has_passed:
+    if order.state is RolloutState.ROLLED_BACK or is_rejected or has_passed:
         return 0.0
     return EXPOSURE_PART * allowed_share
 
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -187,7 +187,7 @@
         """Return the engines that a call may go to, by the rollout of its service."""
         if self._rollouts is None:
             return views
-        return self._rollouts.select_engines(call.service, views, call.draw)
+        return self._rollouts.select_engines(call.service, views, call.rollout_draw)
 
     def choose_plain_call_engine(self, call, excluded):
         """Return the engine for a call with an unstreamed response, or None."""
--- a/src/sapphirerock/process/rollouts.py
+++ b/src/sapphirerock/process/rollouts.py
@@ -48,7 +48,7 @@
 
     Attributes
     ----------
-    condemnation : Verdict or None
+    rejection : Verdict or None
         Verdict against the new version, which stands; None while there is none.
     has_news : bool
         Whether the evidence of this host has changed since it was sent.
@@ -62,7 +62,7 @@
         "order",
         "revision",
         "started_s",
-        "condemnation",
+        "rejection",
         "has_news",
         "sent_s",
         "first_new_s",
@@ -76,7 +76,7 @@
         self.order = order
         self.revision = revision
         self.started_s = self.sent_s = started_s
-        self.condemnation = None
+        self.rejection = None
         self.has_news = False
         # Time of the first call to the new version, and of the end.
         self.first_new_s = None
@@ -161,7 +161,7 @@
             target=order.target,
             duration_s=order.duration_s,
             state=order.state.value if order.state else None,
-        ).info("rollout known")
+        ).info("rollout order or state changed")
 
     def select_engines(self, service, views, draw):
         """Return the engines of a service that a call may go to.
@@ -184,7 +184,7 @@
             order,
             self._measure_age_s(rollout),
             self._exposed_share,
-            rollout.condemnation is not None,
+            rollout.rejection is not None,
         )
         return select_engines(views, order.target, share, draw)
 
@@ -292,12 +292,12 @@
         """Judge a rollout; write its state if that is the duty of this host."""
         evidence = rollout.sum_evidence()
         age_s = self._measure_age_s(rollout)
-        verdict = rollout.condemnation
+        verdict = rollout.rejection
         if verdict is None:
             verdict = judge_rollout(rollout.order, evidence, age_s)
             if verdict.state is RolloutState.ROLLED_BACK:
-                rollout.condemnation = verdict
-                self._log_verdict(rollout, verdict, evidence, "new version condemned")
+                rollout.rejection = verdict
+                self._log_verdict(rollout, verdict, evidence, "new version rejected")
         if verdict.state is rollout.order.state or not self._has_duty(rollout.order):
             return
         if await self._write_state(rollout, verdict.state):
--- a/src/sapphirerock/process/startdata.py
+++ b/src/sapphirerock/process/startdata.py
@@ -56,7 +56,7 @@
             async with asyncio.timeout(choose_start_wait(uptime_s, remaining_s)):
                 await self._completed.wait()
         except TimeoutError:
-            # The request is answered by what is known.
+            # Without a configuration or an engine the request is refused at once.
             pass
         finally:
             self._waiting -= 1
--- a/src/sapphirerock/request/call.py
+++ b/src/sapphirerock/request/call.py
@@ -100,8 +100,9 @@
         None for a new call.
     ranks : tuple of int
         Priorities that streams of the service can have, in order.
-    draw : float
-        Random number from 0 to 1, by which the call may go to a new version.
+    rollout_draw : float
+        Random number from 0 to 1. During a rollout, calls with a number below the
+        share of the new version go to it.
     """
 
     method: str
@@ -118,4 +119,4 @@
     revision: int
     origin: object = None
     ranks: tuple = ()
-    draw: float = 1.0
+    rollout_draw: float = 1.0
--- a/src/sapphirerock/request/callhandler.py
+++ b/src/sapphirerock/request/callhandler.py
@@ -223,7 +223,7 @@
                 revision=version.revision,
                 origin=origin,
                 ranks=version.list_ranks(service),
-                draw=self._runtime.generator.random(),
+                rollout_draw=self._runtime.generator.random(),
             )
         )
 
