--- a/review/testbed/cluster.py
+++ b/review/testbed/cluster.py
@@ -169,11 +169,8 @@
         self.lines.append({"t": time.time(), "kind": kind, **fields})
 
     def _spawn(self, name, arguments, **variables):
-        environment = {
-            name: os.environ[name]
-            for name in ("PATH", "HOME", "LANG")
-            if name in os.environ
-        }
+        inherited = [key for key in ("PATH", "HOME", "LANG") if key in os.environ]
+        environment = {key: os.environ[key] for key in inherited}
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment |= variables
         self._starts[name] = (arguments, variables)
