Take-ups: a stream goes on only from a copy of the run that its caller names

Cause: the KV copy of a stream that its caller takes up was found by the digest of the request, for which one key was kept, that of the latest run. Digests don't tell two callers of one request apart, and nothing else does unless the caller names its attempt. A host that knows one run can't know that there is no other: records are lost, late, expired, or those of hosts that are cut off.

Change: a copy is used only if the record of the attempt that the caller names has it, and the digest agrees. A run that takes a stream up replaces the record of the named attempt, as a change that counts more than those of the run before, so that a second and a third take-up find the copy of the latest run, by the first attempt and by the one before. A caller that names no attempt has its prompt read again, at the engine that ran the same request, which probably has it in its cache. Each choice is logged with its reason.

Why it works: the only path from a take-up to a copy passes a record whose key is the attempt that the caller itself has named.

--- a/src/sapphirerock/decisions/streamversions.py
+++ b/src/sapphirerock/decisions/streamversions.py
@@ -23,7 +23,8 @@
     attempt_id : str
         Attempt id of the run, which is the name of the copy.
     content : bytes
-        Digest of the request, which alone may go on from the run's memory.
+        Digest of the run's request. Several callers may have sent this request, so that
+        it does not show whose run was copied.
     """
 
     engine: str
@@ -101,6 +102,55 @@
     return OriginChoice(None, "unknown stream, and several versions serve")
 
 
+@dataclass(slots=True, frozen=True)
+class CopyChoice:
+    """KV copy from which a stream that its caller takes up goes on.
+
+    Parameters
+    ----------
+    backup : KvBackup or None
+        None if the prompt is read again.
+    reason : str
+        Why the copy is used, or why there is none.
+    """
+
+    backup: KvBackup | None
+    reason: str
+
+
+def choose_copy(origin, content):
+    """Choose the KV copy from which a stream that its caller takes up goes on.
+
+    Made for hosts that are killed while several callers read runs of the same request.
+    Only the attempt that a caller names shows which run it has read. That a host knows
+    one run of a request does not show that there is no other: the record of another run
+    may be lost, expired or under way.
+
+    Parameters
+    ----------
+    origin : StreamOrigin
+        Origin of the stream, with the copy of its latest run if the caller has named
+        an attempt that is recorded.
+    content : bytes
+        Digest of the caller's request.
+
+    Returns
+    -------
+    CopyChoice
+    """
+    backup = origin.kv_backup
+    if backup is None:
+        return CopyChoice(None, "no copy of a run that the caller names is known")
+    if not is_copied_request(origin, content):
+        return CopyChoice(None, "the copy is of another request")
+    return CopyChoice(backup, "copy of the stream's latest run")
+
+
+def is_copied_request(origin, content):
+    """Return whether a stream's KV copy, if there is one, is of the same request."""
+    return origin.kv_backup is None or origin.kv_backup.content == content
+
+
 def prefer_lasting_versions(views, draining_counts, prompt):
     """Return the engines that a new stream should begin on, by their versions.
 
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -29,6 +29,11 @@
 MAX_ENGINE_NUMBER = (1 << 8 * ENGINE_NUMBER_BYTES) - 1
 CHANGES_BYTES = 1
 MAX_CHANGES = (1 << 8 * CHANGES_BYTES) - 1
+# A take-up counts as this many changes, more than the record of one run has.
+TAKE_UP_CHANGES = 16
+# Number of changes if a host that takes a stream up does not know its record, which
+# other hosts may know.
+UNKNOWN_CHANGES = 128
 CONTENT_BYTES = 8
 COPY_BYTES = ENGINE_NUMBER_BYTES + CHANGES_BYTES + CONTENT_BYTES
 NO_BACKUP = KvBackup("", "", bytes(CONTENT_BYTES))
@@ -85,7 +90,8 @@
         self._clock = clock
         self.stored_count = 0
         self._records = OrderedDict()
-        # Key of the latest record of each request with a KV copy.
+        # Key of the latest record of each request with a KV copy. Its engine has the
+        # prompt in its cache; the run may be another caller's.
         self._keys_by_content = {}
         # Records dropped before they expired, since the last log line.
         self._dropped = 0
@@ -111,23 +117,27 @@
             return None
         return record.origin
 
-    def find_backup(self, content):
-        """Return the KV copy of the latest known run of a request, or None.
+    def find_prompt_engine(self, content, service, version):
+        """Return an engine that has probably cached a request's prompt; may be empty.
 
         Parameters
         ----------
         content : bytes
             Digest of the request.
+        service, version : str
+            Service and software version that the engine must have.
         """
         record = self._records.get(self._keys_by_content.get(content))
         if record is None or record.expires_s < self._clock.monotonic():
-            return None
-        return record.origin.kv_backup
+            return ""
+        is_usable = record.origin == StreamOrigin(service, version)
+        return record.origin.engine if is_usable else ""
 
-    def record(self, attempt_id, origin, ttl_s):
+    def record(self, attempt_id, origin, ttl_s, resumed_attempt_id=None):
         """Record the origin of a stream that this host runs, and tell others.
 
-        A later record of the same stream replaces an earlier one.
+        A later record of the same stream replaces an earlier one. Callers name a stream
+        that they have taken up by its first attempt or by a later one.
 
         Parameters
         ----------
@@ -137,19 +147,60 @@
             Service, software version and id of its engine, and its KV copy.
         ttl_s : float
             Time until the caller's deadline, in seconds.
+        resumed_attempt_id : str or None
+            Attempt that began the stream, if its caller has taken it up; its record is
+            replaced as well.
         """
-        key = make_key(attempt_id)
-        known = self._records.get(key)
-        changes = 0 if known is None else min(MAX_CHANGES, known.changes + 1)
         expires_s = self._clock.monotonic() + ttl_s
-        self._store(key, OriginRecord(origin, expires_s, changes))
-        message = self.export([key])
+        numbers = {make_key(attempt_id): self._count_change(make_key(attempt_id))}
+        if resumed_attempt_id and resumed_attempt_id != attempt_id:
+            key = make_key(resumed_attempt_id)
+            numbers[key] = self._count_take_up(key, attempt_id)
+        keys = [key for key, changes in numbers.items() if changes is not None]
+        for key in keys:
+            self._store(key, OriginRecord(origin, expires_s, numbers[key]))
+        message = self.export(keys)
         own_host = self._own_address.host
         hubs = [host for host in self._peers.zone_hubs if host != own_host]
         for host in hubs or list(self._peers.streams):
             self._send(self._peers.streams.get(host), message)
         if self._peers.is_hub(own_host):
-            self._add_pending(own_host, key)
+            for key in keys:
+                self._add_pending(own_host, key)
+
+    def _count_change(self, key):
+        """Return the number of changes of a run's record, with one more.
+
+        Returns
+        -------
+        int or None
+            None if the stream has been taken up: its record is that of a later run.
+        """
+        known = self._records.get(key)
+        if known is None:
+            return 0
+        if known.changes >= TAKE_UP_CHANGES:
+            return None
+        return min(TAKE_UP_CHANGES - 1, known.changes + 1)
+
+    def _count_take_up(self, key, attempt_id):
+        """Return the number of changes of a stream's record, with those of a take-up.
+
+        Parameters
+        ----------
+        key : bytes
+            Key of the stream's record.
+        attempt_id : str
+            Attempt that takes the stream up.
+        """
+        known = self._records.get(key)
+        if known is None:
+            return UNKNOWN_CHANGES
+        backup = known.origin.kv_backup
+        if backup is not None and backup.attempt_id == attempt_id:
+            return min(MAX_CHANGES, known.changes + 1)
+        take_ups = known.changes // TAKE_UP_CHANGES + 1
+        return min(MAX_CHANGES, take_ups * TAKE_UP_CHANGES)
 
     def _add_pending(self, host, key):
         self._pending[host].append(key)
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -30,7 +30,12 @@
 from sapphirerock.decisions.retryafter import choose_retry_after
 from sapphirerock.decisions.silence import choose_silence_wait
 from sapphirerock.decisions.streamprogress import ProgressCheck
-from sapphirerock.decisions.streamversions import KvBackup, StreamOrigin
+from sapphirerock.decisions.streamversions import (
+    KvBackup,
+    StreamOrigin,
+    choose_copy,
+    is_copied_request,
+)
 from sapphirerock.decisions.turns import RESUMPTION_MAX_WAIT_S, choose_max_wait
 from sapphirerock.process.engines.prober import ProbeOutcome
 from sapphirerock.process.engines.table import EngineLoadCell
@@ -144,6 +149,7 @@
         "_full_engines",
         "_origin",
         "_first_attempt",
+        "_has_recorded",
         "_started_s",
         "_log",
     )
@@ -169,12 +175,14 @@
         self._full_engines = set()
         self._origin = call.origin
         self._first_attempt = None
+        self._has_recorded = False
         self._started_s = runtime.clock.monotonic()
         self._log = logger.bind(request=call.metadata.attempt_id, route=call.route.name)
 
     async def run(self):
         """Relay the stream to the caller, over several attempts if engines are lost."""
         self._runtime.retry_budget.add_call(self._call.service)
+        self._find_prompt_engine()
         copy = self._find_recorded_copy()
         step = RecoveryStep.RESUME_FROM_COPY
         if copy is None:
@@ -290,14 +298,34 @@
         call, fleet = self._call, self._runtime.fleet
         if call.origin is None or not call.metadata.last_event_id:
             return None
-        backup = self._runtime.stream_origins.find_backup(digest_content(call))
-        if backup is None:
-            return None
-        holder = fleet.engines.get(backup.engine)
-        if not fleet.is_usable(holder):
+        choice = choose_copy(call.origin, digest_content(call))
+        backup = choice.backup
+        holder = fleet.engines.get(backup.engine) if backup else None
+        is_usable = fleet.is_usable(holder)
+        self._log.bind(
+            resumes=call.metadata.resumed_attempt_id,
+            run=backup.attempt_id if backup else None,
+            holder=backup.engine if backup else None,
+            is_usable=is_usable,
+            reason=choice.reason,
+        ).info("kv copy of stream looked up")
+        if not is_usable:
             return None
         return KvCopy(holder.entry, None, attempt_id=backup.attempt_id)
 
+    def _find_prompt_engine(self):
+        """Make the stream prefer an engine that has its prompt, if none is known.
+
+        Its caller takes it up and names no attempt that this host knows.
+        """
+        origin = self._origin
+        if origin is None or origin.engine:
+            return
+        engine = self._runtime.stream_origins.find_prompt_engine(
+            digest_content(self._call), origin.service, origin.version
+        )
+        self._origin = replace(origin, engine=engine)
+
     def _log_stream_end(self):
         progress, started_s = self._progress, self._started_s
         first_s = None
@@ -704,21 +732,29 @@
         if is_first:
             self._first_attempt = attempt
         attempt_id = self._call.metadata.attempt_id
-        backup = None
-        if holder:
-            backup = KvBackup(holder, attempt_id, digest_content(self._call))
+        content = digest_content(self._call)
+        backup = KvBackup(holder, attempt_id, content) if holder else None
         self._origin = StreamOrigin(self._call.service, version, state.name, backup)
         ttl_s = self._call.deadline_s - self._runtime.clock.monotonic()
-        self._runtime.stream_origins.record(attempt_id, self._origin, ttl_s)
+        resumed_attempt_id = None
+        if self._call.origin and is_copied_request(self._call.origin, content):
+            resumed_attempt_id = self._call.metadata.resumed_attempt_id
+        self._has_recorded = True
+        self._runtime.stream_origins.record(
+            attempt_id, self._origin, ttl_s, resumed_attempt_id
+        )
 
     def _is_recorded(self, version, engine, holder):
         """Return whether what other hosts know of the stream is up to date.
 
-        A stream that was taken up is known by its first attempt, but for its KV copy.
+        A stream that was taken up is known by the attempt that its caller names, but
+        for its KV copy.
         """
         origin = self._origin
         if origin is None or origin.version != version:
             return False
+        if self._call.metadata.resumed_attempt_id and not self._has_recorded:
+            return False
         known = origin.kv_backup.engine if origin.kv_backup else ""
         return known == holder and (origin.engine == engine or not holder)
 
