Responses: a status is one from 200 to 599

Cause: the parser reads any three digits as a status, and the code behind it compares classes only, so that numbers outside of them fell through to the engine's own answer. For the store they were a success, for probes the answer of a sound engine.

Change: the protocol class of all connections to upstreams, direct, relayed and to the store, fails the exchange unless the status can end one. It is handled like a broken response: the call may have run (an order gets 502), a lookup or a stream goes elsewhere, the attempt counts as failed for its engine, which is probed.

Why it works: no session of a host to an upstream is made without this class, and a call can't override it, as it could a middleware.

--- /dev/null
+++ b/features/earlyresponses.feature
@@ -0,0 +1,75 @@
+Feature: Only whole responses with a status of HTTP are taken for an upstream's answer
+
+  # Guards against numbers in place of a status that callers get as an answer.
+  Scenario Outline: A response has the status <status>: <connections>
+    Given servers that respond with the status <status>
+    When a host sends a request to one on <connections>
+    Then the host takes the response for <reading>
+
+    Examples:
+      | connections                     | status | reading |
+      | direct connections to an engine | 000    | broken  |
+      | direct connections to an engine | 099    | broken  |
+      | direct connections to an engine | 101    | broken  |
+      | direct connections to an engine | 600    | broken  |
+      | direct connections to an engine | 999    | broken  |
+      | direct connections to an engine | 200    | whole   |
+      | direct connections to an engine | 299    | whole   |
+      | direct connections to an engine | 404    | whole   |
+      | direct connections to an engine | 500    | whole   |
+      | direct connections to an engine | 599    | whole   |
+      | connections through a peer      | 000    | broken  |
+      | connections through a peer      | 101    | broken  |
+      | connections through a peer      | 600    | broken  |
+      | connections through a peer      | 299    | whole   |
+      | probes of an engine             | 000    | broken  |
+      | probes of an engine             | 101    | broken  |
+      | probes of an engine             | 600    | broken  |
+      | probes of an engine             | 200    | whole   |
+      | reads of the store              | 000    | broken  |
+      | reads of the store              | 600    | broken  |
+      | writes to the store             | 000    | broken  |
+      | writes to the store             | 600    | broken  |
+      | orders to a plain service       | 000    | broken  |
+      | orders to a plain service       | 101    | broken  |
+      | orders to a plain service       | 600    | broken  |
+      | orders to a plain service       | 404    | whole   |
+
+  Scenario Outline: Callers get no answer without a status of HTTP: <status>, <path>
+    Given a host that reaches 3 plain engines <path>
+    When engines respond with <status> once to a lookup, and then to an order
+    Then the lookup is answered with 200 and the order with 502, and the order ran once
+
+    Examples:
+      | status     | path           |
+      | status 000 | directly       |
+      | status 099 | directly       |
+      | status 101 | directly       |
+      | status 600 | directly       |
+      | status 000 | through a peer |
+      | status 999 | through a peer |
+
+  Scenario Outline: A stream goes on where an engine responds without a status of HTTP: <status>, <path>
+    Given a host that reaches 3 model engines <path>, and no copies of runs
+    When a stream of 60 events breaks off after 10, and the next engine answers with <status>
+    Then the caller got all events once and in order, and nothing else
+
+    Examples:
+      | status                 | path           |
+      | status 000             | directly       |
+      | status 000 with events | directly       |
+      | status 101 with events | directly       |
+      | status 600 with events | directly       |
+      | status 000 with events | through a peer |
+
+  Scenario Outline: A stream whose first engines respond without a status of HTTP begins elsewhere: <status>
+    Given a host that reaches 3 model engines directly, and no copies of runs
+    When a stream of 20 events is sent, and 2 engines answer with <status>
+    Then the caller got all events once and in order, and nothing else
+
+    Examples:
+      | status                 |
+      | status 000             |
+      | status 000 with events |
+      | status 101             |
+      | status 600             |
--- a/src/sapphirerock/connection/sessions.py
+++ b/src/sapphirerock/connection/sessions.py
@@ -6,22 +6,50 @@
 from aiohttp.client_proto import ResponseHandler
 
 CONNECT_TIMEOUT_S = 0.5
+# Statuses that can end an exchange (RFC 9110, section 15).
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
+# Responses with other statuses below 200 precede the final one. This host asks for no
+# other protocol.
+SWITCHING_PROTOCOLS = 101
+INTERIM_STATUSES = frozenset(range(100, 200)) - {SWITCHING_PROTOCOLS}
 
 
-class ResetAwareProtocol(ResponseHandler):
-    """aiohttp's client protocol with an error for a response that a reset cuts off.
+class StrictResponseProtocol(ResponseHandler):
+    """aiohttp's client protocol with errors for responses that it takes for whole ones.
 
     The end of the connection ends a response without a length. aiohttp also accepts a
-    reset as this end, though the response may be incomplete.
+    reset as this end, though the response may be incomplete. It also accepts statuses
+    that HTTP does not have.
     """
 
+    def feed_data(self, data, size=0):
+        """Pass on the head of a response; fail if it has no status of a response."""
+        status = data[0].code
+        if is_final_status(status) or status in INTERIM_STATUSES:
+            super().feed_data(data, size)
+            return
+        reason = f"status {status:03d} is no status of a response"
+        self._fail_body(reason)
+        self.set_exception(ClientPayloadError(reason))
+
     def connection_lost(self, exc):
         """Fail the response in progress if the connection was reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f"reset: {exc!r}"))
+        if exc is not None:
+            self._fail_body(f"reset: {exc!r}")
         super().connection_lost(exc)
 
+    def _fail_body(self, reason):
+        """Fail the body of the response in progress, unless it is whole."""
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(reason))
+
+
+def is_final_status(status):
+    """Return whether a status can be that of a response that ends an exchange."""
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+
 
 def use_protocol(connector, protocol_type):
     """Make the new connections of an aiohttp connector use a protocol class."""
@@ -40,7 +68,7 @@
         Whether to open a new connection for each request.
     """
     connector = TCPConnector(limit=0, local_addr=(address, 0), force_close=force_close)
-    use_protocol(connector, ResetAwareProtocol)
+    use_protocol(connector, StrictResponseProtocol)
     return ClientSession(
         connector=connector, timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
     )
--- a/src/sapphirerock/connection/upstream.py
+++ b/src/sapphirerock/connection/upstream.py
@@ -29,7 +29,7 @@
     UpstreamUnreachable,
 )
 from sapphirerock.connection.sendonce import send_once
-from sapphirerock.connection.sessions import ResetAwareProtocol, use_protocol
+from sapphirerock.connection.sessions import StrictResponseProtocol, use_protocol
 from sapphirerock.decisions.responsememory import (
     FREE_RESPONSE_BYTES,
     choose_reservation,
@@ -54,7 +54,7 @@
 OVERHEAD_LIMIT_BYTES = 64 << 10
 
 
-class UpstreamProtocol(ResetAwareProtocol):
+class UpstreamProtocol(StrictResponseProtocol):
     """Client protocol that is safe for upstreams that fail.
 
     Closing does not wait for unsent bytes, which the upstream may never read.
--- a/src/sapphirerock/standin/brokenresponses.py
+++ b/src/sapphirerock/standin/brokenresponses.py
@@ -127,6 +127,20 @@
 }
 
 
+# Numbers that are no status of a response, and one of a protocol that no host asks for.
+ODD_STATUSES = ("000", "099", "101", "600", "999")
+for _status in ODD_STATUSES:
+    _status_line = f"{_status} Status"
+    BROKEN_RESPONSES[f"status {_status}"] = BrokenResponse(
+        _status_line,
+        (PLAIN_TEXT, f"Content-Length: {len(ERROR_TEXT)}"),
+        text=ERROR_TEXT,
+    )
+    BROKEN_RESPONSES[f"status {_status} with events"] = BrokenResponse(
+        _status_line, (EVENTS, CHUNKED), 30
+    )
+
+
 async def send_broken_response(broken, standin, request, request_head, run):
     """Send a broken response and end the connection."""
     transport = request.transport
