Responses: one that ends before the upload has been received is not whole

Cause: the end of the connection ended the response, whether or not the request had been sent.

Change: when a connection ends in order, the bytes of the request that are unsent or not acknowledged are measured; if there are any, a response in progress has broken off. A relaying host leaves its end mark out in that case.

Why it works: an end in order acknowledges all that the other side has received, and a process that ends with unread bytes resets the connection instead.

--- a/features/earlyresponses.feature
+++ b/features/earlyresponses.feature
@@ -1,5 +1,60 @@
 Feature: Only whole responses with a status of HTTP are taken for an upstream's answer
 
+  # Guards against part of a response that is taken for the whole one since its connection
+  # ended in order, although the other side had not received the request. A process that
+  # ends with unread bytes in its socket resets the connection.
+  Scenario Outline: An engine responds to an upload that is still being written: <connections>, <size> bytes, <response>
+    Given an engine that responds to an upload of <size> bytes before it reads it with <response>
+    When a host sends it the upload on <connections>
+    Then the host takes the response for <reading>
+
+    Examples:
+      | connections                     | size    | response                                                 | reading   |
+      | direct connections to an engine | 3000000 | part of a body without a length, and ends its side       | broken    |
+      | direct connections to an engine | 3000000 | part of a body without a length, and closes              | broken    |
+      | direct connections to an engine | 3000000 | part of a body without a length, and a reset             | broken    |
+      | direct connections to an engine | 3000000 | part of a body with a length, and ends its side          | broken    |
+      | direct connections to an engine | 3000000 | part of a body in chunks, and ends its side              | broken    |
+      | direct connections to an engine | 3000000 | a whole body with a length, and ends its side            | whole     |
+      | direct connections to an engine | 3000000 | a whole body with a length, and closes                   | whole     |
+      | direct connections to an engine | 3000000 | a whole body in chunks, and ends its side                | whole     |
+      | direct connections to an engine | 3000000 | a refusal without a length, and ends its side            | a refusal |
+      | direct connections to an engine | 3000000 | a whole body without a length, after it has read it      | whole     |
+      | direct connections to an engine | 40      | a whole body without a length, after it has read it      | whole     |
+      | connections through a peer      | 3000000 | part of a body without a length, and ends its side       | broken    |
+      | connections through a peer      | 3000000 | part of a body without a length, and closes              | broken    |
+      | connections through a peer      | 3000000 | part of a body without a length, and a reset             | broken    |
+      | connections through a peer      | 3000000 | part of a body with a length, and ends its side          | broken    |
+      | connections through a peer      | 3000000 | a whole body with a length, and ends its side            | whole     |
+      | connections through a peer      | 3000000 | a refusal without a length, and ends its side            | a refusal |
+      | connections through a peer      | 3000000 | a whole body without a length, after it has read it      | whole     |
+      | connections through a peer      | 40      | a whole body without a length, after it has read it      | whole     |
+      | orders to a plain service       | 3000000 | part of a body without a length, and ends its side       | broken    |
+      | orders to a plain service       | 3000000 | a whole body with a length, and ends its side            | whole     |
+      | orders to a plain service       | 3000000 | a whole body without a length, after it has read it      | whole     |
+      | writes to the store             | 3000000 | part of a body without a length, and ends its side       | broken    |
+      | writes to the store             | 3000000 | a whole body without a length, after it has read it      | whole     |
+
+  Scenario Outline: Callers see that a response to their upload is not whole: <target>, <size> bytes, <response>
+    Given a host with 2 engines of each service that respond to uploads early with <response>
+    When a caller uploads <size> bytes to <target>
+    Then the caller of the upload gets <result>
+
+    Examples:
+      | target    | size    | response                                           | result             |
+      | /order/1  | 3000000 | part of a body without a length, and ends its side | 502                |
+      | /order/1  | 800000  | part of a body without a length, and closes        | 502                |
+      | /order/1  | 3000000 | part of a body without a length, and a reset       | 502                |
+      | /stock/1  | 3000000 | part of a body without a length, and ends its side | 502                |
+      | /stock/1  | 800000  | part of a body without a length, and closes        | 502                |
+      | /review/1 | 3000000 | part of a body without a length, and ends its side | no complete answer |
+      | /review/1 | 3000000 | some events without a length, and ends its side    | no complete answer |
+      | /review/1 | 800000  | some events without a length, and closes           | no complete answer |
+      | /review/1 | 3000000 | some events without a length, and a reset          | no complete answer |
+      | /order/1  | 3000000 | a whole body with a length, and ends its side      | 200                |
+      | /stock/1  | 3000000 | a whole body with a length, and ends its side      | 200                |
+      | /order/1  | 3000000 | a refusal without a length, and ends its side      | 503                |
+
   # Guards against numbers in place of a status that callers get as an answer.
   Scenario Outline: A response has the status <status>: <connections>
     Given servers that respond with the status <status>
--- a/src/sapphirerock/connection/sessions.py
+++ b/src/sapphirerock/connection/sessions.py
@@ -1,5 +1,8 @@
 """HTTP client sessions that are bound to this host's address."""
 
+import fcntl
+import struct
+import termios
 from functools import partial
 
 from aiohttp import ClientPayloadError, ClientSession, ClientTimeout, TCPConnector
@@ -13,14 +16,15 @@
 # other protocol.
 SWITCHING_PROTOCOLS = 101
 INTERIM_STATUSES = frozenset(range(100, 200)) - {SWITCHING_PROTOCOLS}
+OUTGOING_BYTES = struct.Struct("i")
 
 
 class StrictResponseProtocol(ResponseHandler):
     """aiohttp's client protocol with errors for responses that it takes for whole ones.
 
     The end of the connection ends a response without a length. aiohttp also accepts a
-    reset as this end, though the response may be incomplete. It also accepts statuses
-    that HTTP does not have.
+    reset as this end, and an end before the other side has received the request, though
+    the response may be incomplete. It also accepts statuses that HTTP does not have.
     """
 
     def feed_data(self, data, size=0):
@@ -33,6 +37,15 @@
         self._fail_body(reason)
         self.set_exception(ClientPayloadError(reason))
 
+    def eof_received(self):
+        """Fail the response in progress if the request has not been received."""
+        super().eof_received()
+        unsent_bytes = measure_unsent_bytes(self.transport)
+        if unsent_bytes:
+            self._fail_body(
+                f"the connection ended with {unsent_bytes} bytes of the request unsent"
+            )
+
     def connection_lost(self, exc):
         """Fail the response in progress if the connection was reset."""
         if exc is not None:
@@ -51,6 +64,24 @@
     return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
 
 
+def measure_unsent_bytes(transport):
+    """Return the bytes that were written and not received by the other side's system.
+
+    Its end of a connection acknowledges all that it has received, so that this is 0
+    once a process that has read the whole request closes the connection.
+    """
+    unsent_bytes = transport.get_write_buffer_size()
+    connection = transport.get_extra_info("socket")
+    try:
+        data = fcntl.ioctl(
+            connection.fileno(), termios.TIOCOUTQ, OUTGOING_BYTES.size * b"\0"
+        )
+    except OSError:
+        # The system does not tell; the transport's own buffer decides.
+        return unsent_bytes
+    return unsent_bytes + OUTGOING_BYTES.unpack(data)[0]
+
+
 def use_protocol(connector, protocol_type):
     """Make the new connections of an aiohttp connector use a protocol class."""
     # aiohttp has no public way to set it.
--- a/src/sapphirerock/process/peers/relayserver.py
+++ b/src/sapphirerock/process/peers/relayserver.py
@@ -15,12 +15,15 @@
     ENGINE_UNREACHABLE,
     RELAY_BLOCK_BYTES,
 )
+from sapphirerock.connection.sessions import measure_unsent_bytes
 from sapphirerock.connection.upstream import CONNECT_TIMEOUT_S, limit_read_size
 
 # Leaves most of a host's descriptors and memory to its own callers: a connection uses
 # two descriptors, and up to 200 KiB if neither end reads.
 MAX_RELAYED_CONNECTIONS = 256
 DRAIN_POLL_S = 0.05
+# Passes of the event loop in which bytes that wait in a socket are read and passed on.
+PASSES_TO_ENGINE = 3
 END_OF_CONNECTION = msgpack.packb(None)
 
 
@@ -143,7 +146,9 @@
             limit_read_size(end.transport, RELAY_BLOCK_BYTES)
         writer.write(encode_frame(0, RelayOpened()))
         requests = asyncio.ensure_future(copy_request(reader, engine_writer))
-        responses = asyncio.ensure_future(copy_response(engine_reader, writer))
+        responses = asyncio.ensure_future(
+            copy_response(engine_reader, engine_writer, writer)
+        )
         try:
             await asyncio.wait(
                 (requests, responses), return_when=asyncio.FIRST_COMPLETED
@@ -153,7 +158,6 @@
             responses.cancel()
             engine_writer.transport.abort()
         if not responses.done() or not responses.result():
-            # The peer takes a connection without the end mark for broken off.
             writer.transport.abort()
         else:
             writer.close()
@@ -183,21 +187,40 @@
         logger.bind(cause=repr(error)).debug("relayed connection of peer broken off")
 
 
-async def copy_response(engine_reader, writer):
+async def copy_response(engine_reader, engine_writer, writer):
     """Copy bytes of an engine to a peer until the engine closes the connection.
 
+    The peer takes a connection without the end mark for broken off. An engine that
+    closes before it has received the request has broken off.
+
     Returns
     -------
     bool
-        Whether the engine closed the connection, and the peer has been told.
+        Whether the engine closed the connection, and the peer has got all its bytes.
     """
     try:
         while data := await engine_reader.read(RELAY_BLOCK_BYTES):
             writer.write(msgpack.packb(data))
             await writer.drain()
-        writer.write(END_OF_CONNECTION)
+        unsent_bytes = await measure_unsent_request(engine_writer)
+        if unsent_bytes:
+            logger.bind(unsent_bytes=unsent_bytes).info(
+                "engine closed relayed connection before it had the request"
+            )
+        else:
+            writer.write(END_OF_CONNECTION)
         await writer.drain()
     except OSError as error:
         logger.bind(cause=repr(error)).debug("relayed connection to engine broken off")
         return False
     return True
+
+
+async def measure_unsent_request(engine_writer):
+    """Return the bytes of a relayed request that the engine has not received.
+
+    Bytes of the peer that have arrived here are passed on first.
+    """
+    for _ in range(PASSES_TO_ENGINE):
+        await asyncio.sleep(0)
+    return measure_unsent_bytes(engine_writer.transport)
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -309,10 +309,15 @@
     async def read_all(self):
         """Read the rest of the response into memory.
 
+        The head alone states that the engine did not execute the call; the body of such
+        a response is not read, so that it may be cut off.
+
         Returns
         -------
         expression.Result of BufferedResponse or ConnectionFailure
         """
+        if self.head.was_not_executed:
+            return Ok(BufferedResponse(self.head, self.select_headers(), b""))
         read = await self._wait_until_deadline(
             read_body(self.state.name, self._response, hold=self.hold)
         )
