Streams: runs of one call keep their KV copies at different engines

Engines name a backup by the attempt id, and all runs of a call share it. A run that began anew after another one was lost or silent could choose the same engine for its copy, which may still keep the other's (for `handle_s`), or get more of it from an engine that wakes up. A stream would then go on from the memory of the run that its caller has not read.

Change: an engine that got the copy of a run of the call gets none of a later run. With few engines a later run may have no copy; its prompt is then read again after a loss.

--- a/features/engineversions.feature
+++ b/features/engineversions.feature
@@ -159,6 +159,21 @@
     When backups are chosen for streams of v1 while only engines of v2 have free memory
     Then no engine is chosen
 
+  # Guards against a stream that goes on from the copy of another of its runs, which has
+  # the same name.
+  Scenario Outline: Runs of one call keep their KV copies at different engines: <runs>
+    Given <count> engines of one version, all of them idle
+    When a call runs on <runs> in turn
+    Then <copies> copies are kept, each at another engine than the run and the other copies
+
+    Examples:
+      | count | runs    | copies |
+      | 4     | a       | 1      |
+      | 4     | a, b    | 2      |
+      | 6     | a, b, c | 3      |
+      | 6     | a, b, a | 3      |
+      | 2     | a, a    | 1      |
+
   Scenario: Hosts tell each other where streams began
     Given two hosts of a zone and one of another zone that exchange origins
     When a stream begins on each host, and a host starts later
--- a/features/steps/engineversion_steps.py
+++ b/features/steps/engineversion_steps.py
@@ -539,21 +539,60 @@
     assert names == ["a", "b", "c", "d"], names
 
 
-@when("backups are chosen for streams of v1 while only engines of v2 have free memory")
-def choose_backup(context):
+def make_fleet(versions):
+    """Return a fleet of engines whose names and versions are given."""
     clock = ManualClock()
     engines = EngineTable(lambda name, spec: Ok(spec), clock, EdgeMetrics())
-    for name, version in (("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")):
+    for name, version in versions:
         entry = EngineEntry(name, "chat", f"{name}:1", "zone-a", 16, version=version)
         engines.apply_changes([ReplicaChange(name, 1, entry)])
-    engines.get("b").local_load.memory_tokens = ENGINE_MEMORY
     settings = SimpleNamespace(
         engine=SimpleNamespace(supports_backups=True, memory_tokens=ENGINE_MEMORY)
     )
     routing = SimpleNamespace(current=SimpleNamespace(services={"chat": settings}))
-    fleet = Fleet(engines, routing, None, "zone-a", clock)
+    return Fleet(engines, routing, None, "zone-a", clock)
+
+
+@when("backups are chosen for streams of v1 while only engines of v2 have free memory")
+def choose_backup(context):
+    fleet = make_fleet((("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")))
+    fleet.engines.get("b").local_load.memory_tokens = ENGINE_MEMORY
     call = SimpleNamespace(service="chat", metadata=SimpleNamespace(prompt=PROMPT))
-    context.backup = fleet.choose_backup_engine(call, engines.get("a"))
+    context.backup = fleet.choose_backup_engine(call, fleet.engines.get("a"))
+
+
+@given("{count:d} engines of one version, all of them idle")
+def start_idle_engines(context, count):
+    context.fleet = make_fleet([(name, "v1") for name in "abcdef"[:count]])
+
+
+@when("a call runs on {runs} in turn")
+def run_in_turn(context, runs):
+    metadata = SimpleNamespace(attempt_id="1", last_event_id=None, prompt=PROMPT)
+    call = SimpleNamespace(
+        service="chat",
+        metadata=metadata,
+        origin=None,
+        route=SimpleNamespace(name="review"),
+    )
+    runtime = SimpleNamespace(fleet=context.fleet, clock=ManualClock())
+    stream = StreamCall(runtime, call, None)
+    context.backups = [
+        (name, stream._choose_backup(context.fleet.engines.get(name)))
+        for name in runs.split(", ")
+    ]
+
+
+@then(
+    "{copies:d} copies are kept, each at another engine than the run and the other "
+    "copies"
+)
+def check_copies_apart(context, copies):
+    found = [backup.name for _, backup in context.backups if backup is not None]
+    assert len(found) == len(set(found)) == copies, found
+    assert all(
+        backup is None or backup.name != name for name, backup in context.backups
+    ), context.backups
 
 
 @then("no engine is chosen")
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -839,7 +839,7 @@
     def __init__(self, engines):
         self.engines = engines
 
-    def choose_backup_engine(self, call, state):
+    def choose_backup_engine(self, call, state, excluded=frozenset()):
         """Fail: an attempt chooses its backup before it is sent."""
         raise AssertionError("the request is sent to an engine")
 
--- a/src/sapphirerock/process/engines/fleet.py
+++ b/src/sapphirerock/process/engines/fleet.py
@@ -150,14 +150,24 @@
             return None
         return Placement(self.engines.get(view.name), view, len(views))
 
-    def choose_backup_engine(self, call, state):
-        """Return the engine for a backup of a run's KV memory, or None."""
+    def choose_backup_engine(self, call, state, excluded=frozenset()):
+        """Return the engine for a backup of a run's KV memory, or None.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            The call.
+        state : EngineState
+            Engine of the run.
+        excluded : set of str
+            Other engines that may not keep the backup.
+        """
         engine_settings = self._get_engine_settings(call.service)
         if engine_settings is None or not engine_settings.supports_backups:
             return None
         # Engines of another version can't use the copy.
         version = state.entry.version
-        views = self._list_views(call.service, {state.name}, version)
+        views = self._list_views(call.service, {state.name, *excluded}, version)
         needed_tokens = call.metadata.prompt.memory_tokens
         view = choose_backup_engine(views, state.entry.availability_zone, needed_tokens)
         return self.engines.get(view.name) if view else None
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -147,6 +147,7 @@
         "_losses",
         "_failures",
         "_full_engines",
+        "_copy_holders",
         "_origin",
         "_first_attempt",
         "_has_recorded",
@@ -173,6 +174,8 @@
         self._losses = 0
         self._failures = 0
         self._full_engines = set()
+        # Engines that got a copy of a run of this call, under its attempt id.
+        self._copy_holders = set()
         self._origin = call.origin
         self._first_attempt = None
         self._has_recorded = False
@@ -555,7 +558,7 @@
 
     async def _run_attempt(self, turns, state, copy, placement):
         """Run an attempt on an engine, keep a KV copy of it, and return its outcome."""
-        backup = self._runtime.fleet.choose_backup_engine(self._call, state)
+        backup = self._choose_backup(state)
         self._sends += 1
         prompt = self._call.metadata.prompt
         prefill_tokens = 0
@@ -609,6 +612,20 @@
                 self._kv_copy = backup_keeper.get_usable_copy()
         return outcome
 
+    def _choose_backup(self, state):
+        """Return the engine for the KV copy of a run on an engine, or None.
+
+        Engines name copies by the attempt id, which all runs of the call share. An
+        engine that got the copy of an earlier run may still keep it, or get more of it
+        from an engine that was silent, so it is not chosen again.
+        """
+        backup = self._runtime.fleet.choose_backup_engine(
+            self._call, state, self._copy_holders
+        )
+        if backup is not None:
+            self._copy_holders.add(backup.name)
+        return backup
+
     def _log_placement(self, state, backup, copy, placement):
         fields = {
             "engine": state.name,
