Stream origins: records that are replaced expire in their order

Cause: a record that a take-up replaces kept its place among the records, and expires later than those behind it, so that these stayed until then; the limit on records would be reached sooner.

Change: a record that is replaced goes to the end.

--- a/features/steps/takeup_steps.py
+++ b/features/steps/takeup_steps.py
@@ -14,7 +14,7 @@
     choose_copy,
     is_copied_request,
 )
-from sapphirerock.process.peers.streamorigins import CONTENT_BYTES
+from sapphirerock.process.peers.streamorigins import CONTENT_BYTES, make_key
 
 ENGINES = 4
 EVENT_INTERVAL_MS = 15
@@ -372,3 +372,23 @@
     backups = [host.table.find("1").kv_backup for host in context.hosts]
     found = [backup and backup.attempt_id for backup in backups]
     assert found == [expected] * len(context.hosts), found
+
+
+@when("streams 1 and 2 begin on it, and {seconds:d} seconds later 1 is taken up")
+def begin_and_take_up(context, seconds):
+    table = context.host.table
+    for number in ("1", "2"):
+        copy = KvBackup("copy", number, CONTENT)
+        table.record(number, StreamOrigin("chat", "v1", "engine", copy), 20.0)
+    context.clock.advance(seconds)
+    copy = KvBackup("copy", "3", CONTENT)
+    table.record("3", StreamOrigin("chat", "v1", "engine", copy), 20.0, "1")
+
+
+@then("{seconds:d} seconds later it has the record of 1, and none of 2")
+def check_record_kept(context, seconds):
+    table = context.host.table
+    context.clock.advance(seconds)
+    table._drop_expired()
+    assert table.find("1").kv_backup.attempt_id == "3"
+    assert make_key("2") not in table._records
--- a/features/takeups.feature
+++ b/features/takeups.feature
@@ -74,3 +74,8 @@
       | 1 begins at a-1, 2 takes up 1 with another request at b-1      | of 1 |
       | 1 begins at a-1, 2 begins at a-2                               | of 1 |
       | 1 begins unheard at a-1, 2 takes up 1 at b-1                   | of 2 |
+
+  Scenario: The record of a stream that is taken up does not keep records of others
+    Given a host that exchanges origins
+    When streams 1 and 2 begin on it, and 15 seconds later 1 is taken up
+    Then 10 seconds later it has the record of 1, and none of 2
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -264,7 +264,8 @@
     def _store(self, key, record):
         self.stored_count += 1
         if key in self._records:
-            self._forget_backup(key)
+            # The new record expires later than those stored since.
+            self._drop(key)
         self._records[key] = record
         if record.origin.kv_backup is not None:
             self._keys_by_content[record.origin.kv_backup.content] = key
