Relays: a connection that broke off after the engine's end is not measured

Cause: asks the system for unacknowledged bytes of a relayed connection once the engine has ended its side. If bytes can't be sent meanwhile, the connection is closed here, and its descriptor is -1, for which the call raises a ValueError that nothing expects; the transport's buffer is empty then, as if all had been sent.

Change: such a connection counts as one whose engine has not received the request. Evidence: earlyresponses, "A relaying host tells whether an engine that ended its side has the request"; found by reading, not seen in a run.

--- a/features/earlyresponses.feature
+++ b/features/earlyresponses.feature
@@ -35,6 +35,19 @@
       | writes to the store             | 3000000 | part of a body without a length, and ends its side       | broken    |
       | writes to the store             | 3000000 | a whole body without a length, after it has read it      | whole     |
 
+  Scenario Outline: A relaying host tells whether an engine that ended its side has the request: <connection>
+    Given a connection to an engine that <connection>
+    When the engine has ended its side of it
+    Then the relaying host finds that the engine <result> the request
+
+    Examples:
+      | connection                          | result        |
+      | has taken all bytes                 | has           |
+      | has 5 bytes that are not sent       | does not have |
+      | has 7 bytes that are not received   | does not have |
+      | broke off when bytes were sent      | does not have |
+      | has taken all bytes as far as known | has           |
+
   Scenario Outline: Callers see that a response to their upload is not whole: <target>, <size> bytes, <response>
     Given a host with 2 engines of each service that respond to uploads early with <response>
     When a caller uploads <size> bytes to <target>
--- a/features/steps/earlyresponse_steps.py
+++ b/features/steps/earlyresponse_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from dataclasses import dataclass
+from unittest.mock import patch
 
 from behave import given, then, when
 from tools.rawclient import RawConnection, RawResponse
@@ -31,6 +32,7 @@
     reset,
     send_order,
 )
+from sapphirerock.connection import sessions
 from sapphirerock.connection.plain import PlainRequest, send_plain_request
 from sapphirerock.connection.responsememory import ResponseMemory
 from sapphirerock.connection.sendonce import send_once
@@ -39,6 +41,7 @@
 from sapphirerock.connection.upstream import make_upstream_session, read_body
 from sapphirerock.platform.dialect import PlatformDialect
 from sapphirerock.platform.names import ENGINES_KIND
+from sapphirerock.process.peers.relayserver import has_received_request
 from sapphirerock.process.telemetry.edgemetrics import EdgeMetrics
 from sapphirerock.process.telemetry.metrics import Metrics
 from sapphirerock.standin.sharedengine import encode_event
@@ -356,3 +359,70 @@
     assert any(run["ended"] == "broken" for run in lookups), lookups
     orders = [run["attempt_id"] for run in runs if run["target"] == "/order/1"]
     assert len(orders) == 1, orders
+
+
+class LastConnection:
+    """Connection to an engine that has ended its side.
+
+    Parameters
+    ----------
+    buffered_bytes, unreceived_bytes : int
+        Bytes that are not sent, and sent bytes that are not acknowledged.
+    is_lost : bool
+        Whether the connection broke off.
+    """
+
+    def __init__(self, buffered_bytes=0, unreceived_bytes=0, is_lost=False):
+        self.unreceived_bytes = unreceived_bytes
+        self._buffered_bytes = buffered_bytes
+        self._is_lost = is_lost
+
+    def is_closing(self):
+        """Return whether the connection broke off."""
+        return self._is_lost
+
+    def get_write_buffer_size(self):
+        """Return the number of bytes that are not sent."""
+        return self._buffered_bytes
+
+    def get_extra_info(self, name):
+        """Return the socket, which is closed once the connection broke off."""
+        return self
+
+    def fileno(self):
+        """Return a descriptor that the test does not use."""
+        return -1 if self._is_lost else 0
+
+
+LAST_CONNECTIONS = {
+    "has taken all bytes": LastConnection(),
+    "has 5 bytes that are not sent": LastConnection(buffered_bytes=5),
+    "has 7 bytes that are not received": LastConnection(unreceived_bytes=7),
+    "broke off when bytes were sent": LastConnection(is_lost=True),
+    "has taken all bytes as far as known": LastConnection(unreceived_bytes=None),
+}
+
+
+@given("a connection to an engine that {connection}")
+def make_last_connection(context, connection):
+    context.connection = LAST_CONNECTIONS[connection]
+
+
+@when("the engine has ended its side of it")
+def end_side(context):
+    unreceived_bytes = context.connection.unreceived_bytes
+
+    def ask_system(descriptor, request, data):
+        if descriptor < 0:
+            raise ValueError("file descriptor cannot be a negative integer")
+        if unreceived_bytes is None:
+            raise OSError("not supported")
+        return sessions.OUTGOING_BYTES.pack(unreceived_bytes)
+
+    with patch.object(sessions.fcntl, "ioctl", ask_system):
+        context.has_request = context.run(has_received_request(context.connection))
+
+
+@then("the relaying host finds that the engine {result} the request")
+def check_has_request(context, result):
+    assert context.has_request == (result == "has"), context.has_request
--- a/src/sapphirerock/process/peers/relayserver.py
+++ b/src/sapphirerock/process/peers/relayserver.py
@@ -202,12 +202,7 @@
         while data := await engine_reader.read(RELAY_BLOCK_BYTES):
             writer.write(msgpack.packb(data))
             await writer.drain()
-        unsent_bytes = await measure_unsent_request(engine_writer)
-        if unsent_bytes:
-            logger.bind(unsent_bytes=unsent_bytes).info(
-                "engine closed relayed connection before it had the request"
-            )
-        else:
+        if await has_received_request(engine_writer.transport):
             writer.write(END_OF_CONNECTION)
         await writer.drain()
     except OSError as error:
@@ -216,11 +211,22 @@
     return True
 
 
-async def measure_unsent_request(engine_writer):
-    """Return the bytes of a relayed request that the engine has not received.
+async def has_received_request(transport):
+    """Return whether an engine that has ended its side has received the request.
 
     Bytes of the peer that have arrived here are passed on first.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        Connection to the engine. It is closing if bytes could not be sent.
     """
     for _ in range(PASSES_TO_ENGINE):
         await asyncio.sleep(0)
-    return measure_unsent_bytes(engine_writer.transport)
+    is_lost = transport.is_closing()
+    unsent_bytes = None if is_lost else measure_unsent_bytes(transport)
+    if is_lost or unsent_bytes:
+        logger.bind(unsent_bytes=unsent_bytes).info(
+            "engine closed relayed connection before it had the request"
+        )
+    return not is_lost and not unsent_bytes
