--- a/features/steps/earlyresponse_steps.py
+++ b/features/steps/earlyresponse_steps.py
@@ -224,6 +224,8 @@
     address = await context.engine.start()
     async with asyncio.timeout(2 * TIMEOUT_S):
         context.reading = await clients[connections](address, peer, *values)
+    if isinstance(context.engine, EarlyEngine):
+        await context.engine.stop()
     context.engine.close()
     await peer.table.on_stop()
 
--- a/features/steps/takeup_steps.py
+++ b/features/steps/takeup_steps.py
@@ -334,13 +334,12 @@
             number, verb, *rest = story.split(" ")
             if verb == "takes":
                 self._take_up(host, number, rest[1], " ".join(rest[2:]))
-            else:
-                self._begin(host, number, verb, is_heard="unheard" not in rest)
+            elif rest != ["unheard"]:
+                # Otherwise no host gets the record.
+                self._begin(host, number, verb)
 
-    def _begin(self, host, number, verb, is_heard):
+    def _begin(self, host, number, verb):
         copy = KvBackup(f"copy-{verb}", number, CONTENT)
-        if not is_heard:
-            return
         host.table.record(number, StreamOrigin("chat", "v1", "engine", copy), 20.0)
         self._exchange()
 
