--- a/src/sapphirerock/connection/sessions.py
+++ b/src/sapphirerock/connection/sessions.py
@@ -20,7 +20,7 @@
 
 
 class StrictResponseProtocol(ResponseHandler):
-    """aiohttp's client protocol with errors for responses that it takes for whole ones.
+    """aiohttp's client protocol, which rejects incomplete responses and odd statuses.
 
     The end of the connection ends a response without a length. aiohttp also accepts a
     reset as this end, and an end before the other side has received the request, though
@@ -28,7 +28,7 @@
     """
 
     def feed_data(self, data, size=0):
-        """Pass on the head of a response; fail if it has no status of a response."""
+        """Pass on the head of a response; fail if its status is none of HTTP's."""
         status = data[0].code
         if is_final_status(status) or status in INTERIM_STATUSES:
             super().feed_data(data, size)
--- a/src/sapphirerock/process/peers/streamorigins.py
+++ b/src/sapphirerock/process/peers/streamorigins.py
@@ -152,13 +152,13 @@
             replaced as well.
         """
         expires_s = self._clock.monotonic() + ttl_s
-        numbers = {make_key(attempt_id): self._count_change(make_key(attempt_id))}
+        change_counts = {make_key(attempt_id): self._count_change(make_key(attempt_id))}
         if resumed_attempt_id and resumed_attempt_id != attempt_id:
             key = make_key(resumed_attempt_id)
-            numbers[key] = self._count_take_up(key, attempt_id)
-        keys = [key for key, changes in numbers.items() if changes is not None]
+            change_counts[key] = self._count_take_up(key, attempt_id)
+        keys = [key for key, changes in change_counts.items() if changes is not None]
         for key in keys:
-            self._store(key, OriginRecord(origin, expires_s, numbers[key]))
+            self._store(key, OriginRecord(origin, expires_s, change_counts[key]))
         message = self.export(keys)
         own_host = self._own_address.host
         hubs = [host for host in self._peers.zone_hubs if host != own_host]
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -185,7 +185,7 @@
     async def run(self):
         """Relay the stream to the caller, over several attempts if engines are lost."""
         self._runtime.retry_budget.add_call(self._call.service)
-        self._find_prompt_engine()
+        self._prefer_prompt_engine()
         copy = self._find_recorded_copy()
         step = RecoveryStep.RESUME_FROM_COPY
         if copy is None:
@@ -316,10 +316,10 @@
             return None
         return KvCopy(holder.entry, None, attempt_id=backup.attempt_id)
 
-    def _find_prompt_engine(self):
-        """Make the stream prefer an engine that has its prompt, if none is known.
+    def _prefer_prompt_engine(self):
+        """Prefer an engine that has cached the prompt, if the stream has no record.
 
-        Its caller takes it up and names no attempt that this host knows.
+        Its caller names no attempt, or one that is not recorded.
         """
         origin = self._origin
         if origin is None or origin.engine:
