Verdict: print the failed step and its error

A line of the verdict now holds the failed step and its error, on one line of at most 400 characters; a known fault's line is followed by what was seen now.

--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -28,6 +28,13 @@
     ),
 }
 
+ERRORS = {
+    "one line": {"error_message": "one"},
+    "two lines": {"error_message": ["one", "  two"]},
+    "9,000 letters": {"error_message": ["x" * 9000, "letters"]},
+    "no message": {},
+}
+
 
 def write_source(root, name, text):
     path = root / name
@@ -74,13 +81,33 @@
 @given("a results file with a failed example of an outline that is listed")
 def count_outline_example(context):
     scenario = {"type": "scenario", "name": f"{NAME} -- @1.2 ", "status": "failed"}
+    fault = KnownFault(FEATURE, f"{NAME} -- @1.2", "seen")
+    context.verdict = count_results(read_scenario(scenario), [fault])
+
+
+def read_scenario(scenario):
+    """Return the results read from a file with one scenario."""
     document = [{"location": f"{FEATURE}:1", "elements": [scenario]}]
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder, "results.json")
         path.write_text(json.dumps(document))
-        results = read_results(path)
-    fault = KnownFault(FEATURE, f"{NAME} -- @1.2", "seen")
-    context.verdict = count_results(results, [fault])
+        return read_results(path)
+
+
+@given(
+    "a results file with a scenario that {listed} listed, whose step failed with "
+    "{error}"
+)
+def count_scenario_with_error(context, listed, error):
+    passed = {"name": "a host", "result": {"status": "passed"}}
+    failed = {
+        "name": "every call is served",
+        "result": {"status": "failed", **ERRORS[error]},
+    }
+    scenario = {"type": "scenario", "name": NAME, "status": "failed"}
+    scenario["steps"] = [passed, failed, {"name": "a step that was not run"}]
+    faults = [KnownFault(FEATURE, NAME, "seen")] if listed == "is" else []
+    context.verdict = count_results(read_scenario(scenario), faults)
 
 
 @given("a run with a passed scenario, during which {change}")
@@ -108,6 +135,15 @@
         assert any(note in line for line in verdict.report_lines), verdict.report_lines
 
 
+@then(
+    "{passed:d} passed and {failed:d} failed, and {note} is printed in at most "
+    "{characters:d} characters"
+)
+def check_short_verdict(context, passed, failed, note, characters):
+    check_verdict(context, passed, failed, note)
+    assert len("\n".join(context.verdict.report_lines)) <= characters
+
+
 @given("a feature whose first line is {line}")
 def write_feature(context, line):
     with tempfile.TemporaryDirectory() as folder:
--- a/features/verdict.feature
+++ b/features/verdict.feature
@@ -42,6 +42,19 @@
     Given a results file with a failed example of an outline that is listed
     Then 0 passed and 0 failed, and known fault: is printed
 
+  # The verdict is all that is kept of a run on another machine.
+  Scenario Outline: The verdict tells why a scenario failed: <error>
+    Given a results file with a scenario that <listed> listed, whose step failed with <error>
+    Then 0 passed and <failed> failed, and <note> is printed in at most 700 characters
+
+    Examples:
+      | error         | listed | failed | note                                 |
+      | one line      | is not | 1      | (failed): every call is served: one  |
+      | two lines     | is not | 1      | every call is served: one two        |
+      | two lines     | is     | 0      | seen now: every call is served: one  |
+      | 9,000 letters | is not | 1      | letters                              |
+      | no message    | is not | 1      | (failed): every call is served:      |
+
   Scenario Outline: A run on sources that change meanwhile is a failure: <change>
     Given a run with a passed scenario, during which <change>
     Then 1 passed and <failed> failed, and <note> is printed
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -32,6 +32,9 @@
 FREQUENCY = re.compile(r"failed (\d+) of (\d+) runs")
 # Scenarios mostly wait for timeouts: four concurrent features use half the cores.
 CONCURRENT_FEATURES = 4
+OMISSION = " ... "
+# The last lines of a log may be all that is kept of a run.
+MAX_REASON_CHARACTERS = 400
 # First line of a feature that runs while no other one does.
 ALONE_TAG = "@alone"
 
@@ -62,11 +65,18 @@
 
 @dataclass(slots=True, frozen=True)
 class ScenarioResult:
-    """Result of one scenario, with the status that behave reports."""
+    """Result of one scenario, with the status that behave reports.
+
+    Parameters
+    ----------
+    reason : str
+        The failed step and its error, in one line; empty if no step failed.
+    """
 
     feature: str
     name: str
     status: str
+    reason: str = ""
 
 
 def read_known_faults():
@@ -202,6 +212,7 @@
             # behave ends the names of outline examples with a space.
             scenario["name"].strip(),
             scenario["status"],
+            find_reason(scenario.get("steps", ())),
         )
         for feature in features
         for scenario in feature.get("elements", ())
@@ -209,6 +220,26 @@
     ]
 
 
+def find_reason(steps):
+    """Return the first failed step and its error, in one line of limited length."""
+    for step in steps:
+        result = step.get("result", {})
+        if result.get("status") not in (None, "passed"):
+            error = result.get("error_message", "")
+            lines = [error] if isinstance(error, str) else error
+            text = " ".join(f"{step['name']}: {' '.join(lines)}".split())
+            return shorten_middle(text, MAX_REASON_CHARACTERS)
+    return ""
+
+
+def shorten_middle(text, max_characters):
+    """Return a text without its middle part if it is longer than the limit."""
+    if len(text) <= max_characters:
+        return text
+    half = (max_characters - len(OMISSION)) // 2
+    return f"{text[:half]}{OMISSION}{text[-half:]}"
+
+
 @dataclass(slots=True)
 class Verdict:
     """Counts of passed and failed scenarios.
@@ -237,6 +268,8 @@
         has_passed = result.status == "passed"
         if known and not has_passed:
             verdict.report_lines.append(describe_known_fault(known))
+            if result.reason:
+                verdict.report_lines.append(f"seen now: {result.reason}")
         elif known and known.frequency:
             verdict.report_lines.append(f"passed now, {describe_known_fault(known)}")
             verdict.passed += 1
@@ -248,8 +281,9 @@
         elif has_passed:
             verdict.passed += 1
         else:
+            line = f"failed: {result.feature}: {result.name} ({result.status})"
             verdict.report_lines.append(
-                f"failed: {result.feature}: {result.name} ({result.status})"
+                f"{line}: {result.reason}" if result.reason else line
             )
             verdict.failed += 1
     if not results:
