--- a/features/verdict.feature
+++ b/features/verdict.feature
@@ -42,7 +42,7 @@
     Given a results file with a failed example of an outline that is listed
     Then 0 passed and 0 failed, and known fault: is printed
 
-  # The verdict is all that is kept of a run on another machine.
+  # The end of its output may be all that is kept of a run.
   Scenario Outline: The verdict tells why a scenario failed: <error>
     Given a results file with a scenario that <listed> listed, whose step failed with <error>
     Then 0 passed and <failed> failed, and <note> is printed in at most 700 characters
