Review case 12: a request that silences its engines is never blocked

A plain call that ends at its deadline leaves no trace in the crash watch, so that an engine that went dark under it and comes back later is no evidence against the request. It is sent to further engines each time it comes again.

--- /dev/null
+++ b/review/standins-3/engines.py
@@ -0,0 +1,260 @@
+"""Engines of the platform for the cases: streams and plain calls, in one process.
+
+An engine begins to run a request once it has read it whole, and drops it when its
+connection closes. It makes no copies of a run's memory, so that a request with
+``Kv-From`` is refused as for a copy that doesn't exist. A crash in the manner ``dark``
+leaves all connections silent until the engine is back, under another id.
+"""
+
+import asyncio
+import json
+import socket
+import struct
+import time
+import uuid
+
+from platformwire import call_store, encode_head, read_head
+
+REPORT_PATH = "/sapphirerock/report"
+SERVERS_PATH = "/sapphirerock/objects/servers"
+RESET = struct.pack("ii", 1, 0)
+
+
+class Engine:
+    """One engine.
+
+    Parameters
+    ----------
+    record : callable
+        Takes the fields of one line of the record.
+    store : str
+        Address of the store.
+    service, zone, address : str
+        Service, availability zone and IP address.
+    loses_answer : callable
+        Returns whether the answer of the run that begins now is lost.
+    crashes : callable
+        Takes the target of the run that begins now; returns whether it crashes the
+        engine.
+
+    Attributes
+    ----------
+    runs : list of dict
+        All runs in the order of their beginnings.
+    """
+
+    slots = 16
+    prefill_s = 0.05
+    event_s = 0.02
+    work_s = 0.03
+    # Tokens in one event, as the configuration states.
+    stride = 5
+    # The store removes an entry after three heartbeats of silence.
+    expiry_s = 3.6
+    down_s = 4.5
+
+    def __init__(
+        self,
+        record,
+        store,
+        service,
+        zone,
+        address,
+        loses_answer=lambda: False,
+        crashes=lambda target: False,
+    ):
+        self.name = ""
+        self.runs = []
+        self.crash_times_s = []
+        self._record = record
+        self._store = store
+        self._service = service
+        self._zone = zone
+        self._address = address
+        self._loses_answer = loses_answer
+        self._crashes = crashes
+        self._born_ms = 0
+        self._running = 0
+        self._server = None
+        self._listening = ""
+        self._writers = set()
+        # Set while the engine is up.
+        self._is_up = asyncio.Event()
+        self._down = None
+
+    async def start(self):
+        """Listen at a free port and register in the store."""
+        self._server = await asyncio.start_server(self._serve, self._address, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self._listening = f"{self._address}:{port}"
+        await self._begin()
+
+    async def _begin(self):
+        """Begin an incarnation."""
+        self.name = f"i-{uuid.uuid4().hex[:10]}"
+        self._born_ms = time.time_ns() // 1_000_000
+        self._is_up.set()
+        spec = {
+            "service": self._service,
+            "address": self._listening,
+            "zone": self._zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "cold_ms": 0,
+            "seq": 0,
+            "born": self._born_ms,
+        }
+        document = {"metadata": {"name": self.name}, "spec": spec}
+        status, _ = await call_store(self._store, "POST", SERVERS_PATH, document)
+        if status != 200:
+            raise RuntimeError(f"the store answered {status} to a registration")
+
+    def close(self):
+        """Take no more connections."""
+        self._server.close()
+
+    async def _crash(self):
+        """Fall silent, and come back as another incarnation."""
+        self._is_up.clear()
+        self.crash_times_s.append(time.monotonic())
+        self._record("engine goes dark", {"engine": self.name})
+        await asyncio.sleep(self.expiry_s)
+        await call_store(self._store, "DELETE", f"{SERVERS_PATH}/{self.name}")
+        await asyncio.sleep(self.down_s - self.expiry_s)
+        for writer in self._writers:
+            writer.transport.abort()
+        before = self.name
+        await self._begin()
+        self._record("engine is back", {"engine": self.name, "before": before})
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            while await self._serve_request(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # Cancelled when the case ends.
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_request(self, reader, writer):
+        """Serve one request; return whether the connection goes on."""
+        head = await read_head(reader)
+        if head is None:
+            return False
+        method, target, _ = head.start.split()
+        body = await reader.readexactly(int(head.headers.get("content-length", 0)))
+        if not self._is_up.is_set():
+            await asyncio.sleep(self.down_s)
+            return False
+        if target == REPORT_PATH:
+            await self._send_report(writer)
+            return True
+        return await self._run_or_refuse(method, target, head, body, reader, writer)
+
+    async def _send_report(self, writer):
+        document = {"stage": "colocated", "models": [], "busy": False, "seq": 0}
+        document |= {"waiting": 0, "running": self._running, "born": self._born_ms}
+        content = json.dumps(document).encode()
+        headers = [("Content-Length", str(len(content)))]
+        writer.write(encode_head("HTTP/1.1 200 OK", headers) + content)
+        await writer.drain()
+
+    async def _run_or_refuse(self, method, target, head, body, reader, writer):
+        attempt = head.headers.get("sapphirerock-attempt-id", "")
+        expected = head.headers.get("sapphirerock-expect-instance", self.name)
+        if expected != self.name:
+            return await self._refuse(writer, attempt, "421 Misdirected Request")
+        if not attempt:
+            return await self._refuse(writer, attempt, "400 Bad Request")
+        if self._running >= self.slots or "kv-from" in head.headers:
+            return await self._refuse(writer, attempt, "503 Service Unavailable")
+        run = {
+            "attempt": attempt,
+            "engine": self.name,
+            "method": method,
+            "target": target,
+            "after": int(head.headers.get("last-event-id") or 0),
+            "began_s": time.monotonic(),
+            "events": 0,
+            "ended": "",
+        }
+        self.runs.append(run)
+        names = ("attempt", "engine", "after")
+        self._record("run begins", {name: run[name] for name in names})
+        self._running += 1
+        if self._crashes(target):
+            self._down = asyncio.ensure_future(self._crash())
+        work = asyncio.ensure_future(self._run(head, run, writer))
+        closing = asyncio.ensure_future(reader.read(1))
+        try:
+            await asyncio.wait((work, closing), return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                run["ended"] = "dropped: its connection closed"
+                work.cancel()
+                return False
+            return work.result()
+        finally:
+            closing.cancel()
+            await asyncio.wait((closing,))
+            self._running -= 1
+            run["ended_s"] = time.monotonic()
+            names = ("attempt", "engine", "events", "ended")
+            self._record("run ends", {name: run[name] for name in names})
+
+    async def _refuse(self, writer, attempt, status):
+        headers = [
+            ("Sapphirerock-Attempt-Id", attempt),
+            ("Sapphirerock-Instance-Id", self.name),
+            ("Sapphirerock-Not-Executed", "1"),
+            ("Content-Length", "0"),
+        ]
+        writer.write(encode_head(f"HTTP/1.1 {status}", headers))
+        await writer.drain()
+        return True
+
+    async def _run(self, head, run, writer):
+        """Work on a request and answer; return whether the connection goes on."""
+        is_lost = self._loses_answer()
+        usage = head.headers.get("sapphirerock-token-usage")
+        await asyncio.sleep(self.work_s if usage is None else self.prefill_s)
+        if not self._is_up.is_set():
+            await asyncio.sleep(self.down_s)
+            return False
+        if is_lost:
+            run["ended"] = "answer lost"
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET
+            )
+            writer.transport.abort()
+            return False
+        headers = [
+            ("Sapphirerock-Attempt-Id", run["attempt"]),
+            ("Sapphirerock-Response-Seal", f"{self.name}.{run['attempt']}"),
+            ("Sapphirerock-Server-Load", f"{self._running},0,{self.slots}"),
+        ]
+        if usage is None:
+            content = f"{run['method']} {run['target']} {run['attempt']}\n".encode()
+            headers.append(("Content-Length", str(len(content))))
+            writer.write(encode_head("HTTP/1.1 200 OK", headers) + content)
+        else:
+            headers.append(("Content-Type", "text/event-stream"))
+            headers.append(("Transfer-Encoding", "chunked"))
+            writer.write(encode_head("HTTP/1.1 200 OK", headers))
+            events = int(usage.partition(",")[2]) // self.stride
+            for number in range(run["after"] + 1, events + 1):
+                event = f"id: {number}\ndata: {number}\n\n".encode()
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                await writer.drain()
+                run["events"] = number
+                await asyncio.sleep(self.event_s)
+                if not self._is_up.is_set():
+                    await asyncio.sleep(self.down_s)
+                    return False
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        run["ended"] = "whole"
+        return True
