--- a/review/12/case.py
+++ b/review/12/case.py
@@ -11,13 +11,13 @@
 import time
 from pathlib import Path
 
-from callers import LOOKUP_PREFIX, call
+from callers import PATH_PREFIX, call
 from deployment import BOUNDS, ZONES, Deployment
 from engines import Engine
 
 RECORD = Path(__file__).with_name("record.txt")
 ENGINES = 6
-POISON_PATH = f"{LOOKUP_PREFIX}reads-forever"
+POISON_PATH = f"{PATH_PREFIX}reads-forever"
 DEADLINE_MS = 3000
 # The request comes again, at the next router.
 REPEAT_S = 6.0
@@ -56,16 +56,16 @@
 
     async def run(self):
         """Play the case; return the exit status."""
-        with Deployment(self.record) as deployment:
-            await deployment.start_store()
+        async with Deployment(self.record) as deployment:
             await deployment.configure()
             await self._start_engines(deployment.store)
             await deployment.start_routers()
             await asyncio.sleep(3.0)
-            others = asyncio.ensure_future(self._call_others(deployment.fronts))
+            fronts = [router.front for router in deployment.routers]
+            others = asyncio.ensure_future(self._call_others(fronts))
             for number in range(REPEATS):
-                front = deployment.fronts[number % len(deployment.fronts)]
-                await call(self.record, front, [], DEADLINE_MS, POISON_PATH, b"x")
+                front = fronts[number % len(fronts)]
+                await call(self.record, front, DEADLINE_MS, POISON_PATH, b"x")
                 await asyncio.sleep(REPEAT_S)
             others.cancel()
             for engine in self._engines:
@@ -91,9 +91,9 @@
         calls, number = set(), 0
         while True:
             number += 1
-            path = f"{LOOKUP_PREFIX}{number}"
+            path = f"{PATH_PREFIX}{number}"
             front = fronts[number % len(fronts)]
-            work = call(self.record, front, [], DEADLINE_MS, path, b"y")
+            work = call(self.record, front, DEADLINE_MS, path, b"y")
             calls.add(asyncio.ensure_future(work))
             await asyncio.sleep(1 / CALLS_PER_S)
 
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -1,7 +1,7 @@
-"""A small deployment on loopback: routers and a store as processes of their own.
+"""A small deployment on loopback, with each router as a process of its own.
 
-Three availability zones have a router each. The routers are started as the deploy file
-says, and the store is the project's stand-in.
+Three availability zones have a router each, which is started as the deploy file says.
+The store is the one of this folder.
 """
 
 import asyncio
@@ -15,8 +15,9 @@
 from contextlib import ExitStack
 from pathlib import Path
 
-from callers import HOST, KEY, LOOKUP_PREFIX, STREAM_PREFIX
+from callers import HOST, KEY, PATH_PREFIX
 from platformwire import call_store, encode_head, read_head
+from store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
@@ -64,8 +65,58 @@
 }
 
 
+class Router:
+    """One router, which can be started again after its end.
+
+    Parameters
+    ----------
+    name : str
+        Name of its machine.
+    front, ready : str
+        Addresses for callers and for the question whether it is ready.
+    command : list of str
+        Command line.
+    settings : pathlib.Path
+        Its settings file.
+    log : file
+        Gets its output.
+    """
+
+    def __init__(self, name, front, ready, command, settings, log):
+        self.name = name
+        self.front = front
+        self.ready = ready
+        self._command = command
+        self._settings = settings
+        self._log = log
+        self.process = None
+
+    def start(self):
+        """Start the process."""
+        self.process = subprocess.Popen(
+            self._command,
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "PYTHONPATH": str(ROOT / "target" / "deps"),
+                SETTINGS_VARIABLE: str(self._settings),
+            },
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def measure_memory_kb(self):
+        """Return the anonymous memory of the process; 0 if it has ended."""
+        try:
+            text = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        lines = [line for line in text.splitlines() if line.startswith("RssAnon:")]
+        return int(lines[0].split()[1]) if lines else 0
+
+
 class Deployment:
-    """Routers and a store on loopback addresses, used as a context manager.
+    """Routers and a store on loopback addresses; an asynchronous context manager.
 
     Parameters
     ----------
@@ -76,109 +127,59 @@
     ----------
     store : str
         Address of the store.
-    fronts : list of str
-        Addresses at which the routers take callers' connections.
+    routers : list of Router
+        The routers.
     """
 
     def __init__(self, record):
-        self.fronts = []
+        self.routers = []
         self.store = ""
         self._record = record
-        self._ready = []
-        self._processes = []
+        self._server = Store()
         self._stack = ExitStack()
         self._folder = None
 
-    def __enter__(self):
+    async def __aenter__(self):
         folder = tempfile.TemporaryDirectory(prefix="review-3-")
         self._folder = Path(self._stack.enter_context(folder))
+        await self._server.start()
+        self.store = self._server.address
         return self
 
-    def __exit__(self, *exception):
-        for process in self._processes:
+    async def __aexit__(self, *exception):
+        processes = [router.process for router in self.routers if router.process]
+        for process in processes:
             process.send_signal(signal.SIGTERM)
         deadline_s = time.monotonic() + STOP_TIMEOUT_S
-        for process in self._processes:
-            try:
-                process.wait(max(0.1, deadline_s - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
+        while any(process.poll() is None for process in processes):
+            if time.monotonic() > deadline_s:
+                for process in processes:
+                    process.kill()
+            await asyncio.sleep(0.05)
+        self._server.close()
         self._stack.close()
 
-    def _start(self, arguments, **environment):
-        path = os.pathsep.join(
-            str(ROOT / "target" / name) for name in ("review-3", "deps")
-        )
-        if environment:
-            path = str(ROOT / "target" / "deps")
-        log = (self._folder / f"log-{len(self._processes)}").open("wb")
-        self._stack.callback(log.close)
-        process = subprocess.Popen(
-            ["python3", *arguments],
-            cwd=ROOT,
-            env={**os.environ, "PYTHONPATH": path, **environment},
-            stdout=log,
-            stderr=log,
-        )
-        self._processes.append(process)
-
-    async def start_store(self):
-        """Start the store."""
-        (port,) = find_free_ports("127.0.0.1", 1)
-        self.store = f"127.0.0.1:{port}"
-        code = "from sapphirerock.standin.cli import main; main()"
-        self._start(["-c", code, "platform", "--port", str(port)])
-        await wait_until(lambda: self._answers(self.store, CONFIG_PATH))
-
-    async def configure(self, max_attempts=5):
-        """Write the operator's configuration: a route for streams, one for lookups."""
+    async def configure(self, kind="idempotent"):
+        """Write the operator's configuration, with one route of a kind."""
         route = {
-            "name": "r-2yhvz3p",
-            "host": HOST,
-            "path_prefix": STREAM_PREFIX,
-            "kind": "streaming",
-            "timeout_ms": 25000,
-            "target_latency_ms": 4500,
-            "priority": 1,
-            "service": "huvo11a",
-            "max_attempts": max_attempts,
-            "public": False,
-            "sticky": True,
-            "resumable": True,
-            "target_gap_ms": 700,
-        }
-        lookup = {
             "name": "r-fi6y7z5",
             "host": HOST,
-            "path_prefix": LOOKUP_PREFIX,
-            "kind": "idempotent",
+            "path_prefix": PATH_PREFIX,
+            "kind": kind,
             "timeout_ms": 1000,
             "target_latency_ms": 300,
             "priority": 2,
             "service": "wuno96b",
-            "max_attempts": 2,
+            "max_attempts": 2 if kind == "idempotent" else 1,
             "public": False,
             "sticky": False,
             "resumable": False,
         }
-        engine = {
-            "slots": 16,
-            "kv_tokens": 88000,
-            "kv_bytes": 163840,
-            "link_mbps": 180000.0,
-            "moves": True,
-            "backups": True,
-            "stride": 5,
-            "handle_s": 4.0,
-            "models": [{"name": "m"}],
-        }
-        service = {"name": "huvo11a", "health_path": "/health", "max_conns": 370}
         plain = {"name": "wuno96b", "health_path": "/health", "max_conns": 110}
         spec = {
             "version": 7,
-            "routes": [route, lookup],
-            "services": [{**service, "engine": engine}, plain],
+            "routes": [route],
+            "services": [plain],
             "limits": {
                 "max_header_bytes": 16384,
                 "max_body_bytes": 4194304,
@@ -191,7 +192,7 @@
         status, _ = await call_store(self.store, "POST", CONFIG_PATH, document)
         if status != 200:
             raise RuntimeError(f"the store answered {status} to the configuration")
-        self._record("configuration", {"max_attempts": max_attempts})
+        self._record("configuration", {"version": spec["version"]})
 
     async def start_routers(self):
         """Start one router in each zone and wait until all are ready."""
@@ -228,16 +229,24 @@
             }
             path = self._folder / f"{zone}.json"
             path.write_text(json.dumps(settings))
+            log = (self._folder / f"{zone}.log").open("wb")
+            self._stack.callback(log.close)
             # The command of the deploy file. Only the port of the metrics is another,
             # in case the usual one is taken.
-            command = ["-m", "sapphirerock.commands.router", "--platform"]
-            self._start(
-                [*command, "--metrics-port", str(metrics)],
-                **{SETTINGS_VARIABLE: str(path)},
+            command = ["python3", "-m", "sapphirerock.commands.router", "--platform"]
+            command += ["--metrics-port", str(metrics)]
+            router = Router(
+                settings["node"],
+                f"{address}:{front}",
+                f"{address}:{ready}",
+                command,
+                path,
+                log,
             )
-            self.fronts.append(f"{address}:{front}")
-            self._ready.append(f"{address}:{ready}")
-        for address in self._ready:
+            router.start()
+            self.routers.append(router)
+        for router in self.routers:
+            address = router.ready
             await wait_until(lambda: self._answers(address, READINESS_PATH))  # noqa: B023
 
     async def _answers(self, address, path):
--- a/review/standins-3/engines.py
+++ b/review/standins-3/engines.py
@@ -1,15 +1,12 @@
-"""Engines of the platform for the cases: streams and plain calls, in one process.
+"""Engines of the platform for the cases, which answer plain calls.
 
 An engine begins to run a request once it has read it whole, and drops it when its
-connection closes. It makes no copies of a run's memory, so that a request with
-``Kv-From`` is refused as for a copy that doesn't exist. A crash in the manner ``dark``
-leaves all connections silent until the engine is back, under another id.
+connection closes. A crash in the manner ``dark`` leaves all connections silent until
+the engine is back, under another id.
 """
 
 import asyncio
 import json
-import socket
-import struct
 import time
 import uuid
 
@@ -17,7 +14,6 @@
 
 REPORT_PATH = "/sapphirerock/report"
 SERVERS_PATH = "/sapphirerock/objects/servers"
-RESET = struct.pack("ii", 1, 0)
 
 
 class Engine:
@@ -31,8 +27,6 @@
         Address of the store.
     service, zone, address : str
         Service, availability zone and IP address.
-    loses_answer : callable
-        Returns whether the answer of the run that begins now is lost.
     crashes : callable
         Takes the target of the run that begins now; returns whether it crashes the
         engine.
@@ -44,11 +38,7 @@
     """
 
     slots = 16
-    prefill_s = 0.05
-    event_s = 0.02
     work_s = 0.03
-    # Tokens in one event, as the configuration states.
-    stride = 5
     # The store removes an entry after three heartbeats of silence.
     expiry_s = 3.6
     down_s = 4.5
@@ -60,7 +50,6 @@
         service,
         zone,
         address,
-        loses_answer=lambda: False,
         crashes=lambda target: False,
     ):
         self.name = ""
@@ -71,7 +60,6 @@
         self._service = service
         self._zone = zone
         self._address = address
-        self._loses_answer = loses_answer
         self._crashes = crashes
         self._born_ms = 0
         self._running = 0
@@ -170,25 +158,23 @@
             return await self._refuse(writer, attempt, "421 Misdirected Request")
         if not attempt:
             return await self._refuse(writer, attempt, "400 Bad Request")
-        if self._running >= self.slots or "kv-from" in head.headers:
+        if self._running >= self.slots:
             return await self._refuse(writer, attempt, "503 Service Unavailable")
         run = {
             "attempt": attempt,
             "engine": self.name,
             "method": method,
             "target": target,
-            "after": int(head.headers.get("last-event-id") or 0),
             "began_s": time.monotonic(),
-            "events": 0,
             "ended": "",
         }
         self.runs.append(run)
-        names = ("attempt", "engine", "after")
+        names = ("attempt", "engine")
         self._record("run begins", {name: run[name] for name in names})
         self._running += 1
         if self._crashes(target):
             self._down = asyncio.ensure_future(self._crash())
-        work = asyncio.ensure_future(self._run(head, run, writer))
+        work = asyncio.ensure_future(self._run(run, writer))
         closing = asyncio.ensure_future(reader.read(1))
         try:
             await asyncio.wait((work, closing), return_when=asyncio.FIRST_COMPLETED)
@@ -202,7 +188,7 @@
             await asyncio.wait((closing,))
             self._running -= 1
             run["ended_s"] = time.monotonic()
-            names = ("attempt", "engine", "events", "ended")
+            names = ("attempt", "engine", "ended")
             self._record("run ends", {name: run[name] for name in names})
 
     async def _refuse(self, writer, attempt, status):
@@ -216,45 +202,20 @@
         await writer.drain()
         return True
 
-    async def _run(self, head, run, writer):
+    async def _run(self, run, writer):
         """Work on a request and answer; return whether the connection goes on."""
-        is_lost = self._loses_answer()
-        usage = head.headers.get("sapphirerock-token-usage")
-        await asyncio.sleep(self.work_s if usage is None else self.prefill_s)
+        await asyncio.sleep(self.work_s)
         if not self._is_up.is_set():
             await asyncio.sleep(self.down_s)
             return False
-        if is_lost:
-            run["ended"] = "answer lost"
-            writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET
-            )
-            writer.transport.abort()
-            return False
+        content = f"{run['method']} {run['target']} {run['attempt']}\n".encode()
         headers = [
             ("Sapphirerock-Attempt-Id", run["attempt"]),
             ("Sapphirerock-Response-Seal", f"{self.name}.{run['attempt']}"),
             ("Sapphirerock-Server-Load", f"{self._running},0,{self.slots}"),
+            ("Content-Length", str(len(content))),
         ]
-        if usage is None:
-            content = f"{run['method']} {run['target']} {run['attempt']}\n".encode()
-            headers.append(("Content-Length", str(len(content))))
-            writer.write(encode_head("HTTP/1.1 200 OK", headers) + content)
-        else:
-            headers.append(("Content-Type", "text/event-stream"))
-            headers.append(("Transfer-Encoding", "chunked"))
-            writer.write(encode_head("HTTP/1.1 200 OK", headers))
-            events = int(usage.partition(",")[2]) // self.stride
-            for number in range(run["after"] + 1, events + 1):
-                event = f"id: {number}\ndata: {number}\n\n".encode()
-                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-                await writer.drain()
-                run["events"] = number
-                await asyncio.sleep(self.event_s)
-                if not self._is_up.is_set():
-                    await asyncio.sleep(self.down_s)
-                    return False
-            writer.write(b"0\r\n\r\n")
+        writer.write(encode_head("HTTP/1.1 200 OK", headers) + content)
         await writer.drain()
         run["ended"] = "whole"
         return True
--- a/review/standins-3/platformwire.py
+++ b/review/standins-3/platformwire.py
@@ -3,8 +3,6 @@
 import asyncio
 import json
 
-HEAD_LIMIT_BYTES = 1 << 16
-
 
 class Head:
     """Start line and headers of a request or response.
@@ -61,19 +59,4 @@
         content = await reader.read()
     finally:
         writer.close()
-    if head.headers.get("transfer-encoding") == "chunked":
-        content = join_chunks(content)
     return head.status, json.loads(content) if content else None
-
-
-def join_chunks(content):
-    """Return a body without its chunk framing."""
-    parts = []
-    while content:
-        size, _, rest = content.partition(b"\r\n")
-        length = int(size, 16)
-        if not length:
-            break
-        parts.append(rest[:length])
-        content = rest[length + 2 :]
-    return b"".join(parts)
