--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,7 @@
-"""Unreadable entries of another writer keep the routers from answering.
+"""A plain request that crashes its engines is sent to engines without end.
 
-Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+The engines fall silent in the crash. Exits with 1 if the rule was broken, 0 if it
+held, and 2 if the case couldn't run.
 """
 
 import asyncio
@@ -11,46 +12,19 @@
 from pathlib import Path
 
 from callers import PATH_PREFIX, call
-from deployment import ZONES, Deployment
-from engines import SERVERS_PATH, Engine
-from platformwire import call_store
-from store import VALUE_BYTES, dump
+from deployment import BOUNDS, ZONES, Deployment
+from engines import Engine
 
 RECORD = Path(__file__).with_name("record.txt")
-ENGINES = 3
-# As often as an engine writes its entry.
-HEARTBEAT_S = 1.2
-WRITES = 20
-ENTRIES = 2
+ENGINES = 6
+POISON_PATH = f"{PATH_PREFIX}reads-forever"
 DEADLINE_MS = 3000
-TIMEOUT_S = 1.0
-CALLS_PER_S = 10.0
-# The rule: more than half of those unanswered at the route's time have no answer half
-# a second later. Fewer requests than this show nothing.
-LATE_S = 0.5
-LATE_SHARE = 0.5
-MIN_CALLS = 8
-
-
-def make_odd_entry():
-    """Return an entry that can't be read, as large as an object may be.
-
-    Half of a surrogate pair can be written in JSON, and stands for no character.
-    """
-    entry = {
-        "service": "\ud800",
-        "address": "127.0.9.9:9",
-        "zone": "zone-a",
-        "version": "v1",
-        "state": "ready",
-        "cold_ms": 0,
-        "seq": 1000,
-        "born": 1,
-        "slots": [],
-    }
-    free_bytes = VALUE_BYTES - len(dump(entry))
-    entry["slots"] = [{}] * (free_bytes // len("{},"))
-    return entry
+# The request comes again, at the next router.
+REPEAT_S = 6.0
+REPEATS = 8
+CALLS_PER_S = 5.0
+# The rule allows three retries later than `contact_ms` after the third crash.
+ALLOWED = 3
 
 
 class Case:
@@ -59,17 +33,14 @@
     Parameters
     ----------
     has_trouble : bool
-        Whether another writer writes entries.
+        Whether the request crashes the engines that run it.
     """
 
     def __init__(self, has_trouble):
         self._has_trouble = has_trouble
+        self._engines = []
         self._began_s = time.monotonic()
         self._lines = []
-        self._calls = set()
-        # Attempt, time to the end, and status of each call, 0 without an answer.
-        self._ended = []
-        self._engines = []
 
     def record(self, kind, fields):
         """Add a line to the record."""
@@ -80,81 +51,70 @@
         """Write the record to its file."""
         RECORD.write_text("\n".join(self._lines) + "\n")
 
+    def _crashes(self, target):
+        return self._has_trouble and target == POISON_PATH
+
     async def run(self):
         """Play the case; return the exit status."""
         async with Deployment(self.record) as deployment:
-            # Callers abandon an idempotent request that isn't read for a second.
-            await deployment.configure("non_idempotent")
+            await deployment.configure()
             await self._start_engines(deployment.store)
             await deployment.start_routers()
-            await asyncio.sleep(5.0)
-            fronts = [router.front for router in deployment.routers]
-            calls = asyncio.ensure_future(self._call(fronts))
-            await asyncio.sleep(3.0)
-            await self._write_entries(deployment.store)
             await asyncio.sleep(3.0)
-            calls.cancel()
-            await asyncio.wait(self._calls)
+            fronts = [router.front for router in deployment.routers]
+            others = asyncio.ensure_future(self._call_others(fronts))
+            for number in range(REPEATS):
+                front = fronts[number % len(fronts)]
+                await call(self.record, front, DEADLINE_MS, POISON_PATH, b"x")
+                await asyncio.sleep(REPEAT_S)
+            others.cancel()
             for engine in self._engines:
                 engine.close()
         return self._judge()
 
     async def _start_engines(self, store):
-        for number, zone in zip(range(ENGINES), ZONES, strict=True):
-            address = f"127.0.3.{10 + number}"
-            engine = Engine(self.record, store, "wuno96b", zone, address)
+        zones = list(ZONES)
+        for number in range(ENGINES):
+            engine = Engine(
+                self.record,
+                store,
+                "wuno96b",
+                zones[number % len(zones)],
+                f"127.0.3.{10 + number}",
+                crashes=self._crashes,
+            )
             await engine.start()
             self._engines.append(engine)
 
-    async def _write_entries(self, store):
-        """Write the entries, and a change of each with each heartbeat."""
-        spec = make_odd_entry()
-        for number in range(WRITES):
-            spec["seq"] = 1000 + number
-            for name in [f"w-{entry}" for entry in range(ENTRIES)]:
-                if self._has_trouble:
-                    await self._write_entry(store, name, spec, is_new=not number)
-            await asyncio.sleep(HEARTBEAT_S)
-
-    async def _write_entry(self, store, name, spec, is_new):
-        method, path = "PUT", f"{SERVERS_PATH}/{name}"
-        if is_new:
-            method, path = "POST", SERVERS_PATH
-        document = {"metadata": {"name": name}, "spec": spec}
-        status, _ = await call_store(store, method, path, document)
-        fields = {"name": name, "bytes": len(dump(spec)), "status": status}
-        self.record("another writer's entry", fields)
-
-    async def _call(self, fronts):
-        """Send orders at a steady rate."""
-        number = 0
+    async def _call_others(self, fronts):
+        """Send sound requests at a steady rate."""
+        calls, number = set(), 0
         while True:
             number += 1
-            path, front = f"{PATH_PREFIX}{number}", fronts[number % len(fronts)]
-            self._calls.add(asyncio.ensure_future(self._call_once(front, path)))
+            path = f"{PATH_PREFIX}{number}"
+            front = fronts[number % len(fronts)]
+            work = call(self.record, front, DEADLINE_MS, path, b"y")
+            calls.add(asyncio.ensure_future(work))
             await asyncio.sleep(1 / CALLS_PER_S)
 
-    async def _call_once(self, front, path):
-        began_s = time.monotonic()
-        attempt, answer = await call(self.record, front, DEADLINE_MS, path, b"y")
-        self._ended.append((attempt, time.monotonic() - began_s, answer.status))
-
     def _judge(self):
-        over = [item for item in self._ended if item[1] > TIMEOUT_S]
-        late = [item for item in over if item[1] > TIMEOUT_S + LATE_S or not item[2]]
-        served = sum(status == 200 for _, _, status in self._ended)
-        ran = {run["attempt"] for engine in self._engines for run in engine.runs}
-        ran_late = sum(attempt in ran for attempt, _, _ in late)
-        fields = {"calls": len(self._ended), "served": served}
-        fields |= {"unanswered at timeout_ms": len(over)}
-        fields |= {"unanswered half a second later": len(late)}
-        fields |= {"of these run by an engine": ran_late}
+        crashes_s = sorted(
+            at_s for item in self._engines for at_s in item.crash_times_s
+        )
+        runs = [run for engine in self._engines for run in engine.runs]
+        whole = sum(run["ended"] == "whole" for run in runs)
+        late = 0
+        if len(crashes_s) >= 3:
+            from_s = crashes_s[2] + BOUNDS["contact_ms"] / 1000
+            poison = [run for run in runs if run["target"] == POISON_PATH]
+            late = sum(run["began_s"] > from_s for run in poison)
+        fields = {"crashes": len(crashes_s), "late arrivals of the request": late}
+        fields |= {"whole runs of other requests": whole}
         self.record("result", fields)
         print(json.dumps(fields))
-        if not served:
+        if not whole:
             return 2
-        is_broken = len(over) >= MIN_CALLS and len(late) > LATE_SHARE * len(over)
-        return 1 if is_broken else 0
+        return 1 if late > ALLOWED else 0
 
 
 def main():
