--- a/src/sapphirerock/decisions/crashlog.py
+++ b/src/sapphirerock/decisions/crashlog.py
@@ -7,7 +7,8 @@
 order changes nothing, so hosts can merge their logs.
 
 A suspect is a request or a prompt part, and is known by its fingerprint. A part on
-which an engine has begun to write is sound, and no suspect any more. A crash that
+which an engine has begun to write, or a request that an engine has survived, is sound
+and no suspect any more. A crash that
 refusals caused is marked in its list of suspects, and is no evidence against them.
 """
 
@@ -235,12 +236,12 @@
         return True
 
     def add_sound_parts(self, fingerprints, age_s=0.0):
-        """Add prompt parts on which an engine has begun to write.
+        """Add prompt parts and requests that an engine has survived.
 
         Parameters
         ----------
         age_s : float
-            Time since the engine began, in seconds.
+            Time since it has, in seconds.
 
         Returns
         -------
@@ -261,17 +262,17 @@
         return added
 
     def is_sound(self, fingerprint):
-        """Return whether an engine has begun to write on a prompt part lately."""
+        """Return whether an engine has survived a prompt part or a request lately."""
         age_s = self.measure_soundness_age_s(fingerprint)
         return age_s is not None and age_s < EVIDENCE_TTL_S
 
     def measure_soundness_age_s(self, fingerprint):
-        """Return the seconds since an engine last wrote on a part; None for never."""
+        """Return the seconds since an engine last survived a suspect, or None."""
         at_s = self._sound_parts.get(fingerprint)
         return None if at_s is None else self._clock.monotonic() - at_s
 
     def list_sound_suspects(self):
-        """Return the sound parts that were running when an engine crashed."""
+        """Return the sound suspects that were running when an engine crashed."""
         return [
             fingerprint
             for fingerprint in self._runs_by_suspect
@@ -321,6 +322,8 @@
         return len(self._list_evidence(fingerprint))
 
     def _list_evidence(self, fingerprint):
+        if self.is_sound(fingerprint):
+            return []
         latest_s = self._clock.monotonic() - CORRELATED_CRASH_S
         crashes = [
             self._crashes[run] for run in self._runs_by_suspect.get(fingerprint, ())
@@ -357,6 +360,8 @@
 
     def is_blocked(self, fingerprint):
         """Return whether a request must not run any more."""
+        if self.is_sound(fingerprint):
+            return False
         if fingerprint in self._blocked:
             return True
         if self.count_crashes(fingerprint) < BLOCKING_CRASHES:
--- a/src/sapphirerock/decisions/poisonrequests.py
+++ b/src/sapphirerock/decisions/poisonrequests.py
@@ -10,6 +10,8 @@
 
 from sapphirerock.decisions.rendezvous import rank_candidates
 
+# Time within which an engine that crashed has registered again.
+MAX_RESTART_S = 15.0
 # Crashes after which a request is blocked. A harmless request that is migrated
 # encounters this many by chance only if zones fail one after the other, since the
 # crashes of one zone count as a single crash.
--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import math
 
 from loguru import logger
 
@@ -14,11 +15,17 @@
 from sapphirerock.decisions.poisonrequests import (
     CORRELATED_CRASH_S,
     CRASH_GOSSIP_DELAY_S,
+    MAX_RESTART_S,
     SUSPECT_LOSSES,
     choose_isolated_engine,
 )
 from sapphirerock.decisions.quarantine import ISOLATION_CRASHES, make_fingerprint
 from sapphirerock.decisions.refusals import RecentRefusals
+from sapphirerock.decisions.unanswered import (
+    UnansweredCall,
+    UnansweredCalls,
+    estimate_silence_start,
+)
 from sapphirerock.process.engines.prober import ProbeOutcome
 from sapphirerock.process.peers.gossip import (
     CrashSuspectsUpdate,
@@ -34,9 +41,6 @@
 # An engine that doesn't answer is probed again, since a lost packet, a busy engine or a
 # network partition hides a crash.
 PROBE_RETRY_DELAYS_S = (0.1, 0.4, 1.0)
-# Time for which the calls of an engine that was lost for an unknown cause are kept.
-# An engine that crashed has registered again within this time.
-LOSS_TTL_S = 15.0
 # A peer's report that an engine is down is verified if the engine has sent data to this
 # host within this time.
 VERIFIED_CONTACT_S = 5.0
@@ -118,6 +122,7 @@
         "_metrics",
         "_losses",
         "_checks",
+        "_unanswered",
         "_refusals",
         "_tasks",
     )
@@ -133,11 +138,13 @@
         self._metrics = metrics
         self._losses = {}
         self._checks = {}
+        self._unanswered = UnansweredCalls()
         self._refusals = RecentRefusals()
         self._tasks = BackgroundTasks()
         gossip.subscribe(CrashSuspectsUpdate, self._apply_suspects)
         gossip.subscribe(EngineDownUpdate, self._apply_engine_down)
         engines.on_restart.append(self._apply_restart)
+        engines.on_lapse.append(self._apply_lapse)
 
     def is_blocked(self, call):
         """Return whether a call is blocked because it crashes its engines."""
@@ -154,13 +161,20 @@
         """Record that an engine has begun to write on the prompt of a call."""
         self._sound_parts.record_output(fingerprint_parts(call))
 
+    def record_survival(self, call):
+        """Record that an engine has run a call and lives.
+
+        A request that crashes its engines would have crashed it.
+        """
+        now_s = self._clock.monotonic()
+        is_calm = self._crash_log.is_empty and not self._losses
+        if not is_calm or not self._unanswered.is_empty(now_s):
+            self._sound_parts.record_output([fingerprint_call(call)])
+
     def _list_suspects(self, call):
         """Return the fingerprints of a call and of its parts that may crash engines."""
-        parts = fingerprint_parts(call)
-        return [
-            fingerprint_call(call),
-            *(part for part in parts if not self._crash_log.is_sound(part)),
-        ]
+        suspects = [fingerprint_call(call), *fingerprint_parts(call)]
+        return [item for item in suspects if not self._crash_log.is_sound(item)]
 
     def log_send(self, state, call):
         """Log that a call with evidence against it is sent to an engine."""
@@ -199,8 +213,32 @@
             loss.task = self._tasks.spawn(self._investigate(state, loss))
         loss.suspects.update(suspects)
 
+    def record_unanswered(self, state, call, began_s):
+        """Record that a call left its engine without an answer.
+
+        It is a suspect if it shows later that the run of the engine has ended, and the
+        engine was not heard after the call.
+
+        Parameters
+        ----------
+        began_s : float
+            Monotonic time at which the call was sent, in seconds.
+        """
+        run = make_run(state)
+        if self._crash_log.is_caused_by_refusals(run):
+            return
+        suspects = self._list_suspects(call)
+        if self._crash_log.has_crash(run):
+            unknown = self._crash_log.select_unknown(run, suspects)
+            if unknown:
+                self._send_suspects(run, self._clock.monotonic(), unknown)
+        elif suspects:
+            ended_s = self._clock.monotonic()
+            unanswered = UnansweredCall(tuple(suspects), began_s, ended_s)
+            self._unanswered.add(run, unanswered)
+
     def _drop_old_losses(self):
-        oldest_s = self._clock.monotonic() - LOSS_TTL_S
+        oldest_s = self._clock.monotonic() - MAX_RESTART_S
         for run, loss in list(self._losses.items()):
             if loss.at_s < oldest_s:
                 del self._losses[run]
@@ -247,7 +285,8 @@
         ]
 
     def _measure_settling_s(self, suspects):
-        return max(self._crash_log.measure_settling_s(suspect) for suspect in suspects)
+        times_s = map(self._crash_log.measure_settling_s, suspects)
+        return max(times_s, default=0.0)
 
     def _must_run_alone(self, suspects):
         return any(self._crash_log.must_run_alone(suspect) for suspect in suspects)
@@ -301,6 +340,7 @@
             self.report_crash(state)
         elif result.shows_running:
             self._losses.pop(make_run(state), None)
+            self._unanswered.drop(make_run(state))
         return result.outcome
 
     def report_crash(self, state):
@@ -445,11 +485,37 @@
 
         All hosts get the registration, so peers need no report of the crash.
         """
-        run = make_run(state)
-        if run in self._losses or state.attempts:
-            self._record_crash(run, state)
+        if self._has_lost_calls(state):
+            self._record_crash(make_run(state), state)
             self._mark_down_and_interrupt(state, CRASHED)
 
+    def _has_lost_calls(self, state):
+        """Return whether calls of this host may have crashed an engine that ended."""
+        run = make_run(state)
+        now_s = self._clock.monotonic()
+        has_unanswered = self._unanswered.select(run, state.heard_s, now_s)
+        return run in self._losses or bool(state.attempts or has_unanswered)
+
+    def _apply_lapse(self, state):
+        """Find out whether an engine whose registration was removed has crashed."""
+        if self._has_lost_calls(state) and not state.is_draining:
+            self._tasks.spawn(self._investigate_lapse(state))
+
+    async def _investigate_lapse(self, state):
+        """Record a crash if an engine neither registers nor answers any host."""
+        asked_s = self._clock.monotonic()
+        result = await self._prober.probe_and_confirm(state.entry, PROBE_TIMEOUT_S)
+        logger.bind(
+            engine=state.name,
+            born_ms=state.entry.born_ms,
+            outcome=result.outcome.value,
+            detail=result.detail,
+        ).info("engine without registration investigated")
+        if result.outcome is ProbeOutcome.ENDED:
+            self.report_crash(state)
+        elif result.outcome is ProbeOutcome.NO_ANSWER and state.heard_s < asked_s:
+            self._record_crash(make_run(state), state)
+
     def _mark_down_and_interrupt(self, state, cause):
         """Give an engine whose run has ended no new work, and end its attempts."""
         self._engines.mark_down(state, cause)
@@ -494,12 +560,19 @@
     def _record_crash(self, run, state):
         """Add a crash to the log, with the calls that this host had on the engine."""
         loss = self._losses.pop(run, None)
-        at_s = loss.at_s if loss else self._clock.monotonic()
+        heard_s = state.heard_s if state is not None else -math.inf
+        now_s = self._clock.monotonic()
+        unanswered = self._unanswered.select(run, heard_s, now_s)
+        self._unanswered.drop(run)
+        at_s = loss.at_s if loss else now_s
+        if unanswered:
+            at_s = min(at_s, estimate_silence_start(unanswered, heard_s))
         self._crash_log.add_crash(run, at_s)
         self._attribute_to_refusals(run)
         if self._crash_log.is_caused_by_refusals(run):
             return
         suspects = set(loss.suspects) if loss else set()
+        suspects.update(*(call.suspects for call in unanswered))
         if state is not None:
             for attempt in state.attempts:
                 suspects.update(self._list_suspects(attempt.call))
--- a/src/sapphirerock/process/engines/soundparts.py
+++ b/src/sapphirerock/process/engines/soundparts.py
@@ -1,8 +1,9 @@
-"""Spreads which prompt parts are sound, so that no host holds them for suspects.
+"""Spreads which suspects are sound, so that no host holds them for suspects.
 
-A part is sound when an engine has written on it, which only the hosts that sent the
-calls observe. They tell all hosts once the part is among the suspects of a crash, and
-a host that fetches a crash log gets the sound parts of it from the same peer.
+A prompt part is sound when an engine has written on it, a request when an engine has
+survived it, which only the hosts that sent the calls observe. They tell all hosts once
+it is among the suspects of a crash, and a host that fetches a crash log gets the sound
+ones from the same peer.
 """
 
 from collections import OrderedDict
@@ -10,6 +11,7 @@
 from loguru import logger
 
 from sapphirerock.connection.messages import SoundParts
+from sapphirerock.decisions.crashlog import is_part
 from sapphirerock.process.clock import MAX_TIMER_DELAY_S
 from sapphirerock.process.peers.gossip import SoundPartsUpdate
 from sapphirerock.process.tasks import BackgroundTasks
@@ -71,7 +73,7 @@
         peers.announce_support(VIEW, self.send_suspects)
 
     def record_output(self, parts):
-        """Record that an engine has begun to write on parts of a prompt.
+        """Record prompt parts, or a request, that an engine has survived.
 
         All hosts are told at once of those that are suspects.
         """
@@ -131,9 +133,8 @@
     def _add_parts(self, aged_parts):
         for part, age_ms in aged_parts:
             if self._crash_log.add_sound_parts([part], age_ms / MS_PER_S):
-                logger.bind(part=part.hex(), age_ms=age_ms).info(
-                    "prompt part found sound"
-                )
+                kind = "prompt part" if is_part(part) else "request"
+                logger.bind(part=part.hex(), age_ms=age_ms).info(f"{kind} found sound")
 
     def send_suspects(self, stream):
         """Tell a peer which suspects of this host's crash log are sound."""
--- a/src/sapphirerock/process/engines/table.py
+++ b/src/sapphirerock/process/engines/table.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from sapphirerock.decisions.health import FailureShare
+from sapphirerock.decisions.poisonrequests import MAX_RESTART_S
 from sapphirerock.decisions.silence import MAX_SILENCE_WAIT_S
 
 # An engine that was found down may get work again after this time, which doubles with
@@ -232,14 +233,18 @@
     on_restart : list of callable
         Called with the state of a run that ended, when a later run is registered under
         the same id or at the same address.
+    on_lapse : list of callable
+        Called with the state of an engine whose registration was removed.
     """
 
     __slots__ = (
         "on_restart",
+        "on_lapse",
         "_decode",
         "_clock",
         "_metrics",
         "_states",
+        "_lapsed",
         "_kept_statements",
         "_last_tolerances",
         "_last_seen_s_by_version",
@@ -247,10 +252,13 @@
 
     def __init__(self, decode, clock, metrics):
         self.on_restart = []
+        self.on_lapse = []
         self._decode = decode
         self._clock = clock
         self._metrics = metrics
         self._states = {}
+        # Engines whose registration was removed lately, and the times, by id.
+        self._lapsed = {}
         # Statements by the engine's id and start, since a registration may lapse while
         # the engine lives, and come back.
         self._kept_statements = OrderedDict()
@@ -287,11 +295,31 @@
             (entry.name, entry.born_ms), {}
         ).items():
             setattr(added, attribute, value)
+        for ended in self._take_former_runs(entry):
+            self._notify_of_restart(ended, added)
         if known is not None:
-            self._notify_of_restart(known, added)
             self._update_address(known.entry.address)
         self._update_address(entry.address)
 
+    def _take_former_runs(self, entry):
+        """Return the lapsed runs under the id or at the address of a new entry.
+
+        The entry of an engine that crashed silently lapses before it registers again.
+        Each run is returned once.
+        """
+        oldest_s = self._clock.monotonic() - MAX_RESTART_S
+        self._lapsed = {
+            name: (state, lapsed_s)
+            for name, (state, lapsed_s) in self._lapsed.items()
+            if lapsed_s >= oldest_s
+        }
+        names = [
+            name
+            for name, (state, _) in self._lapsed.items()
+            if name == entry.name or state.entry.address == entry.address
+        ]
+        return [self._lapsed.pop(name)[0] for name in names]
+
     def _update_address(self, address):
         """Determine which of the engines registered at an address is the one to use.
 
@@ -341,12 +369,15 @@
         known = self._drop(name)
         if known is not None:
             self._update_address(known.entry.address)
+            for notify in self.on_lapse:
+                notify(known)
 
     def _drop(self, name):
         """Drop an engine, and return its state or None."""
         known = self._states.pop(name, None)
         if known is not None:
             known.has_ended = True
+            self._lapsed[name] = known, self._clock.monotonic()
             if known.refusal_tolerance is not None:
                 last = known.refusal_tolerance, self._clock.monotonic()
                 self._last_tolerances[known.entry.service] = last
--- a/src/sapphirerock/request/plaincall.py
+++ b/src/sapphirerock/request/plaincall.py
@@ -175,7 +175,13 @@
     async def _attempt_beside(self):
         """Send the call to another engine, too, if it may be; return the result."""
         engines = self._count_engines()
-        may_send = engines < self._call.route.max_attempts and self._may_send_again()
+        # A request that has lost engines may have silenced this one, too.
+        is_suspect = self._runtime.crash_watch.must_wait(self._call)
+        may_send = (
+            not is_suspect
+            and engines < self._call.route.max_attempts
+            and self._may_send_again()
+        )
         self._log.bind(engines=engines, may_send=may_send).info("attempt silent")
         if not may_send:
             return AttemptResult(PlainCallOutcome.NO_ENGINE)
--- a/src/sapphirerock/request/streamcall.py
+++ b/src/sapphirerock/request/streamcall.py
@@ -678,11 +678,8 @@
                 ).warning("stream without progress ended")
                 return StreamOutcome.FAILED
             if events:
-                if not attempt.has_output:
-                    attempt.has_output = True
-                    if continuation is None:
-                        attempt.record_response(has_failed=False)
-                    self._runtime.crash_watch.record_output(self._call)
+                if attempt.record_output() and continuation is None:
+                    attempt.record_response(has_failed=False)
                 attempt.mark_prefilled()
                 self._measure_pace(attempt, pauses, len(events))
                 await self._forward_events(attempt, events)
--- a/src/sapphirerock/request/upstreamattempt.py
+++ b/src/sapphirerock/request/upstreamattempt.py
@@ -11,6 +11,7 @@
     DeadlineExceeded,
     RelayUnavailable,
     UpstreamBroken,
+    UpstreamUnreachable,
 )
 from sapphirerock.connection.response import BufferedResponse
 from sapphirerock.connection.upstream import OutboundRequest, open_response, read_body
@@ -18,13 +19,17 @@
 from sapphirerock.decisions.urgency import choose_urgency
 from sapphirerock.process.engines.paths import MAX_SILENT_RELAYS
 
+# An engine that writes on a call for this time has survived it.
+SURVIVAL_S = 1.0
+
 
 class UpstreamAttempt:
     """An attempt at a call on one engine.
 
     Used as a context manager: on entry, the attempt is added to the load of the engine.
     On exit, it is subtracted and the connection is closed, which makes the engine stop
-    work on the call.
+    work on the call. An attempt that ends without an answer, for whatever reason, is
+    reported to the crash watch.
 
     Parameters
     ----------
@@ -77,6 +82,9 @@
         "_timeout",
         "_interrupt_cause",
         "_opened_s",
+        "_was_sent",
+        "_is_answered",
+        "_survival_due_s",
     )
 
     def __init__(
@@ -108,6 +116,10 @@
         self._timeout = None
         self._interrupt_cause = None
         self._opened_s = runtime.clock.monotonic()
+        self._was_sent = False
+        self._is_answered = False
+        # Time from which output shows that the engine has survived the call.
+        self._survival_due_s = None
 
     def __enter__(self):
         state = self.state
@@ -134,6 +146,10 @@
             self._response.close()
         if self._slot is not None:
             self._slot.release()
+        if self._was_sent and not self._is_answered:
+            self._runtime.crash_watch.record_unanswered(
+                state, self.call, self._opened_s
+            )
 
     def _count_kv_copy(self, sign):
         """Add the KV copy to the backup's load if ``sign`` is 1; subtract it if -1."""
@@ -161,6 +177,25 @@
             time_s = self._runtime.clock.monotonic() - self._opened_s
             rollouts.record_response(self.call, self.state, has_failed, time_s)
 
+    def record_output(self):
+        """Record that events of the response have arrived.
+
+        Returns
+        -------
+        bool
+            Whether they are the first ones.
+        """
+        now_s, crash_watch = self._runtime.clock.monotonic(), self._runtime.crash_watch
+        is_first = not self.has_output
+        if is_first:
+            self.has_output = self._is_answered = True
+            self._survival_due_s = now_s + SURVIVAL_S
+            crash_watch.record_output(self.call)
+        elif self._survival_due_s is not None and now_s >= self._survival_due_s:
+            self._survival_due_s = None
+            crash_watch.record_survival(self.call)
+        return is_first
+
     def interrupt(self, cause):
         """Make the current or next wait fail with ``AttemptInterrupted``.
 
@@ -272,11 +307,13 @@
         )
         request = OutboundRequest(call.method, call.target, headers, call.body)
         self.relay = path.relay
+        self._was_sent = True
         opened = await self._wait_until_deadline(
             open_response(path.session, entry.name, entry.address, request)
         )
+        failure = opened.error if opened.is_error() else None
+        self._was_sent = not isinstance(failure, RelayUnavailable | UpstreamUnreachable)
         if path.relay is not None:
-            failure = opened.error if opened.is_error() else None
             is_available = not isinstance(failure, RelayUnavailable)
             if not is_available:
                 self.relay = None
@@ -317,6 +354,7 @@
         expression.Result of BufferedResponse or ConnectionFailure
         """
         if self.head.was_not_executed:
+            self._is_answered = True
             return Ok(BufferedResponse(self.head, self.select_headers(), b""))
         read = await self._wait_until_deadline(
             read_body(self.state.name, self._response, hold=self.hold)
@@ -324,6 +362,8 @@
         if read.is_error():
             return read
         self._record_contact()
+        self._is_answered = True
+        self._runtime.crash_watch.record_survival(self.call)
         return Ok(BufferedResponse(self.head, self.select_headers(), read.ok))
 
     async def _read_available(self):
--- a/src/sapphirerock/standin/cli.py
+++ b/src/sapphirerock/standin/cli.py
@@ -94,6 +94,7 @@
 @click.option("--prompt", "prompt_s", default=0.1, help="Seconds to read a prompt.")
 @click.option("--work", "work_s", default=0.01, help="Seconds of a plain call.")
 @click.option("--poison", default="", help="Requests with it crash the engine.")
+@click.option("--silence", "silence_s", default=0.0, help="Seconds before it is back.")
 @click.option("--version", default="v1", help="Software version that it registers.")
 def shared_engine(
     host,
@@ -106,11 +107,20 @@
     prompt_s,
     work_s,
     poison,
+    silence_s,
     version,
 ):
     """Run an engine of the shared platform."""
     traits = EngineTraits(
-        service, zone, slots, event_s, prompt_s, work_s, poison=poison, version=version
+        service,
+        zone,
+        slots,
+        event_s,
+        prompt_s,
+        work_s,
+        poison=poison,
+        version=version,
+        silence_s=silence_s,
     )
     standin = SharedEngineStandin(traits)
     run_service(SharedEngineService(standin, host, port, store_url))
--- a/src/sapphirerock/standin/sharedengine.py
+++ b/src/sapphirerock/standin/sharedengine.py
@@ -41,6 +41,8 @@
 # A stream sends a KV copy to its backup engine at most this often.
 KV_COPY_INTERVAL_S = 0.1
 # The registration is checked for changes five times in this interval.
+# Three heartbeats of 1.2 s.
+REGISTRATION_LIFETIME_S = 3.6
 REGISTRATION_INTERVAL_S = 0.5
 COPY_PATH = "/standin/copies/{run}"
 RUNS_PATH = "/standin/runs"
@@ -121,6 +123,9 @@
         or in the list of its prompt's parts when the engine has prefilled the prompt.
     version : str
         Software version that the engine registers first.
+    silence_s : float
+        Time for which an engine that crashes is silent before it starts anew, in
+        seconds; 0 for one that resets its connections.
     """
 
     service: str
@@ -132,6 +137,7 @@
     memory_tokens: int = 100_000
     poison: str = ""
     version: str = "v1"
+    silence_s: float = 0.0
 
 
 class SharedEngineStandin(FaultState):
@@ -159,6 +165,8 @@
     on_crash : callable or None
         Called without arguments after a crash. Without it a crash only ends the runs
         and resets their connections.
+    on_silence : callable or None
+        Called without arguments when a silent crash begins.
     skips_registration : bool
         Whether the engine stays out of the store.
     has_endless_reports : bool
@@ -212,6 +220,7 @@
         self.next_version = traits.version
         self.engine_id = ""
         self.on_crash = None
+        self.on_silence = None
         self.skips_registration = False
         self.has_crashed = False
         self.has_endless_reports = False
@@ -264,6 +273,13 @@
             self.has_crashed = True
             self.on_crash()
 
+    async def crash_silently(self):
+        """Answer nothing for a time, then crash."""
+        self.down_until_s = time.monotonic() + self.traits.silence_s
+        self.down_manner = "silent"
+        self.on_silence()
+        await asyncio.sleep(HANG_S)
+
     def reset_connections(self):
         """Reset the connections of all calls in progress."""
         for transport in list(self._transports):
@@ -436,6 +452,8 @@
         self.runs.append(run)
         poison = self.traits.poison.encode()
         if poison and (poison in body or poison in request.raw_path.encode()):
+            if self.traits.silence_s:
+                await self.crash_silently()
             self.crash()
             return web.Response(status=500)
         try:
@@ -780,6 +798,7 @@
         self._store = None
         self._session = None
         standin.on_crash = self._schedule_restart
+        standin.on_silence = self._schedule_silent_crash
 
     async def on_start(self):
         """Connect to the store and start listening."""
@@ -797,6 +816,21 @@
         )
         await self._site.start()
 
+    def _schedule_silent_crash(self):
+        self.add_future(self._end_silence())
+        self.add_future(self._lapse(self.standin.engine_id))
+
+    async def _end_silence(self):
+        await SystemClock().sleep(self.standin.traits.silence_s)
+        self.standin.crash()
+
+    async def _lapse(self, name):
+        """Remove a registration as the platform does after the last heartbeat."""
+        await SystemClock().sleep(REGISTRATION_LIFETIME_S)
+        read = await self._store.read(ENGINES_KIND, name)
+        if read.is_ok():
+            await self._store.delete(ENGINES_KIND, name, read.ok.revision)
+
     def _schedule_restart(self):
         self.add_future(self._restart())
 
