--- a/src/sapphirerock/process/engines/crashwatch.py
+++ b/src/sapphirerock/process/engines/crashwatch.py
@@ -197,14 +197,9 @@
 
         A call that is lost later with the same run of the engine joins the suspects.
         """
-        run = make_run(state)
-        if self._crash_log.is_caused_by_refusals(run):
-            return
-        suspects = self._list_suspects(call)
+        run, suspects = make_run(state), self._list_suspects(call)
         if self._crash_log.has_crash(run):
-            unknown = self._crash_log.select_unknown(run, suspects)
-            if unknown:
-                self._send_suspects(run, self._clock.monotonic(), unknown)
+            self._send_late_suspects(run, suspects)
             return
         self._drop_old_losses()
         loss = self._losses.get(run)
@@ -224,14 +219,9 @@
         began_s : float
             Monotonic time at which the call was sent, in seconds.
         """
-        run = make_run(state)
-        if self._crash_log.is_caused_by_refusals(run):
-            return
-        suspects = self._list_suspects(call)
+        run, suspects = make_run(state), self._list_suspects(call)
         if self._crash_log.has_crash(run):
-            unknown = self._crash_log.select_unknown(run, suspects)
-            if unknown:
-                self._send_suspects(run, self._clock.monotonic(), unknown)
+            self._send_late_suspects(run, suspects)
         elif suspects:
             ended_s = self._clock.monotonic()
             unanswered = UnansweredCall(tuple(suspects), began_s, ended_s)
@@ -580,6 +570,12 @@
         if suspects:
             self._send_suspects(run, at_s, suspects)
 
+    def _send_late_suspects(self, run, suspects):
+        """Send suspects of a crash that is known, unless refusals caused it."""
+        unknown = self._crash_log.select_unknown(run, suspects)
+        if unknown and not self._crash_log.is_caused_by_refusals(run):
+            self._send_suspects(run, self._clock.monotonic(), unknown)
+
     def _send_suspects(self, run, at_s, suspects):
         """Send the requests that this host had on a crashed engine to all hosts."""
         self._broadcast_suspects(run, at_s, suspects)
