Tests of silent crashes: the two orders of one answer, without another start before them

The rows with the old entry's end and the new entry in one answer of a watch registered a third start first, which showed the end of the run already.

--- a/features/steps/silentcrash_steps.py
+++ b/features/steps/silentcrash_steps.py
@@ -23,13 +23,14 @@
 )
 from sapphirerock.decisions.unanswered import UnansweredCall, UnansweredCalls
 from sapphirerock.process.replicas.replica import ReplicaChange
+from sapphirerock.version.engineentry import EngineEntry
 
 DEADLINE_MS = 1000
-# The rule's `contact_ms`.
-CONTACT_S = 4.0
-ENGINES_PER_ZONE, ZONES = 2, 3
-CALLS_AFTER = 12
-HEALED_S = 9.0
+LEAVE_AFTER_S = 0.4
+FIRST_POISON, FIRST_LAST, FIRST_SOUND = 5_000, 8_000, 9_000
+SOUND_LOOKUPS = 12
+# Longer than an engine is silent, so that all are back.
+RECOVERY_S = 9.0
 
 
 @given(
@@ -49,12 +50,14 @@
 
 
 async def leave_early(edges, number):
+    """Send the poison lookup, and leave before its deadline."""
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(0.4):
+        async with asyncio.timeout(LEAVE_AFTER_S):
             await send_lookup(edges[number % len(edges)], number)
 
 
 async def wait_for_deadline(edges, number):
+    """Send the poison lookup, and wait for the response."""
     await send_lookup(edges[number % len(edges)], number)
 
 
@@ -78,7 +81,7 @@
 
     async def run():
         end_s = time.monotonic() + seconds
-        number = 5_000
+        number = FIRST_POISON
         while time.monotonic() < end_s:
             number += 1
             next_s = time.monotonic() + interval_s
@@ -105,14 +108,17 @@
 @then("every edge refuses the poison lookup, and other lookups are served")
 def check_refused(context):
     async def run():
-        await asyncio.sleep(HEALED_S)
+        await asyncio.sleep(RECOVERY_S)
         edges = list_edges(context)
         refused = [
-            await send_lookup(edge, 8_000 + number) for number, edge in enumerate(edges)
+            await send_lookup(edge, FIRST_LAST + number)
+            for number, edge in enumerate(edges)
         ]
         served = [
-            await send_lookup(edges[number % len(edges)], 9_000 + number, f"/stock/{n}")
-            for n, number in enumerate(range(CALLS_AFTER))
+            await send_lookup(
+                edges[number % len(edges)], FIRST_SOUND + number, f"/stock/{number}"
+            )
+            for number in range(SOUND_LOOKUPS)
         ]
         return refused, served
 
@@ -134,19 +140,9 @@
     return state
 
 
-def lapse(host, *names):
-    """Apply the removal of registrations."""
-    host.engines.apply_changes(
-        [ReplicaChange(name, 1_000, None) for name in names],
-    )
-
-
-def make_start(host, name, address, born_ms):
-    """Return the change with a registration of a later start."""
-    state = host.add_engine("unused", address, born_ms)
-    entry = type(state.entry)(name, "model", address, "zone-a", 16, born_ms=born_ms)
-    lapse(host, "unused")
-    return ReplicaChange(name, 1_001, entry)
+def lapse(host, name):
+    """Apply the removal of a registration."""
+    host.engines.apply_changes([ReplicaChange(name, 1_000, None)])
 
 
 @register_in(ORDERS, "the call ends, and a new start registers before the entry lapses")
@@ -167,8 +163,9 @@
 def restart_in_one_answer(host, call, has_end_first):
     state = host.add_unresponsive_engine("e1")
     end_unanswered(host, call, state)
-    start = make_start(host, "e2", state.entry.address, BORN_MS + 5_000)
-    changes = [ReplicaChange("e1", 1_002, None), start]
+    address, born_ms = state.entry.address, BORN_MS + 5_000
+    entry = EngineEntry("e2", "model", address, "zone-a", 16, born_ms=born_ms)
+    changes = [ReplicaChange("e1", 1_002, None), ReplicaChange("e2", 1_001, entry)]
     host.engines.apply_changes(changes if has_end_first else changes[::-1])
 
 
