--- a/src/sapphirerock/decisions/unanswered.py
+++ b/src/sapphirerock/decisions/unanswered.py
@@ -46,7 +46,8 @@
     def add(self, run, call):
         """Add a call that ended now.
 
-        Calls beyond `MAX_CALLS_PER_RUN` began when the engine was silent already.
+        Calls beyond `MAX_CALLS_PER_RUN` are left out: the first ones are those that the
+        engine can have crashed under.
         """
         self._drop_old(call.ended_s)
         calls = self._calls.setdefault(run, [])
--- a/src/sapphirerock/process/engines/soundparts.py
+++ b/src/sapphirerock/process/engines/soundparts.py
@@ -133,8 +133,12 @@
     def _add_parts(self, aged_parts):
         for part, age_ms in aged_parts:
             if self._crash_log.add_sound_parts([part], age_ms / MS_PER_S):
-                kind = "prompt part" if is_part(part) else "request"
-                logger.bind(part=part.hex(), age_ms=age_ms).info(f"{kind} found sound")
+                event = (
+                    "prompt part found sound"
+                    if is_part(part)
+                    else "request found sound"
+                )
+                logger.bind(part=part.hex(), age_ms=age_ms).info(event)
 
     def send_suspects(self, stream):
         """Tell a peer which suspects of this host's crash log are sound."""
